Add the design, the build and the ports of the core

Cause: the repository was empty; the modules need shared ids, errors, messages and ports before they can be written side by side. Change: design page, Maven build with formatter and linter, protobuf and JSON Schema with generated code, ids, error codes, event logger, ports to platform, engines, peers. Conclusion: the ports compile together; no behaviour yet.

--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/engine/ServiceCall.java
@@ -0,0 +1,18 @@
+package org.wigeonglade.core.engine;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Holds a call to a plain service.
+ *
+ * @param method the HTTP method
+ * @param path the path and query below the service, starting with a slash
+ * @param headers the headers to pass on
+ * @param body the body, not copied
+ * @param timeout the time until the call fails
+ */
+public record ServiceCall(String method, String path, Map<String, List<String>> headers, byte[] body,
+		Duration timeout) {
+}
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/engine/ServiceReply.java
@@ -0,0 +1,14 @@
+package org.wigeonglade.core.engine;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Holds the whole reply of a plain service.
+ *
+ * @param status the HTTP status
+ * @param headers the headers
+ * @param body the body, not copied
+ */
+public record ServiceReply(int status, Map<String, List<String>> headers, byte[] body) {
+}
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/error/PeerException.java
@@ -0,0 +1,29 @@
+package org.wigeonglade.core.error;
+
+/**
+ * Signals that an exchange with another host failed.
+ */
+public class PeerException extends WigeongladeException {
+
+	private static final long serialVersionUID = 1L;
+
+	/**
+	 * Creates a failure.
+	 * @param code the stable code, not null
+	 * @param message what happened and what is allowed, not null
+	 */
+	public PeerException(ErrorCode code, String message) {
+		super(code, RanState.NOT_RUN, message, null);
+	}
+
+	/**
+	 * Creates a failure with its cause.
+	 * @param code the stable code, not null
+	 * @param message what happened and what is allowed, not null
+	 * @param cause the cause, or null
+	 */
+	public PeerException(ErrorCode code, String message, Throwable cause) {
+		super(code, RanState.NOT_RUN, message, cause);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/error/WigeongladeException.java
@@ -0,0 +1,46 @@
+package org.wigeonglade.core.error;
+
+import java.util.Objects;
+
+/**
+ * Base of all failures of the system: a stable code, whether the work ran, and a message
+ * for the reader.
+ */
+public abstract class WigeongladeException extends RuntimeException {
+
+	private static final long serialVersionUID = 1L;
+
+	private final ErrorCode code;
+
+	private final RanState ran;
+
+	/**
+	 * Creates a failure.
+	 * @param code the stable code, not null
+	 * @param ran whether the work ran, not null
+	 * @param message what happened and what is allowed, not null
+	 * @param cause the cause, or null
+	 */
+	protected WigeongladeException(ErrorCode code, RanState ran, String message, Throwable cause) {
+		super(Objects.requireNonNull(message, "message"), cause);
+		this.code = Objects.requireNonNull(code, "code");
+		this.ran = Objects.requireNonNull(ran, "ran");
+	}
+
+	/**
+	 * Returns the stable code.
+	 * @return the code, never null
+	 */
+	public ErrorCode getCode() {
+		return this.code;
+	}
+
+	/**
+	 * Returns whether the work ran.
+	 * @return the state, never null
+	 */
+	public RanState getRan() {
+		return this.ran;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/id/Fingerprint.java
@@ -0,0 +1,40 @@
+package org.wigeonglade.core.id;
+
+/**
+ * Identifies requests with the same service and body. Immutable and ordered by its text.
+ *
+ * @param value the text, 1 to 200 letters, digits, dots, underscores, colons or hyphens
+ */
+public record Fingerprint(String value) implements Comparable<Fingerprint> {
+
+	/**
+	 * Creates the identifier.
+	 * @throws org.wigeonglade.core.error.InvalidRequestException if the text is null or
+	 * malformed
+	 */
+	public Fingerprint {
+		Names.require("fingerprint", value);
+	}
+
+	/**
+	 * Returns the identifier for a text.
+	 * @param value the text, not null
+	 * @return the identifier, never null
+	 * @throws org.wigeonglade.core.error.InvalidRequestException if the text is null or
+	 * malformed
+	 */
+	public static Fingerprint of(String value) {
+		return new Fingerprint(value);
+	}
+
+	@Override
+	public int compareTo(Fingerprint other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/id/ServiceName.java
@@ -0,0 +1,40 @@
+package org.wigeonglade.core.id;
+
+/**
+ * Names a service that callers use. Immutable and ordered by its text.
+ *
+ * @param value the text, 1 to 200 letters, digits, dots, underscores, colons or hyphens
+ */
+public record ServiceName(String value) implements Comparable<ServiceName> {
+
+	/**
+	 * Creates the identifier.
+	 * @throws org.wigeonglade.core.error.InvalidRequestException if the text is null or
+	 * malformed
+	 */
+	public ServiceName {
+		Names.require("service", value);
+	}
+
+	/**
+	 * Returns the identifier for a text.
+	 * @param value the text, not null
+	 * @return the identifier, never null
+	 * @throws org.wigeonglade.core.error.InvalidRequestException if the text is null or
+	 * malformed
+	 */
+	public static ServiceName of(String value) {
+		return new ServiceName(value);
+	}
+
+	@Override
+	public int compareTo(ServiceName other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/platform/HostDirectory.java
@@ -0,0 +1,19 @@
+package org.wigeonglade.core.platform;
+
+import java.util.List;
+
+import io.smallrye.mutiny.Uni;
+
+/**
+ * Host list of the platform: live and leaving machines, known with a lag.
+ */
+public interface HostDirectory {
+
+	/**
+	 * Reads the whole list.
+	 * @return the listed machines; fails with
+	 * {@link org.wigeonglade.core.error.PlatformException}
+	 */
+	Uni<List<ListedHost>> list();
+
+}
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/platform/HostRole.java
@@ -0,0 +1,17 @@
+package org.wigeonglade.core.platform;
+
+/**
+ * Tells what runs on a listed machine.
+ */
+public enum HostRole {
+
+	/** An entry host of this system. */
+	ENTRY,
+
+	/** A model engine. */
+	RUNNER,
+
+	/** An instance of a plain service. */
+	SERVICE
+
+}
--- /dev/null
+++ b/peer/src/main/java/org/wigeonglade/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Placeholder.
+ */
+package org.wigeonglade.peer;
