--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/KeyedAnswer.java
@@ -0,0 +1,29 @@
+package org.wigeonglade.entry.batch;
+
+import java.util.Objects;
+
+import com.google.protobuf.ByteString;
+import org.wigeonglade.core.error.RanState;
+
+/**
+ * Holds the answer of a keyed request as it is stored.
+ *
+ * @param ran {@link RanState#RAN} stores the answer; {@link RanState#NOT_RUN} frees the
+ * key, so that the client may resend; {@link RanState#UNKNOWN} makes every resend be told
+ * {@code unknown}
+ * @param httpStatus the status that the client got
+ * @param contentType the content type, may be empty
+ * @param body the whole body, not null
+ */
+public record KeyedAnswer(RanState ran, int httpStatus, String contentType, ByteString body) {
+
+	/**
+	 * Creates the answer.
+	 */
+	public KeyedAnswer {
+		Objects.requireNonNull(ran, "ran");
+		Objects.requireNonNull(contentType, "contentType");
+		Objects.requireNonNull(body, "body");
+	}
+
+}
