--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionReplay.java
@@ -0,0 +1,275 @@
+package org.wigeonglade.core.batch;
+
+import java.util.function.Consumer;
+
+import org.wigeonglade.schema.generated.log.ExpiredKey;
+import org.wigeonglade.schema.generated.log.ItemChunk;
+import org.wigeonglade.schema.generated.log.ItemIntents;
+import org.wigeonglade.schema.generated.log.ItemOutcome;
+import org.wigeonglade.schema.generated.log.ItemOutcomes;
+import org.wigeonglade.schema.generated.log.JobAccepted;
+import org.wigeonglade.schema.generated.log.JobCancelled;
+import org.wigeonglade.schema.generated.log.KeyedIntent;
+import org.wigeonglade.schema.generated.log.KeyedOutcome;
+import org.wigeonglade.schema.generated.log.LogEntry;
+import org.wigeonglade.schema.generated.log.LogRecord;
+import org.wigeonglade.schema.generated.log.OutcomeStatus;
+import org.wigeonglade.schema.generated.log.PartitionClaim;
+import org.wigeonglade.schema.generated.log.PartitionRelease;
+import org.wigeonglade.schema.generated.log.StateExpired;
+
+/**
+ * Applies the records of a partition stream. The result depends on nothing but the
+ * records and their order, so every host that reads them judges them alike.
+ */
+public final class PartitionReplay {
+
+	/**
+	 * Chunks of an upload that never finished are dropped this long after the last one,
+	 * by the clocks of the writers. The idle limit of an upload is far shorter.
+	 */
+	private static final long STAGED_LIFETIME_MILLIS = 3_600_000L;
+
+	private static final String STALE_TERM = "the term is not the current one";
+
+	private static final String UNKNOWN_JOB = "the job is not known";
+
+	private PartitionReplay() {
+	}
+
+	/**
+	 * Applies one record.
+	 * @param state the state, changed in place
+	 * @param offset the offset of the record; one at or below the applied offset is
+	 * skipped
+	 * @param entry the record
+	 * @param observer is told the changes
+	 */
+	public static void apply(PartitionState state, long offset, LogRecord entry, ReplayObserver observer) {
+		if (offset <= state.getAppliedOffset()) {
+			return;
+		}
+		state.setAppliedOffset(offset);
+		observer.recordSeen(offset, entry);
+		if (!state.advanceWriter(entry.getHost(), entry.getIncarnation(), entry.getSequence())) {
+			observer.entryVoid(offset, "record", "its writer sequence was already passed");
+			return;
+		}
+		Step step = new Step(state, offset, entry.getWallTimeMs(), observer);
+		for (LogEntry part : entry.getEntriesList()) {
+			step.apply(part);
+		}
+	}
+
+	/**
+	 * Applies the entries of one record.
+	 *
+	 * @param state the state
+	 * @param offset the offset of the record
+	 * @param wallMillis the clock of the writer
+	 * @param observer is told the changes
+	 */
+	private record Step(PartitionState state, long offset, long wallMillis, ReplayObserver observer) {
+
+		void apply(LogEntry entry) {
+			switch (entry.getKindCase()) {
+				case PARTITION_CLAIM -> claim(entry.getPartitionClaim());
+				case PARTITION_RELEASE -> release(entry.getPartitionRelease());
+				case ITEM_CHUNK -> chunk(entry.getItemChunk());
+				case JOB_ACCEPTED -> accept(entry.getJobAccepted());
+				case ITEM_OUTCOMES -> outcomes(entry.getItemOutcomes());
+				case JOB_CANCELLED -> cancel(entry.getJobCancelled());
+				case ITEM_INTENTS -> intents(entry.getItemIntents());
+				case KEYED_INTENT -> keyedIntent(entry.getKeyedIntent());
+				case KEYED_OUTCOME -> keyedOutcome(entry.getKeyedOutcome());
+				case STATE_EXPIRED -> expire(entry.getStateExpired());
+				case SNAPSHOT_BEGIN -> {
+					dropStaged();
+					this.state.openSnapshot(entry.getSnapshotBegin().getSnapshotId(),
+							entry.getSnapshotBegin().getCoversOffset());
+				}
+				case SNAPSHOT_END -> this.state.closeSnapshot(entry.getSnapshotEnd().getSnapshotId());
+				default -> {
+					// Entries of newer versions and parts of snapshots change nothing.
+				}
+			}
+		}
+
+		private void claim(PartitionClaim claim) {
+			dropStaged();
+			long current = this.state.getTerm();
+			if (current != PartitionState.TERM_UNKNOWN && claim.getTerm() != current + 1) {
+				reject("claim", "the term does not follow the current one");
+				return;
+			}
+			this.state.setOwner(claim.getTerm(), claim.getHost(), claim.getIncarnation(), false);
+			this.observer.ownerChanged();
+		}
+
+		private void release(PartitionRelease release) {
+			if (isCurrent(release.getTerm()) && release.getHost().equals(this.state.getOwnerHost())) {
+				this.state.setOwner(this.state.getTerm(), this.state.getOwnerHost(), this.state.getOwnerIncarnation(),
+						true);
+				this.observer.ownerChanged();
+			}
+			else {
+				reject("release", STALE_TERM);
+			}
+		}
+
+		private void chunk(ItemChunk chunk) {
+			JobState job = this.state.jobs().get(chunk.getBatchId());
+			if (chunk.getCarried()) {
+				withJob("carried chunk", chunk.getBatchId(), chunk.getTerm(), (found) -> chunk.getItemsList()
+					.forEach((item) -> found.moveBody(item.getIndex(), this.offset)));
+			}
+			else if (job == null) {
+				StagedJob staged = this.state.staged().computeIfAbsent(chunk.getBatchId(), (id) -> new StagedJob());
+				chunk.getItemsList().forEach((item) -> staged.put(item.getIndex(), this.offset, this.wallMillis));
+			}
+		}
+
+		private void accept(JobAccepted accepted) {
+			if (this.state.jobs().containsKey(accepted.getBatchId())) {
+				return;
+			}
+			StagedJob staged = this.state.staged().remove(accepted.getBatchId());
+			String key = PartitionState.keyOf(accepted.getWorkspace(), accepted.getIdempotencyKey());
+			boolean keyed = !accepted.getIdempotencyKey().isEmpty();
+			if (keyed && this.state.keys().containsKey(key)) {
+				reject("acceptance", "the key was already used");
+				return;
+			}
+			if (staged == null || !staged.isComplete(accepted.getItemCount())) {
+				reject("acceptance", "items are missing");
+				return;
+			}
+			if (keyed) {
+				this.state.keys().put(key, KeyState.ofJob(accepted.getRequestDigest(), accepted.getBatchId()));
+			}
+			JobState job = new JobState(accepted, this.offset, new byte[accepted.getItemCount()], staged.takeOffsets());
+			this.state.jobs().put(job.getId(), job);
+			this.observer.jobAccepted(job);
+		}
+
+		private void outcomes(ItemOutcomes outcomes) {
+			withJob("outcomes", outcomes.getBatchId(), outcomes.getTerm(), (job) -> {
+				for (ItemOutcome outcome : outcomes.getOutcomesList()) {
+					int itemState = ItemState.fromOutcome(outcome.getStatus());
+					if (outcomes.getCarried()) {
+						job.moveResult(outcome.getIndex(), itemState, this.offset);
+					}
+					else if (itemState >= 0
+							&& job.finish(outcome.getIndex(), itemState, this.offset, this.wallMillis)) {
+						this.observer.itemFinished(job, outcome.getIndex());
+					}
+					else {
+						reject("outcome", "the item already has an outcome or was cancelled");
+					}
+				}
+			});
+		}
+
+		private void cancel(JobCancelled cancelled) {
+			JobState job = this.state.jobs().get(cancelled.getBatchId());
+			if (job == null) {
+				reject("cancellation", UNKNOWN_JOB);
+			}
+			else if (job.cancel(this.offset, this.wallMillis)) {
+				this.observer.jobCancelled(job);
+			}
+		}
+
+		private void intents(ItemIntents intents) {
+			withJob("intents", intents.getBatchId(), intents.getTerm(), (job) -> {
+				for (int index : intents.getIndexesList()) {
+					if (!(intents.getCrashed() ? job.crash(index) : job.intend(index))) {
+						reject("intent", "the item does not wait");
+					}
+				}
+			});
+		}
+
+		private void keyedIntent(KeyedIntent intent) {
+			KeyState old = this.state.keys()
+				.putIfAbsent(PartitionState.keyOf(intent.getWorkspace(), intent.getIdempotencyKey()),
+						KeyState.ofIntent(intent));
+			if (old != null && !old.isRequest(intent.getRequestId())) {
+				reject("keyed intent", "the key was already used");
+			}
+		}
+
+		private void keyedOutcome(KeyedOutcome outcome) {
+			String key = PartitionState.keyOf(outcome.getWorkspace(), outcome.getIdempotencyKey());
+			KeyState old = this.state.keys().get(key);
+			if (old == null || !old.isRequest(outcome.getRequestId())) {
+				reject("keyed outcome", "another request holds the key");
+			}
+			else if (outcome.getCarried()) {
+				if (old.outcome() != null && isCurrent(outcome.getTerm())) {
+					this.state.keys().put(key, old.withOutcome(outcome, this.offset));
+				}
+			}
+			else if (old.outcome() != null) {
+				reject("keyed outcome", "the request already has an outcome");
+			}
+			else if (outcome.getStatus() == OutcomeStatus.CANCELLED) {
+				this.state.keys().remove(key);
+			}
+			else {
+				this.state.keys().put(key, old.withOutcome(outcome, this.offset));
+			}
+		}
+
+		private void expire(StateExpired expired) {
+			if (!isCurrent(expired.getTerm())) {
+				reject("expiry", STALE_TERM);
+				return;
+			}
+			for (String id : expired.getBatchIdsList()) {
+				JobState job = this.state.jobs().remove(id);
+				if (job != null) {
+					this.state.keys()
+						.remove(PartitionState.keyOf(job.getAccepted().getWorkspace(),
+								job.getAccepted().getIdempotencyKey()));
+					this.observer.jobExpired(job);
+				}
+			}
+			for (ExpiredKey key : expired.getKeysList()) {
+				this.state.keys().remove(PartitionState.keyOf(key.getWorkspace(), key.getIdempotencyKey()));
+			}
+		}
+
+		private void withJob(String kind, String batchId, long term, Consumer<JobState> action) {
+			JobState job = this.state.jobs().get(batchId);
+			if (!isCurrent(term)) {
+				reject(kind, STALE_TERM);
+			}
+			else if (job == null) {
+				reject(kind, UNKNOWN_JOB);
+			}
+			else {
+				action.accept(job);
+			}
+		}
+
+		private boolean isCurrent(long term) {
+			if (this.state.getTerm() == PartitionState.TERM_UNKNOWN) {
+				this.state.setOwner(term, "", 0, false);
+			}
+			return term == this.state.getTerm();
+		}
+
+		private void dropStaged() {
+			this.state.staged()
+				.values()
+				.removeIf((staged) -> staged.getLastWallMillis() < this.wallMillis - STAGED_LIFETIME_MILLIS);
+		}
+
+		private void reject(String kind, String reason) {
+			this.observer.entryVoid(this.offset, kind, reason);
+		}
+
+	}
+
+}
