Add stand-ins for the platform, the engines and plain services

The module standins now holds a log service, a host list, a model engine with continuous batching and an independent ledger, a weight store, a plain service and a TCP link with latency and cuts. Each starts in-process on a free port and takes scheduled faults by call number.

--- /dev/null
+++ b/standins/src/main/java/org/wigeonglade/standins/engine/EngineLedger.java
@@ -0,0 +1,134 @@
+package org.wigeonglade.standins.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/**
+ * Counts what an engine ran, independent of what the entry hosts report. It survives
+ * crashes and restarts of the stand-in. Thread-safe.
+ */
+public final class EngineLedger {
+
+	private final List<Entry> entries = new ArrayList<>();
+
+	private int running;
+
+	private int maxRunning;
+
+	private long crashes;
+
+	synchronized void record(Kind kind, String requestId, String prompt, int tokens, long nanos) {
+		this.entries.add(new Entry(kind, requestId, prompt, tokens, nanos));
+		if (kind == Kind.STARTED) {
+			this.running++;
+			this.maxRunning = Math.max(this.maxRunning, this.running);
+		}
+		else if (kind != Kind.QUEUED && kind != Kind.DROPPED) {
+			this.running--;
+		}
+	}
+
+	synchronized void recordCrash() {
+		this.crashes++;
+	}
+
+	/**
+	 * Returns all entries.
+	 * @return a copy in order of time
+	 */
+	public synchronized List<Entry> entries() {
+		return List.copyOf(this.entries);
+	}
+
+	/**
+	 * Returns the number of entries of a kind.
+	 * @param kind the kind, not null
+	 * @return the number
+	 */
+	public synchronized long count(Kind kind) {
+		return this.entries.stream().filter((entry) -> entry.kind == kind).count();
+	}
+
+	/**
+	 * Returns the starts of each prompt.
+	 * @return prompt to number of starts
+	 */
+	public Map<String, Integer> startsByPrompt() {
+		return startsBy(Entry::prompt);
+	}
+
+	/**
+	 * Returns the starts of each request id, which is unique for each attempt.
+	 * @return request id to number of starts
+	 */
+	public Map<String, Integer> startsByRequest() {
+		return startsBy(Entry::requestId);
+	}
+
+	/**
+	 * Returns the largest number of streams that were in a slot at once.
+	 * @return the number
+	 */
+	public synchronized int maxRunning() {
+		return this.maxRunning;
+	}
+
+	/**
+	 * Returns the number of crashes caused by marked requests.
+	 * @return the number
+	 */
+	public synchronized long crashes() {
+		return this.crashes;
+	}
+
+	private synchronized Map<String, Integer> startsBy(Function<Entry, String> key) {
+		Map<String, Integer> starts = new TreeMap<>();
+		for (Entry entry : this.entries) {
+			if (entry.kind == Kind.STARTED) {
+				starts.merge(key.apply(entry), 1, Integer::sum);
+			}
+		}
+		return starts;
+	}
+
+	/**
+	 * Kinds of entries.
+	 */
+	public enum Kind {
+
+		/** A request arrived and waits for a slot. */
+		QUEUED,
+
+		/** A request got a slot: it ran. */
+		STARTED,
+
+		/** The whole answer was written. */
+		COMPLETED,
+
+		/** The client cancelled a request that had a slot. */
+		CANCELLED,
+
+		/** The engine was lost while the request had a slot. */
+		LOST,
+
+		/** A waiting request was cancelled or lost and never ran. */
+		DROPPED
+
+	}
+
+	/**
+	 * Holds one entry.
+	 *
+	 * @param kind what happened
+	 * @param requestId the identifier of the attempt
+	 * @param prompt the prompt
+	 * @param tokens the number of tokens written by this attempt
+	 * @param nanos the monotonic time in nanoseconds
+	 */
+	public record Entry(Kind kind, String requestId, String prompt, int tokens, long nanos) {
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/wigeonglade/standins/hosts/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in for the platform's host list.
+ */
+package org.wigeonglade.standins.hosts;
--- /dev/null
+++ b/standins/src/main/java/org/wigeonglade/standins/net/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Loopback links with latency and cuts for partition tests.
+ */
+package org.wigeonglade.standins.net;
--- /dev/null
+++ b/standins/src/main/java/org/wigeonglade/standins/service/ServiceStandIn.java
@@ -0,0 +1,170 @@
+package org.wigeonglade.standins.service;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import org.wigeonglade.standins.FaultScript;
+import org.wigeonglade.standins.FaultyAnswer;
+import org.wigeonglade.standins.StandInServer;
+
+/**
+ * Answers every call with a JSON object that names the method, the path and the body, and
+ * records each call that it ran. Thread-safe.
+ */
+public final class ServiceStandIn {
+
+	private final StandInServer server;
+
+	private final FaultScript faults = new FaultScript();
+
+	private final List<Call> calls = new ArrayList<>();
+
+	private volatile long delayMillis;
+
+	private volatile int status = 200;
+
+	private ServiceStandIn(StandInServer server) {
+		this.server = server;
+	}
+
+	/**
+	 * Starts a service on a free port.
+	 * @param vertx the event loops to share, or null to create own ones
+	 * @return the started stand-in, never null
+	 */
+	public static ServiceStandIn start(Vertx vertx) {
+		ServiceStandIn service = new ServiceStandIn(StandInServer.create(vertx, 0));
+		Router router = Router.router(service.server.getVertx());
+		router.route().handler(BodyHandler.create(false));
+		router.route().handler(service::handle);
+		service.server.start(router);
+		return service;
+	}
+
+	/**
+	 * Returns the port.
+	 * @return the port of the listener
+	 */
+	public int port() {
+		return this.server.getPort();
+	}
+
+	/**
+	 * Returns the address.
+	 * @return {@code ip:port}, never null
+	 */
+	public String address() {
+		return "127.0.0.1:" + port();
+	}
+
+	/**
+	 * Returns the scheduled faults; the name is the path.
+	 * @return the script, never null
+	 */
+	public FaultScript faults() {
+		return this.faults;
+	}
+
+	/**
+	 * Sets the time until an answer.
+	 * @param millis milliseconds, 0 for none
+	 */
+	public void delay(long millis) {
+		this.delayMillis = millis;
+	}
+
+	/**
+	 * Sets the status of answers.
+	 * @param value the HTTP status
+	 */
+	public void status(int value) {
+		this.status = value;
+	}
+
+	/**
+	 * Returns the calls that ran.
+	 * @return a copy in order of time
+	 */
+	public synchronized List<Call> calls() {
+		return List.copyOf(this.calls);
+	}
+
+	/**
+	 * Returns the number of times that each idempotency key ran.
+	 * @return key to number; calls without a key are left out
+	 */
+	public synchronized Map<String, Integer> runsByKey() {
+		Map<String, Integer> runs = new TreeMap<>();
+		this.calls.stream()
+			.filter((call) -> !call.idempotencyKey().isEmpty())
+			.forEach((call) -> runs.merge(call.idempotencyKey(), 1, Integer::sum));
+		return runs;
+	}
+
+	/**
+	 * Drops the listener and all connections at once.
+	 */
+	public void kill() {
+		StandInServer.await(this.server.drop());
+	}
+
+	/**
+	 * Listens again on the same port.
+	 */
+	public void restart() {
+		StandInServer.await(this.server.listen());
+	}
+
+	/**
+	 * Stops the stand-in.
+	 */
+	public void stop() {
+		this.server.stop();
+	}
+
+	private void handle(RoutingContext context) {
+		long delay = this.delayMillis;
+		if (delay <= 0) {
+			answer(context);
+		}
+		else {
+			this.server.getVertx().setTimer(delay, (id) -> answer(context));
+		}
+	}
+
+	private void answer(RoutingContext context) {
+		context.response().setStatusCode(this.status);
+		FaultyAnswer.give(context, this.faults.next(context.request().path()), () -> run(context));
+	}
+
+	private synchronized JsonObject run(RoutingContext context) {
+		String body = (context.body().asString() != null) ? context.body().asString() : "";
+		String key = context.request().getHeader("idempotency-key");
+		String requestId = context.request().getHeader("x-request-id");
+		Call call = new Call(context.request().method().name(), context.request().uri(), body, (key != null) ? key : "",
+				(requestId != null) ? requestId : "", System.nanoTime());
+		this.calls.add(call);
+		return new JsonObject().put("method", call.method()).put("path", call.path()).put("body", body);
+	}
+
+	/**
+	 * Holds one call that ran.
+	 *
+	 * @param method the HTTP method
+	 * @param path the path and query
+	 * @param body the body as text
+	 * @param idempotencyKey the idempotency key, or empty
+	 * @param requestId the request id, or empty
+	 * @param nanos the monotonic time in nanoseconds
+	 */
+	public record Call(String method, String path, String body, String idempotencyKey, String requestId, long nanos) {
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/wigeonglade/standins/service/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in for an instance of a plain service.
+ */
+package org.wigeonglade.standins.service;
