--- /dev/null
+++ b/adapters/src/main/java/org/wigeonglade/adapters/engine/CompletionStream.java
@@ -0,0 +1,205 @@
+package org.wigeonglade.adapters.engine;
+
+import io.smallrye.mutiny.subscription.MultiEmitter;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.codec.BodyCodec;
+import io.vertx.ext.web.codec.SseEvent;
+import io.vertx.ext.web.codec.spi.BodyStream;
+import org.wigeonglade.core.engine.EngineEvent;
+import org.wigeonglade.core.engine.EngineRequest;
+import org.wigeonglade.core.error.ErrorCode;
+import org.wigeonglade.core.error.RanState;
+import org.wigeonglade.core.error.UpstreamException;
+
+/**
+ * Reads one completion stream and passes its events on. All calls of one stream are
+ * serialised by its lock, because it may be cancelled from another thread.
+ */
+final class CompletionStream {
+
+	private static final String END_MARK = "[DONE]";
+
+	private static final int OK = 200;
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int TOO_LARGE = 413;
+
+	private static final int INVALID_CONTENT = 422;
+
+	private static final int TOO_MANY = 429;
+
+	private static final int UNAVAILABLE = 503;
+
+	private final MultiEmitter<? super EngineEvent> emitter;
+
+	private final String address;
+
+	private final EngineRequest request;
+
+	private HttpClientRequest http;
+
+	private int next;
+
+	private String finishReason;
+
+	private int promptTokens;
+
+	private boolean ended;
+
+	CompletionStream(MultiEmitter<? super EngineEvent> emitter, String address, EngineRequest request) {
+		this.emitter = emitter;
+		this.address = address;
+		this.request = request;
+		this.next = request.resumeTokens().size();
+	}
+
+	static UpstreamException refused(int status, String message) {
+		return switch (status) {
+			case BAD_REQUEST, NOT_FOUND, TOO_LARGE, INVALID_CONTENT ->
+				new UpstreamException(ErrorCode.UPSTREAM_REJECTED, RanState.NOT_RUN, false, message, null);
+			case TOO_MANY, UNAVAILABLE ->
+				new UpstreamException(ErrorCode.UPSTREAM_FAILED, RanState.NOT_RUN, false, message, null);
+			default -> new UpstreamException(ErrorCode.UPSTREAM_FAILED, RanState.UNKNOWN, false, message, null);
+		};
+	}
+
+	synchronized void write(HttpClientRequest opened, Buffer body) {
+		if (this.ended) {
+			opened.reset();
+			return;
+		}
+		this.http = opened;
+		opened.response().onSuccess(this::read).onFailure(this::failLost);
+		opened.end(body);
+	}
+
+	synchronized void failUnsent(Throwable cause) {
+		fail(new UpstreamException(ErrorCode.UPSTREAM_FAILED, RanState.NOT_RUN, false,
+				"no connection to the engine at " + this.address + ": " + cause.getMessage(), cause));
+	}
+
+	synchronized void close() {
+		if (!this.ended) {
+			this.ended = true;
+			abort();
+		}
+	}
+
+	private synchronized void read(HttpClientResponse response) {
+		response.exceptionHandler(this::failLost);
+		if (response.statusCode() != OK) {
+			fail(refused(response.statusCode(),
+					"the engine at " + this.address + " answered with status " + response.statusCode()));
+			return;
+		}
+		BodyStream<Void> events = openEvents();
+		response.handler(events::write);
+		response.endHandler((ignored) -> {
+			events.end();
+			failIncomplete();
+		});
+	}
+
+	private BodyStream<Void> openEvents() {
+		try {
+			return BodyCodec.sseStream((stream) -> stream.handler(this::accept)).stream();
+		}
+		catch (Exception ex) {
+			throw new IllegalStateException("the event parser cannot be opened", ex);
+		}
+	}
+
+	private synchronized void accept(SseEvent event) {
+		if (this.ended || event.data() == null) {
+			return;
+		}
+		String data = event.data().strip();
+		try {
+			if (data.equals(END_MARK)) {
+				end();
+			}
+			else {
+				acceptChunk(new JsonObject(data));
+			}
+		}
+		catch (RuntimeException ex) {
+			fail(new UpstreamException(ErrorCode.UPSTREAM_FAILED, ran(), false,
+					"the engine at " + this.address + " sent a malformed event", ex));
+		}
+	}
+
+	private void acceptChunk(JsonObject chunk) {
+		JsonObject usage = chunk.getJsonObject("usage");
+		if (usage != null) {
+			this.promptTokens = usage.getInteger("prompt_tokens", 0);
+		}
+		JsonArray choices = chunk.getJsonArray("choices");
+		if (choices == null || choices.isEmpty()) {
+			if (usage == null) {
+				throw new IllegalArgumentException("event without choices and usage");
+			}
+			return;
+		}
+		JsonObject choice = choices.getJsonObject(0);
+		String text = choice.getString("text", "");
+		if (!text.isEmpty()) {
+			acceptToken(text);
+		}
+		this.finishReason = choice.getString("finish_reason", this.finishReason);
+	}
+
+	private void acceptToken(String text) {
+		if (this.next >= this.request.maxTokens()) {
+			throw new IllegalArgumentException("more than " + this.request.maxTokens() + " tokens");
+		}
+		this.emitter.emit(new EngineEvent.Token(this.next, text));
+		this.next++;
+	}
+
+	private void end() {
+		if (this.finishReason == null) {
+			failIncomplete();
+			return;
+		}
+		this.ended = true;
+		this.emitter.emit(new EngineEvent.End(this.finishReason, this.promptTokens, this.next));
+		this.emitter.complete();
+	}
+
+	private synchronized void failIncomplete() {
+		fail(new UpstreamException(ErrorCode.STREAM_INCOMPLETE, ran(), false,
+				"the engine at " + this.address + " ended the stream without its end mark", null));
+	}
+
+	private synchronized void failLost(Throwable cause) {
+		fail(new UpstreamException(ErrorCode.UPSTREAM_FAILED, ran(), true,
+				"the connection to the engine at " + this.address + " was lost: " + cause.getMessage(), cause));
+	}
+
+	private RanState ran() {
+		return (this.next > this.request.resumeTokens().size()) ? RanState.RAN : RanState.UNKNOWN;
+	}
+
+	private void fail(UpstreamException failure) {
+		if (this.ended) {
+			return;
+		}
+		this.ended = true;
+		abort();
+		this.emitter.fail(failure);
+	}
+
+	private void abort() {
+		if (this.http != null) {
+			this.http.reset();
+		}
+	}
+
+}
--- /dev/null
+++ b/adapters/src/main/java/org/wigeonglade/adapters/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Client of model engines.
+ */
+package org.wigeonglade.adapters.engine;
--- /dev/null
+++ b/adapters/src/main/java/org/wigeonglade/adapters/hosts/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Client of the platform's host list.
+ */
+package org.wigeonglade.adapters.hosts;
--- /dev/null
+++ b/adapters/src/main/java/org/wigeonglade/adapters/http/HttpClients.java
@@ -0,0 +1,45 @@
+package org.wigeonglade.adapters.http;
+
+import java.time.Duration;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpVersion;
+import io.vertx.core.http.PoolOptions;
+
+/**
+ * Creates the HTTP clients that adapters share.
+ */
+public final class HttpClients {
+
+	/**
+	 * Connections to one address. Requests never wait for a connection, because limits
+	 * are decided before an adapter is called.
+	 */
+	private static final int CONNECTIONS_PER_ADDRESS = 2048;
+
+	/**
+	 * Idle connections are closed before the idle limit of common servers, so that a
+	 * request is rarely written to a connection that the other side is closing.
+	 */
+	private static final int KEEP_ALIVE_SECONDS = 10;
+
+	private HttpClients() {
+	}
+
+	/**
+	 * Returns a client for HTTP/1.1 with one connection for each request in progress.
+	 * @param vertx the event loops, not null
+	 * @param connectTimeout the time until a connection attempt fails, not null
+	 * @return a client, never null
+	 */
+	public static HttpClient create(Vertx vertx, Duration connectTimeout) {
+		HttpClientOptions options = new HttpClientOptions().setProtocolVersion(HttpVersion.HTTP_1_1)
+			.setConnectTimeout((int) connectTimeout.toMillis())
+			.setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+			.setTcpNoDelay(true);
+		return vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_ADDRESS));
+	}
+
+}
--- /dev/null
+++ b/adapters/src/main/java/org/wigeonglade/adapters/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Client of the platform's log service.
+ */
+package org.wigeonglade.adapters.log;
--- a/adapters/src/main/java/org/wigeonglade/adapters/package-info.java
+++ b/adapters/src/main/java/org/wigeonglade/adapters/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Placeholder.
+ * Clients of the platform and the upstreams; the only code that knows their wire formats.
  */
 package org.wigeonglade.adapters;
--- /dev/null
+++ b/adapters/src/main/java/org/wigeonglade/adapters/service/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Client of plain services.
+ */
+package org.wigeonglade.adapters.service;
