Add the entry host with a thin path for completions

Cause: the other parts need a host that they can be wired into, and callers need an answer from a runner. Change: EntryHost with its builder, start, planned stop and abrupt end; the callers' listener with API keys, JSON limits, whole and streamed completions; a fleet view read from the host list; upstream clients behind a small port. Figures: nothing was measured. Conclusion: tests answer a whole and a streamed completion through a scripted engine and refuse unknown keys and malformed bodies.

--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CompletionJson.java
@@ -0,0 +1,83 @@
+package org.wigeonglade.entry.caller;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.wigeonglade.core.engine.EngineEvent;
+
+/**
+ * Writes answers in the completion and chat completion formats.
+ */
+final class CompletionJson {
+
+	private static final Buffer DONE = Buffer.buffer("data: [DONE]\n\n");
+
+	private final String id;
+
+	private final CompletionBody body;
+
+	private final long createdSeconds;
+
+	CompletionJson(String id, CompletionBody body, long createdSeconds) {
+		this.id = id;
+		this.body = body;
+		this.createdSeconds = createdSeconds;
+	}
+
+	Buffer whole(String text, EngineEvent.End end) {
+		JsonObject choice = new JsonObject().put("index", 0);
+		if (this.body.chat()) {
+			choice.put("message", new JsonObject().put("role", "assistant").put("content", text));
+		}
+		else {
+			choice.put("text", text);
+		}
+		choice.put("finish_reason", end.finishReason());
+		return frame(this.body.chat() ? "chat.completion" : "text_completion", choice).put("usage", usage(end))
+			.toBuffer();
+	}
+
+	Buffer chunk(String text) {
+		return event(frame(chunkObject(), choice(text).put("finish_reason", null)));
+	}
+
+	Buffer last(EngineEvent.End end) {
+		JsonObject frame = frame(chunkObject(), choice("").put("finish_reason", end.finishReason()));
+		return event(frame.put("usage", usage(end))).appendBuffer(DONE);
+	}
+
+	static Buffer error(JsonObject error) {
+		return Buffer.buffer("event: error\ndata: ").appendBuffer(error.toBuffer()).appendString("\n\n");
+	}
+
+	private JsonObject choice(String text) {
+		JsonObject choice = new JsonObject().put("index", 0);
+		if (this.body.chat()) {
+			return choice.put("delta", text.isEmpty() ? new JsonObject() : new JsonObject().put("content", text));
+		}
+		return choice.put("text", text);
+	}
+
+	private String chunkObject() {
+		return this.body.chat() ? "chat.completion.chunk" : "text_completion";
+	}
+
+	private JsonObject frame(String object, JsonObject choice) {
+		return new JsonObject().put("id", this.id)
+			.put("object", object)
+			.put("created", this.createdSeconds)
+			.put("model", this.body.model())
+			.put("choices", new JsonArray().add(choice));
+	}
+
+	private static JsonObject usage(EngineEvent.End end) {
+		return new JsonObject().put("prompt_tokens", end.promptTokens())
+			.put("completion_tokens", end.completionTokens())
+			.put("total_tokens", end.promptTokens() + end.completionTokens());
+	}
+
+	private static Buffer event(JsonObject data) {
+		return Buffer.buffer("data: ").appendBuffer(data.toBuffer()).appendString("\n\n");
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/JsonReader.java
@@ -0,0 +1,48 @@
+package org.wigeonglade.entry.caller;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.wigeonglade.core.error.ErrorCode;
+import org.wigeonglade.core.error.InvalidRequestException;
+
+/**
+ * Parses JSON bodies of callers within a nesting limit.
+ */
+final class JsonReader {
+
+	private final ObjectMapper mapper;
+
+	JsonReader(int maxDepth) {
+		JsonFactory factory = JsonFactory.builder()
+			.streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(maxDepth).build())
+			.enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+			.build();
+		this.mapper = new ObjectMapper(factory).enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+	}
+
+	JsonNode readObject(byte[] body) {
+		JsonNode node;
+		try {
+			node = this.mapper.readTree(body);
+		}
+		catch (StreamConstraintsException ex) {
+			throw new InvalidRequestException(ErrorCode.TOO_LARGE, "JSON passes a limit: " + ex.getOriginalMessage(),
+					ex);
+		}
+		catch (IOException ex) {
+			throw new InvalidRequestException(ErrorCode.REQUEST_INVALID, "body is not valid JSON", ex);
+		}
+		if (node == null || !node.isObject()) {
+			throw new InvalidRequestException(ErrorCode.REQUEST_INVALID, "body must be a JSON object");
+		}
+		return node;
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/host/EntryHostBuilder.java
@@ -0,0 +1,140 @@
+package org.wigeonglade.entry.host;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Function;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import org.wigeonglade.core.config.VersionedConfiguration;
+import org.wigeonglade.core.member.FleetViewSource;
+import org.wigeonglade.core.platform.HostDirectory;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.entry.online.UpstreamClients;
+import org.wigeonglade.schema.generated.settings.FleetConfiguration;
+import org.wigeonglade.schema.generated.settings.HostSettings;
+
+/**
+ * Describes an entry host. What is not set takes the implementation that the settings
+ * name.
+ */
+public final class EntryHostBuilder {
+
+	private static final int DEFAULT_EVENT_LOOPS = 2;
+
+	private final HostSettings settings;
+
+	private Ticker ticker = Ticker.system();
+
+	private int eventLoops = DEFAULT_EVENT_LOOPS;
+
+	private VersionedConfiguration initialConfiguration = new VersionedConfiguration(0, new FleetConfiguration());
+
+	private FleetViewSource fleet;
+
+	private Function<Vertx, HostDirectory> directory = (vertx) -> () -> Uni.createFrom().item(List.of());
+
+	private Function<Vertx, UpstreamClients> clients;
+
+	EntryHostBuilder(HostSettings settings) {
+		this.settings = settings;
+	}
+
+	/**
+	 * Sets the configuration in force until one is published.
+	 * @param configuration the configuration, not null
+	 * @return this builder
+	 */
+	public EntryHostBuilder withInitialConfiguration(FleetConfiguration configuration) {
+		this.initialConfiguration = new VersionedConfiguration(0,
+				Objects.requireNonNull(configuration, "configuration"));
+		return this;
+	}
+
+	/**
+	 * Sets the clocks.
+	 * @param ticker the clocks, not null
+	 * @return this builder
+	 */
+	public EntryHostBuilder withTicker(Ticker ticker) {
+		this.ticker = Objects.requireNonNull(ticker, "ticker");
+		return this;
+	}
+
+	/**
+	 * Sets the number of event loops.
+	 * @param eventLoops a count, at least 1
+	 * @return this builder
+	 */
+	public EntryHostBuilder withEventLoops(int eventLoops) {
+		this.eventLoops = Math.max(1, eventLoops);
+		return this;
+	}
+
+	/**
+	 * Sets the source of the fleet view.
+	 * @param fleet the source, not null
+	 * @return this builder
+	 */
+	public EntryHostBuilder withFleet(FleetViewSource fleet) {
+		this.fleet = Objects.requireNonNull(fleet, "fleet");
+		return this;
+	}
+
+	/**
+	 * Sets the host list.
+	 * @param directory creates the client, not null
+	 * @return this builder
+	 */
+	public EntryHostBuilder withDirectory(Function<Vertx, HostDirectory> directory) {
+		this.directory = Objects.requireNonNull(directory, "directory");
+		return this;
+	}
+
+	/**
+	 * Sets the clients of upstreams.
+	 * @param clients creates the clients, not null
+	 * @return this builder
+	 */
+	public EntryHostBuilder withClients(Function<Vertx, UpstreamClients> clients) {
+		this.clients = Objects.requireNonNull(clients, "clients");
+		return this;
+	}
+
+	/**
+	 * Creates the host without starting it.
+	 * @return a host, never null
+	 */
+	public EntryHost build() {
+		return new EntryHost(this);
+	}
+
+	HostSettings getSettings() {
+		return this.settings;
+	}
+
+	Ticker getTicker() {
+		return this.ticker;
+	}
+
+	int getEventLoops() {
+		return this.eventLoops;
+	}
+
+	VersionedConfiguration getInitialConfiguration() {
+		return this.initialConfiguration;
+	}
+
+	FleetViewSource getFleet() {
+		return this.fleet;
+	}
+
+	HostDirectory directory(Vertx vertx) {
+		return this.directory.apply(vertx);
+	}
+
+	UpstreamClients clients(Vertx vertx) {
+		return this.clients.apply(vertx);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/host/HostEvent.java
@@ -0,0 +1,65 @@
+package org.wigeonglade.entry.host;
+
+import java.lang.System.Logger.Level;
+
+import org.wigeonglade.core.event.LogEvent;
+
+/**
+ * Events of the life cycle of a host.
+ */
+enum HostEvent implements LogEvent {
+
+	/** The host serves. */
+	STARTED(1101, Level.INFO, "host started", "host", "caller_port", "peer_port", "operator_port"),
+
+	/** A planned stop began. */
+	STOPPING(1102, Level.INFO, "planned stop began", "host", "in_progress"),
+
+	/** The host stopped after its requests were finished. */
+	STOPPED(1103, Level.INFO, "host stopped", "host", "interrupted"),
+
+	/** The host ended without a handover. */
+	KILLED(1104, Level.WARNING, "host ended at once", "host", "interrupted"),
+
+	/** A part could not be stopped in time. */
+	STOP_FAILED(1105, Level.WARNING, "a part of the host did not stop cleanly", "host", "part"),
+
+	/** The host list could not be read. */
+	HOST_LIST_FAILED(1106, Level.WARNING, "host list could not be read", "host");
+
+	private final int number;
+
+	private final Level level;
+
+	private final String text;
+
+	private final String[] fields;
+
+	HostEvent(int number, Level level, String text, String... fields) {
+		this.number = number;
+		this.level = level;
+		this.text = text;
+		this.fields = fields;
+	}
+
+	@Override
+	public int getNumber() {
+		return this.number;
+	}
+
+	@Override
+	public Level getLevel() {
+		return this.level;
+	}
+
+	@Override
+	public String getText() {
+		return this.text;
+	}
+
+	@Override
+	public String[] getFields() {
+		return this.fields.clone();
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/org/wigeonglade/entry/host/EntryHostTests.java
@@ -0,0 +1,55 @@
+package org.wigeonglade.entry.host;
+
+import java.net.http.HttpResponse;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a host that answers callers with something else than the complete answer
+ * of its runner.
+ */
+public class EntryHostTests {
+
+	private static final String BODY = "{\"model\":\"runo-1\",\"prompt\":\"Talvi\",\"max_tokens\":3,\"stream\":%s}";
+
+	@Test
+	public void answersWholeAndStreamed() {
+		HostFixture fixture = new HostFixture().withEngine("runner-1", HostFixture::answer);
+		EntryHost host = fixture.builder().build();
+		host.start();
+		try {
+			HttpResponse<String> whole = fixture.post(host, "/v1/completions", BODY.formatted("false"));
+			Assert.assertEquals(whole.statusCode(), 200, whole.body());
+			Assert.assertTrue(whole.body().contains("\"text\":\"t0 t1 t2 \""), whole.body());
+			HttpResponse<String> streamed = fixture.post(host, "/v1/completions", BODY.formatted("true"));
+			Assert.assertTrue(streamed.body().endsWith("data: [DONE]\n\n"), streamed.body());
+			Assert.assertEquals(streamed.body().split("data: \\{").length, 5, streamed.body());
+		}
+		finally {
+			Assert.assertEquals(host.stop(), 0);
+		}
+	}
+
+	@Test
+	public void refusesUnknownKeysAndMalformedBodies() {
+		HostFixture fixture = new HostFixture().withEngine("runner-1", HostFixture::answer);
+		EntryHost host = fixture.builder().build();
+		host.start();
+		try {
+			HttpResponse<String> stranger = fixture.post(host, "/v1/completions", BODY.formatted("false"),
+					"Authorization", "Bearer wrong");
+			Assert.assertEquals(stranger.statusCode(), 401);
+			Assert.assertTrue(stranger.body().contains("\"ran\":\"not_run\""), stranger.body());
+			Assert.assertEquals(fixture.post(host, "/v1/completions", "{").statusCode(), 400);
+			Assert.assertEquals(fixture.post(host, "/v1/nothing", "{}").statusCode(), 404);
+			String deep = "[".repeat(100) + "]".repeat(100);
+			HttpResponse<String> nested = fixture.post(host, "/v1/completions", "{\"model\":" + deep + "}");
+			Assert.assertEquals(nested.statusCode(), 413, nested.body());
+		}
+		finally {
+			host.kill();
+		}
+	}
+
+}
