--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/route/Subset.java
@@ -0,0 +1,35 @@
+package org.wigeonglade.core.route;
+
+import java.util.List;
+
+import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.member.UpstreamMember;
+
+/**
+ * Chooses the upstreams that one host uses, so that connections stay bounded in a large
+ * fleet.
+ */
+public final class Subset {
+
+	/** Upstreams of a service and domain that one host uses at most. */
+	public static final int DEFAULT_SIZE = 24;
+
+	private Subset() {
+	}
+
+	/**
+	 * Returns the subset of a host. It depends only on the names, and a lost upstream is
+	 * replaced without any other change.
+	 * @param host the host, not null
+	 * @param upstreams the upstreams of one service and failure domain, not null
+	 * @param size the size of the subset, at least 1
+	 * @return at most {@code size} upstreams
+	 */
+	public static List<UpstreamMember> of(HostId host, List<UpstreamMember> upstreams, int size) {
+		if (upstreams.size() <= size) {
+			return upstreams;
+		}
+		return Rendezvous.rank(host.value(), upstreams, (u) -> u.id().value()).subList(0, size);
+	}
+
+}
