--- a/core/src/main/java/org/wigeonglade/core/batch/PartitionFollower.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionFollower.java
@@ -18,7 +18,12 @@
  */
 public final class PartitionFollower {
 
-	private static final int RECORDS_PER_READ = 32;
+	private static final int FIRST_RECORDS_PER_READ = 16;
+
+	private static final int MAX_RECORDS_PER_READ = 512;
+
+	/** Size of an answer that is decoded without delaying other work noticeably. */
+	private static final int BYTES_PER_READ = 2 * 1024 * 1024;
 
 	private final StreamName stream;
 
@@ -34,6 +39,12 @@
 
 	private PartitionReader reader;
 
+	private int recordsPerRead = FIRST_RECORDS_PER_READ;
+
+	private long oldestOffset;
+
+	private long headOffset;
+
 	private boolean reading;
 
 	private boolean closed;
@@ -103,6 +114,22 @@
 		return this.reader != null && this.reader.isLossy();
 	}
 
+	/**
+	 * Returns the oldest retained offset at the last read; to be called on the lane.
+	 * @return at least 0
+	 */
+	public long getOldestOffset() {
+		return this.oldestOffset;
+	}
+
+	/**
+	 * Returns the head of the stream at the last read; to be called on the lane.
+	 * @return at least 0
+	 */
+	public long getHeadOffset() {
+		return this.headOffset;
+	}
+
 	/**
 	 * Stops reading; waiting callers fail.
 	 */
@@ -123,7 +150,7 @@
 		this.waiters.forEach((waiter) -> waiter.covered = true);
 		start.chain((at) -> {
 			long from = (this.reader != null) ? this.reader.getNextOffset() : at;
-			return this.log.read(this.stream, from, RECORDS_PER_READ).map((slice) -> new Read(from, slice));
+			return this.log.read(this.stream, from, this.recordsPerRead).map((slice) -> new Read(from, slice));
 		})
 			.subscribe()
 			.with((read) -> this.lane.execute(() -> take(read)), (failure) -> this.lane.execute(() -> fail(failure)));
@@ -139,6 +166,9 @@
 			this.reader = new PartitionReader(read.from, this.observer);
 		}
 		this.reader.offer(read.slice);
+		this.oldestOffset = read.slice.oldestOffset();
+		this.headOffset = read.slice.headOffset();
+		adaptReads(read.slice);
 		this.appliedOffset = this.reader.getState().getAppliedOffset();
 		if (this.reader.isCurrent()) {
 			List<Waiter> done = this.waiters.stream().filter((waiter) -> waiter.covered).toList();
@@ -150,6 +180,14 @@
 		}
 	}
 
+	private void adaptReads(LogSlice slice) {
+		if (!slice.records().isEmpty()) {
+			long bytes = slice.records().stream().mapToLong((stored) -> stored.payload().length).sum();
+			long average = Math.max(1, bytes / slice.records().size());
+			this.recordsPerRead = (int) Math.max(4, Math.min(MAX_RECORDS_PER_READ, BYTES_PER_READ / average));
+		}
+	}
+
 	private void fail(Throwable failure) {
 		this.reading = false;
 		this.failing = true;
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionKeeper.java
@@ -0,0 +1,172 @@
+package org.wigeonglade.core.batch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+import io.smallrye.mutiny.Uni;
+import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.schema.generated.log.ExpiredKey;
+import org.wigeonglade.schema.generated.log.LogEntry;
+import org.wigeonglade.schema.generated.log.StateExpired;
+
+/**
+ * Keeps the state of an owned partition readable although its records expire: writes
+ * snapshots, appends needed records again before they pass the oldest half of the
+ * retention, and ends the retention of finished jobs. Confined to the lane.
+ */
+final class PartitionKeeper {
+
+	private static final EventLogger LOG = EventLogger.of(PartitionKeeper.class);
+
+	/** Bounds one pass, so that outcomes and acceptances get their turn in between. */
+	private static final int RECORDS_PER_PASS = 16;
+
+	private static final int BYTES_PER_APPEND = 128 * 1024;
+
+	private static final long EXPIRY_CHECK_MILLIS = 60_000;
+
+	private final PartitionContext context;
+
+	private final PartitionState state;
+
+	private final LogWriter writer;
+
+	private final PartitionFollower follower;
+
+	private final BooleanSupplier active;
+
+	private boolean busy;
+
+	private long snapshots;
+
+	private long nextExpiryMillis;
+
+	PartitionKeeper(PartitionContext context, PartitionState state, LogWriter writer, PartitionFollower follower,
+			BooleanSupplier active) {
+		this.context = context;
+		this.state = state;
+		this.writer = writer;
+		this.follower = follower;
+		this.active = active;
+		this.nextExpiryMillis = context.ticker().millis() + EXPIRY_CHECK_MILLIS;
+	}
+
+	void tick() {
+		if (this.busy || !this.active.getAsBoolean()) {
+			return;
+		}
+		long retained = retainedRecords();
+		long behind = this.state.getAppliedOffset() - Math.max(0, this.state.getSnapshotCovers());
+		long below = this.follower.getHeadOffset() - retained / 2;
+		if (behind >= Math.max(1, Math.min(this.context.options().snapshotEvery(), retained / 4))) {
+			run("snapshot", snapshot());
+			return;
+		}
+		List<Long> offsets = CarriedRecords.findOffsets(this.state, below, RECORDS_PER_PASS);
+		if (!offsets.isEmpty()) {
+			run("carry", carry(offsets));
+		}
+		else if (this.context.ticker().millis() >= this.nextExpiryMillis) {
+			this.nextExpiryMillis = this.context.ticker().millis() + EXPIRY_CHECK_MILLIS;
+			expire();
+		}
+	}
+
+	private long retainedRecords() {
+		long configured = this.context.options().retainedRecords();
+		if (this.follower.getOldestOffset() == 0) {
+			return configured;
+		}
+		return Math.max(4, Math.min(configured, this.follower.getHeadOffset() - this.follower.getOldestOffset()));
+	}
+
+	private void run(String task, Uni<?> work) {
+		this.busy = true;
+		work.emitOn(this.context.lane()).subscribe().with((done) -> this.busy = false, (failure) -> {
+			this.busy = false;
+			if (this.active.getAsBoolean()) {
+				LOG.log(BatchEvent.TASK_FAILED, failure, this.context.partition(), task);
+			}
+		});
+	}
+
+	private Uni<Void> snapshot() {
+		String id = this.context.identity().host() + "-" + this.context.identity().incarnation() + "-"
+				+ this.state.getTerm() + "-" + this.snapshots++;
+		List<LogEntry> entries = PartitionSnapshot.encode(this.state, id);
+		long covers = this.state.getAppliedOffset();
+		long[] first = { -1 };
+		Uni<Long> chain = Uni.createFrom().item(0L);
+		for (List<LogEntry> group : group(entries)) {
+			chain = chain.chain(() -> append(group)).invoke((offset) -> first[0] = (first[0] < 0) ? offset : first[0]);
+		}
+		return chain.chain(this.follower::catchUp).chain((read) -> {
+			LOG.log(BatchEvent.SNAPSHOT_WRITTEN, this.context.partition(), covers, entries.size());
+			return this.context.publishSnapshot().apply(first[0]);
+		});
+	}
+
+	private Uni<Void> carry(List<Long> offsets) {
+		Uni<Long> chain = Uni.createFrom().item(0L);
+		for (long offset : offsets) {
+			chain = chain.chain(() -> this.context.cache().get(this.context.stream(), offset))
+				.emitOn(this.context.lane())
+				.chain((found) -> appendAll(CarriedRecords.carry(this.state, offset, found)));
+		}
+		return chain.chain(this.follower::catchUp)
+			.invoke(() -> LOG.log(BatchEvent.RECORDS_CARRIED, this.context.partition(), offsets.size()))
+			.replaceWithVoid();
+	}
+
+	private Uni<Long> appendAll(List<LogEntry> entries) {
+		Uni<Long> chain = Uni.createFrom().item(0L);
+		for (List<LogEntry> group : group(entries)) {
+			chain = chain.chain(() -> append(group));
+		}
+		return chain;
+	}
+
+	private Uni<Long> append(List<LogEntry> entries) {
+		return this.writer.append(entries, false, null, this.active);
+	}
+
+	private void expire() {
+		long before = this.context.ticker().wallMillis() - this.context.policy().getRetentionMillis();
+		StateExpired.Builder expired = StateExpired.newBuilder().setTerm(this.state.getTerm());
+		this.state.getJobs()
+			.stream()
+			.filter((job) -> job.isFinished() && job.getFinishedWallMillis() < before)
+			.forEach((job) -> expired.addBatchIds(job.getId()));
+		this.state.keys()
+			.values()
+			.stream()
+			.filter((key) -> key.intent() != null && key.intent().getAcceptedWallTimeMs() < before)
+			.forEach((key) -> expired.addKeys(ExpiredKey.newBuilder()
+				.setWorkspace(key.intent().getWorkspace())
+				.setIdempotencyKey(key.intent().getIdempotencyKey())));
+		if (expired.getBatchIdsCount() + expired.getKeysCount() > 0) {
+			run("expiry", append(List.of(LogEntry.newBuilder().setStateExpired(expired).build())));
+		}
+	}
+
+	private static List<List<LogEntry>> group(List<LogEntry> entries) {
+		List<List<LogEntry>> groups = new ArrayList<>();
+		List<LogEntry> current = new ArrayList<>();
+		int bytes = 0;
+		for (LogEntry entry : entries) {
+			if (!current.isEmpty() && bytes + entry.getSerializedSize() > BYTES_PER_APPEND) {
+				groups.add(current);
+				current = new ArrayList<>();
+				bytes = 0;
+			}
+			current.add(entry);
+			bytes += entry.getSerializedSize();
+		}
+		if (!current.isEmpty()) {
+			groups.add(current);
+		}
+		return groups;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionOptions.java
@@ -0,0 +1,53 @@
+package org.wigeonglade.core.batch;
+
+import java.time.Duration;
+
+/**
+ * Settings of the partitions of a host.
+ *
+ * @param lease how long an owner may be silent before its partition is claimed
+ * @param workLease how long a granted item may stay without renewal
+ * @param poll how often a followed stream is read
+ * @param rebalanceAfter how long another host must rank first before the owner releases
+ * @param retainedRecords records that the log retains at least, before any expiry was
+ * seen; later the observed number counts if it is smaller
+ * @param snapshotEvery records between two snapshots
+ * @param maxBufferedOutcomes outcomes that may wait for the log
+ * @param writer the settings of the log writers
+ */
+public record PartitionOptions(Duration lease, Duration workLease, Duration poll, Duration rebalanceAfter,
+		long retainedRecords, long snapshotEvery, int maxBufferedOutcomes, WriterOptions writer) {
+
+	private static final long DEFAULT_RETAINED = 100_000;
+
+	private static final long DEFAULT_SNAPSHOT_EVERY = 4096;
+
+	private static final int DEFAULT_BUFFERED = 20_000;
+
+	private static final int REBALANCE_LEASES = 5;
+
+	/**
+	 * Returns options with the default limits.
+	 * @param lease how long an owner may be silent
+	 * @param workLease how long a granted item may stay without renewal
+	 * @param poll how often a followed stream is read
+	 * @param groupDelay how long entries are collected before an append
+	 * @return the options, never null
+	 */
+	public static PartitionOptions of(Duration lease, Duration workLease, Duration poll, Duration groupDelay) {
+		return new PartitionOptions(lease, workLease, poll, lease.multipliedBy(REBALANCE_LEASES), DEFAULT_RETAINED,
+				DEFAULT_SNAPSHOT_EVERY, DEFAULT_BUFFERED, WriterOptions.of(groupDelay));
+	}
+
+	/**
+	 * Returns a copy with another retention.
+	 * @param records records that the log retains at least
+	 * @param every records between two snapshots
+	 * @return the copy, never null
+	 */
+	public PartitionOptions withRetention(long records, long every) {
+		return new PartitionOptions(this.lease, this.workLease, this.poll, this.rebalanceAfter, records, every,
+				this.maxBufferedOutcomes, this.writer);
+	}
+
+}
--- a/core/src/main/java/org/wigeonglade/core/batch/WriterOptions.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/WriterOptions.java
@@ -15,7 +15,7 @@
 public record WriterOptions(Duration groupDelay, int maxRecordBytes, Duration answerTimeout, Duration firstBackoff,
 		Duration maxBackoff) {
 
-	private static final int DEFAULT_RECORD_BYTES = 512 * 1024;
+	private static final int DEFAULT_RECORD_BYTES = 256 * 1024;
 
 	/**
 	 * Returns options with the default limits.
