--- a/core/src/main/java/org/wigeonglade/core/error/ErrorCode.java
+++ b/core/src/main/java/org/wigeonglade/core/error/ErrorCode.java
@@ -1,5 +1,8 @@
 package org.wigeonglade.core.error;
 
+import java.util.Arrays;
+import java.util.Optional;
+
 /**
  * Stable codes of all failures. {@code docs/errors.md} lists the cause and the remedy of
  * each. Numbers: 1xxx settings and command line, 2xxx requests of callers, 3xxx
@@ -106,6 +109,15 @@
 	/** This host does not own the partition. */
 	NOT_OWNER(6003, 503),
 
+	/** A peer does not know this kind of message. */
+	PEER_UNSUPPORTED(6004, 501),
+
+	/** The certificate of a peer does not name the host that it claims to be. */
+	PEER_IDENTITY_INVALID(6005, 403),
+
+	/** The buffer of the connection to a peer is full. */
+	PEER_OVERLOADED(6006, 503),
+
 	/** An unexpected failure inside the system. */
 	INTERNAL(9001, 500);
 
@@ -126,6 +138,15 @@
 		return "WG-" + this.number;
 	}
 
+	/**
+	 * Finds the constant of a stable code, such as one that a newer peer sent.
+	 * @param text the text of the code, such as {@code WG-4291}
+	 * @return the constant, empty if this version does not know it
+	 */
+	public static Optional<ErrorCode> find(String text) {
+		return Arrays.stream(values()).filter((c) -> c.getCode().equals(text)).findFirst();
+	}
+
 	/**
 	 * Returns the HTTP status that the callers' interface answers with.
 	 * @return a status from 400 to 599
--- /dev/null
+++ b/peer/src/main/java/org/wigeonglade/peer/PeerEvent.java
@@ -0,0 +1,73 @@
+package org.wigeonglade.peer;
+
+import java.lang.System.Logger.Level;
+
+import org.wigeonglade.core.event.LogEvent;
+
+/**
+ * Log events of the exchange between hosts.
+ */
+enum PeerEvent implements LogEvent {
+
+	/** The listener is open. */
+	LISTENING(6001, Level.INFO, "peer listener opened", "address"),
+
+	/** A connection was closed because of malformed input. */
+	INPUT_REJECTED(6002, Level.WARNING, "closed a peer connection after malformed input", "remote", "reason"),
+
+	/** A host claimed a name that its certificate does not hold. */
+	IDENTITY_REJECTED(6003, Level.WARNING, "closed a peer connection whose certificate does not name the host", "host",
+			"remote"),
+
+	/** A connection to a host failed. */
+	CONNECT_FAILED(6004, Level.DEBUG, "cannot connect to a peer", "host", "address", "retry_ms", "reason"),
+
+	/** A handler failed for a reason that it does not know. */
+	HANDLER_FAILED(6005, Level.ERROR, "a peer message handler failed", "body", "from"),
+
+	/** The certificate files were read again. */
+	TLS_RELOADED(6006, Level.INFO, "reloaded the peer certificates", "certificate"),
+
+	/** The certificate files cannot be used; the last good ones stay. */
+	TLS_RELOAD_FAILED(6007, Level.WARNING, "cannot reload the peer certificates; the last good ones stay in use",
+			"certificate"),
+
+	/** A connected host is not the expected one. */
+	OTHER_HOST(6008, Level.WARNING, "a peer address belongs to another host", "expected", "found", "address");
+
+	private final int number;
+
+	private final Level level;
+
+	private final String text;
+
+	private final String[] fields;
+
+	PeerEvent(int number, Level level, String text, String... fields) {
+		this.number = number;
+		this.level = level;
+		this.text = text;
+		this.fields = fields;
+	}
+
+	@Override
+	public int getNumber() {
+		return this.number;
+	}
+
+	@Override
+	public Level getLevel() {
+		return this.level;
+	}
+
+	@Override
+	public String getText() {
+		return this.text;
+	}
+
+	@Override
+	public String[] getFields() {
+		return this.fields.clone();
+	}
+
+}
