Decide membership from lists, digests and notices

Hosts and upstreams come and go while the host list lags. Rendezvous ranks members for subsets and owners. Nothing was measured.

--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/member/HostRecord.java
@@ -0,0 +1,179 @@
+package org.wigeonglade.core.member;
+
+import org.wigeonglade.core.id.FailureDomain;
+import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.id.Region;
+import org.wigeonglade.core.platform.ListedHost;
+import org.wigeonglade.schema.generated.peer.HostView;
+
+/**
+ * Keeps what one host knows of another. Not thread-safe.
+ */
+final class HostRecord {
+
+	private final HostId id;
+
+	private long incarnation;
+
+	private FailureDomain domain;
+
+	private Region region;
+
+	private String address;
+
+	private long heartbeat;
+
+	private boolean stopping;
+
+	private boolean listedLeaving;
+
+	private boolean listed;
+
+	private boolean heard;
+
+	private long configVersion;
+
+	private long lastSeenMillis;
+
+	private long changedMillis;
+
+	HostRecord(ListedHost host, long nowMillis) {
+		this.id = HostId.of(host.name());
+		this.incarnation = host.incarnation();
+		this.domain = FailureDomain.of(host.failureDomain());
+		this.region = Region.of(host.region());
+		this.address = host.address();
+		this.listedLeaving = host.leaving();
+		this.lastSeenMillis = nowMillis;
+		this.changedMillis = nowMillis;
+		this.listed = true;
+	}
+
+	HostRecord(HostView view, long nowMillis) {
+		this.id = HostId.of(view.getHost());
+		begin(view, nowMillis);
+	}
+
+	HostId getId() {
+		return this.id;
+	}
+
+	long getIncarnation() {
+		return this.incarnation;
+	}
+
+	FailureDomain getDomain() {
+		return this.domain;
+	}
+
+	String getAddress() {
+		return this.address;
+	}
+
+	boolean isListed() {
+		return this.listed;
+	}
+
+	boolean isHeard() {
+		return this.heard;
+	}
+
+	long getConfigVersion() {
+		return this.configVersion;
+	}
+
+	long getLastSeenMillis() {
+		return this.lastSeenMillis;
+	}
+
+	long getChangedMillis() {
+		return this.changedMillis;
+	}
+
+	HostMember toMember() {
+		return new HostMember(this.id, this.incarnation, this.domain, this.region, this.address,
+				this.stopping || this.listedLeaving, this.configVersion, this.lastSeenMillis);
+	}
+
+	HostView toView() {
+		return HostView.newBuilder()
+			.setHost(this.id.value())
+			.setIncarnation(this.incarnation)
+			.setFailureDomain(this.domain.value())
+			.setRegion(this.region.value())
+			.setPeerAddress(this.address)
+			.setHeartbeat(this.heartbeat)
+			.setStopping(this.stopping)
+			.setConfigVersion(this.configVersion)
+			.build();
+	}
+
+	// The list lags behind and counts incarnations in its own way, so digests decide once
+	// they were heard. Its leaving state holds as long as the list says so.
+	void applyListed(ListedHost host, long nowMillis) {
+		this.listed = true;
+		if (!this.heard) {
+			this.address = host.address();
+			if (host.incarnation() > this.incarnation) {
+				this.incarnation = host.incarnation();
+				this.lastSeenMillis = nowMillis;
+			}
+		}
+		this.listedLeaving = host.leaving();
+	}
+
+	void setUnlisted() {
+		this.listed = false;
+		this.listedLeaving = false;
+	}
+
+	// An incarnation is taken from a wall clock, which may have been set back between two
+	// starts. Therefore a lower one is accepted once the known one is silent.
+	boolean applyView(HostView view, long nowMillis, boolean silent) {
+		boolean newStart = !this.heard || view.getIncarnation() > this.incarnation
+				|| (silent && view.getIncarnation() < this.incarnation);
+		if (newStart) {
+			begin(view, nowMillis);
+			return true;
+		}
+		if (view.getIncarnation() < this.incarnation || view.getHeartbeat() <= this.heartbeat) {
+			return false;
+		}
+		boolean changed = view.getConfigVersion() > this.configVersion || (view.getStopping() && !this.stopping)
+				|| !view.getPeerAddress().equals(this.address);
+		this.heartbeat = view.getHeartbeat();
+		this.stopping |= view.getStopping();
+		this.configVersion = Math.max(this.configVersion, view.getConfigVersion());
+		this.address = view.getPeerAddress();
+		this.lastSeenMillis = nowMillis;
+		if (changed) {
+			this.changedMillis = nowMillis;
+		}
+		return true;
+	}
+
+	void setStopping(long ofIncarnation, long nowMillis) {
+		if (ofIncarnation >= this.incarnation && !this.stopping) {
+			this.stopping = true;
+			this.changedMillis = nowMillis;
+		}
+	}
+
+	void shift(long millis) {
+		this.lastSeenMillis += millis;
+	}
+
+	private void begin(HostView view, long nowMillis) {
+		this.incarnation = view.getIncarnation();
+		this.domain = FailureDomain.of(view.getFailureDomain());
+		this.region = Region.of(view.getRegion());
+		this.address = view.getPeerAddress();
+		this.heartbeat = view.getHeartbeat();
+		this.stopping = view.getStopping();
+		this.configVersion = view.getConfigVersion();
+		this.lastSeenMillis = nowMillis;
+		this.changedMillis = nowMillis;
+		this.heard = true;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/member/Rendezvous.java
@@ -0,0 +1,87 @@
+package org.wigeonglade.core.member;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+import com.google.common.hash.Hashing;
+import org.wigeonglade.core.error.ErrorCode;
+import org.wigeonglade.core.error.InvalidRequestException;
+
+/**
+ * Ranks members for a key by rendezvous hashing. All hosts with the same members compute
+ * the same ranking, and a member that comes or goes moves only the keys that it ranks
+ * first for.
+ */
+public final class Rendezvous {
+
+	private Rendezvous() {
+	}
+
+	/**
+	 * Ranks members for a key.
+	 * @param <T> the type of a member
+	 * @param key the key, not null
+	 * @param members the members, without duplicate names
+	 * @param name gives the stable name of a member
+	 * @return the members, best first; ties are broken by name
+	 */
+	public static <T> List<T> rank(String key, Collection<T> members, Function<T, String> name) {
+		return members.stream()
+			.map((m) -> new Scored<>(m, name.apply(m), score(key, name.apply(m))))
+			.sorted(Comparator.<Scored<T>>comparingLong(Scored::score).reversed().thenComparing(Scored::name))
+			.map(Scored::member)
+			.toList();
+	}
+
+	/**
+	 * Returns the member that ranks first for a key.
+	 * @param <T> the type of a member
+	 * @param key the key, not null
+	 * @param members the members, without duplicate names
+	 * @param name gives the stable name of a member
+	 * @return the member, empty if there is none
+	 */
+	public static <T> Optional<T> first(String key, Collection<T> members, Function<T, String> name) {
+		return members.stream()
+			.map((m) -> new Scored<>(m, name.apply(m), score(key, name.apply(m))))
+			.min(Comparator.<Scored<T>>comparingLong(Scored::score).reversed().thenComparing(Scored::name))
+			.map(Scored::member);
+	}
+
+	/**
+	 * Selects a subset of members for a key. One member that leaves changes one place of
+	 * the subset at most.
+	 * @param <T> the type of a member
+	 * @param key the key, not null
+	 * @param members the members, without duplicate names
+	 * @param name gives the stable name of a member
+	 * @param size the largest size, at least 1
+	 * @return the subset, best first
+	 */
+	public static <T> List<T> subset(String key, Collection<T> members, Function<T, String> name, int size) {
+		if (size < 1) {
+			throw new InvalidRequestException(ErrorCode.ARGUMENT_INVALID,
+					"the size of a subset must be at least 1 but is " + size);
+		}
+		return rank(key, members, name).stream().limit(size).toList();
+	}
+
+	private static long score(String key, String name) {
+		return Hashing.murmur3_128()
+			.newHasher()
+			.putInt(key.length())
+			.putString(key, StandardCharsets.UTF_8)
+			.putString(name, StandardCharsets.UTF_8)
+			.hash()
+			.asLong();
+	}
+
+	private record Scored<T>(T member, String name, long score) {
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/member/ServiceDemand.java
@@ -0,0 +1,21 @@
+package org.wigeonglade.core.member;
+
+/**
+ * Holds the demand for a service in one failure domain, summed over the digests of its
+ * hosts.
+ *
+ * @param onlineArrivalsPerSecond the online requests that arrive per second
+ * @param spareSlots the largest number of free slots that a host of the domain told
+ * @param pendingBatchItems the batch items that wait
+ */
+public record ServiceDemand(double onlineArrivalsPerSecond, int spareSlots, int pendingBatchItems) {
+
+	/** No known demand. */
+	public static final ServiceDemand NONE = new ServiceDemand(0, 0, 0);
+
+	ServiceDemand plus(double arrivals, int spare, int pending) {
+		return new ServiceDemand(this.onlineArrivalsPerSecond + arrivals, Math.max(this.spareSlots, spare),
+				this.pendingBatchItems + pending);
+	}
+
+}
