--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/config/AcceptedChange.java
@@ -0,0 +1,25 @@
+package org.wigeonglade.core.config;
+
+import org.wigeonglade.schema.generated.log.ConfigChange;
+
+/**
+ * Tells of an accepted version without its body, which is read from the log when it is
+ * needed.
+ *
+ * @param version the version, from 1
+ * @param author who published it
+ * @param reason why, in the words of the author
+ * @param wallTimeMillis when, by the clock of the publishing host
+ * @param rollbackOf the version whose body it repeats, 0 for none
+ * @param offset the offset of its record in the stream
+ * @param bodyBytes the size of the body
+ */
+public record AcceptedChange(long version, String author, String reason, long wallTimeMillis, long rollbackOf,
+		long offset, int bodyBytes) {
+
+	static AcceptedChange of(ConfigChange change, long offset) {
+		return new AcceptedChange(change.getVersion(), change.getAuthor(), change.getReason(), change.getWallTimeMs(),
+				change.getRollbackOf(), offset, change.getBody().size());
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/config/ConfigurationBody.java
@@ -0,0 +1,20 @@
+package org.wigeonglade.core.config;
+
+import org.wigeonglade.schema.generated.settings.FleetConfiguration;
+
+/**
+ * Reads the body of a configuration.
+ */
+@FunctionalInterface
+public interface ConfigurationBody {
+
+	/**
+	 * Reads a body and checks it against its schema.
+	 * @param json the body as UTF-8 JSON, not null
+	 * @return the configuration
+	 * @throws org.wigeonglade.core.error.InvalidRequestException if the body violates the
+	 * schema; the message names the JSON pointer, the value and what is allowed
+	 */
+	FleetConfiguration read(byte[] json);
+
+}
