--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/account/AccountRing.java
@@ -0,0 +1,154 @@
+package org.wigeonglade.core.account;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.schema.generated.log.AccountRecord;
+
+/**
+ * Keeps the latest events of one host in bounded memory and hands the events that must
+ * outlive the host to a sink. Thread-safe.
+ */
+public final class AccountRing implements AccountRecorder {
+
+	/**
+	 * Default number of events. An event takes about 500 bytes, so the ring takes about 8
+	 * MB of the 128 MB that a host may use.
+	 */
+	public static final int DEFAULT_CAPACITY = 16_384;
+
+	/** Largest number of events in one answer; an answer then takes about 1 MB. */
+	public static final int MAX_ANSWER = 2000;
+
+	/**
+	 * Kinds that are rare and must still be explained after the host was lost.
+	 */
+	private static final Set<AccountCode> DURABLE = EnumSet.of(AccountCode.QUARANTINED, AccountCode.TAKEN_OVER,
+			AccountCode.HANDED_OVER, AccountCode.UPSTREAM_LOST, AccountCode.HOST_LOST, AccountCode.HOST_STOPPING,
+			AccountCode.PLATFORM_LOST, AccountCode.PLATFORM_BACK, AccountCode.OUTCOME_UNKNOWN);
+
+	private final Object lock = new Object();
+
+	private final HostId host;
+
+	private final long incarnation;
+
+	private final Ticker ticker;
+
+	private final int capacity;
+
+	private final Deque<AccountRecord> events = new ArrayDeque<>();
+
+	private volatile Consumer<AccountRecord> durableSink = (event) -> {
+	};
+
+	private long sequence;
+
+	private long dropped;
+
+	private long droppedUntilWallMillis;
+
+	private AccountRing(HostId host, long incarnation, Ticker ticker, int capacity) {
+		this.host = Objects.requireNonNull(host, "host");
+		this.incarnation = incarnation;
+		this.ticker = Objects.requireNonNull(ticker, "ticker");
+		this.capacity = capacity;
+	}
+
+	/**
+	 * Returns an empty ring.
+	 * @param host the host that records, not null
+	 * @param incarnation the incarnation of the host
+	 * @param ticker the source of time, not null
+	 * @param capacity the largest number of events kept, at least 1
+	 * @return a ring, never null
+	 */
+	public static AccountRing create(HostId host, long incarnation, Ticker ticker, int capacity) {
+		return new AccountRing(host, incarnation, ticker, Math.max(1, capacity));
+	}
+
+	/**
+	 * Sets the receiver of durable events. It must neither block nor fail.
+	 * @param sink the receiver, not null
+	 */
+	public void setDurableSink(Consumer<AccountRecord> sink) {
+		this.durableSink = Objects.requireNonNull(sink, "sink");
+	}
+
+	@Override
+	public String record(AccountCode code, String subjectKind, String subjectId, String causeEventId,
+			Map<String, String> figures) {
+		AccountRecord.Builder builder = AccountRecord.newBuilder()
+			.setCode(code.getNumber())
+			.setHost(this.host.value())
+			.setSubjectKind(Objects.toString(subjectKind, ""))
+			.setSubjectId(Objects.toString(subjectId, ""))
+			.setCauseEventId(Objects.toString(causeEventId, ""));
+		figures.forEach((key, value) -> builder.putFigures(key, Objects.toString(value, "")));
+		AccountRecord event;
+		synchronized (this.lock) {
+			event = builder.setEventId(this.host.value() + ":" + this.incarnation + ":" + ++this.sequence)
+				.setWallTimeMs(this.ticker.wallMillis())
+				.build();
+			if (this.events.size() == this.capacity) {
+				this.droppedUntilWallMillis = this.events.removeFirst().getWallTimeMs();
+				this.dropped++;
+			}
+			this.events.addLast(event);
+		}
+		if (DURABLE.contains(code)) {
+			this.durableSink.accept(event);
+		}
+		return event.getEventId();
+	}
+
+	/**
+	 * Returns the events that a query selects, with the events that caused them.
+	 * @param query the query, not null
+	 * @return the latest matching events in order of recording, at most
+	 * {@link #MAX_ANSWER}, and whether some may be missing
+	 */
+	public Answer find(AccountQuery query) {
+		List<AccountRecord> copy;
+		long lostUntil;
+		synchronized (this.lock) {
+			copy = new ArrayList<>(this.events);
+			lostUntil = (this.dropped > 0) ? this.droppedUntilWallMillis : -1;
+		}
+		List<AccountRecord> selected = AccountOrder.withCauses(copy, query);
+		boolean cut = selected.size() > MAX_ANSWER;
+		if (cut) {
+			selected = selected.subList(selected.size() - MAX_ANSWER, selected.size());
+		}
+		return new Answer(List.copyOf(selected), cut || lostUntil >= query.fromWallMillis());
+	}
+
+	/**
+	 * Returns how many events were dropped because the ring was full.
+	 * @return the number since the start
+	 */
+	public long getDropped() {
+		synchronized (this.lock) {
+			return this.dropped;
+		}
+	}
+
+	/**
+	 * Holds the events that were found.
+	 *
+	 * @param events the events in order of recording
+	 * @param truncated whether matching events may be missing
+	 */
+	public record Answer(List<AccountRecord> events, boolean truncated) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/account/AccountSentences.java
@@ -0,0 +1,144 @@
+package org.wigeonglade.core.account;
+
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import org.wigeonglade.schema.generated.log.AccountRecord;
+
+/**
+ * Tells one event in a plain sentence. A sentence uses only what the event holds; a
+ * figure that is absent is left out and never guessed.
+ */
+public final class AccountSentences {
+
+	private static final Map<Integer, AccountCode> CODES = Arrays.stream(AccountCode.values())
+		.collect(Collectors.toUnmodifiableMap(AccountCode::getNumber, Function.identity()));
+
+	private static final DateTimeFormatter TIME = DateTimeFormatter.ofPattern("uuuu-MM-dd HH:mm:ss", Locale.ROOT)
+		.withZone(ZoneOffset.UTC);
+
+	private AccountSentences() {
+	}
+
+	/**
+	 * Returns the sentence of an event, without identifiers.
+	 * @param event the event, not null
+	 * @return one sentence that ends with a full stop
+	 */
+	public static String tell(AccountRecord event) {
+		String subject = subject(event);
+		String reason = figure(event, "reason").map((text) -> ": " + text).orElse("");
+		AccountCode code = CODES.get(event.getCode());
+		if (code == null) {
+			return "An event of a kind that this version does not know was recorded for " + subject + ".";
+		}
+		return switch (code) {
+			case ACCEPTED -> capital(subject) + workspace(event) + " was accepted" + forService(event) + ".";
+			case STARTED -> capital(subject) + " was sent to " + upstream(event) + forService(event) + ".";
+			case COMPLETED -> capital(subject) + " was answered in full.";
+			case FAILED -> capital(subject) + " ended without a result" + reason + ".";
+			case PREEMPTED ->
+				capital(subject) + " was stopped to make room for people who were waiting; it continues later.";
+			case QUEUED -> capital(subject) + " waited for free capacity" + reason + ".";
+			case RETRIED -> capital(subject) + " was tried again" + reason + ".";
+			case REFUSED -> capital(subject) + " was refused and was not run" + reason + ".";
+			case QUARANTINED ->
+				"A request that made engines fail was blocked, so that it cannot harm others" + reason + ".";
+			case CANCELLED -> capital(subject) + " was cancelled" + reason + ".";
+			case TAKEN_OVER -> "A host took over " + subject + reason + ".";
+			case HANDED_OVER -> "A host handed over " + subject + reason + ".";
+			case CONFIG_ACCEPTED -> "A new configuration was accepted" + author(event) + reason + ".";
+			case CONFIG_APPLIED -> "A host started to use a new configuration.";
+			case CONFIG_CONFLICT ->
+				"A change of the configuration" + author(event) + " was turned down because another change came first.";
+			case UPSTREAM_LOST -> capital(upstream(event)) + " was lost" + reason + ".";
+			case UPSTREAM_LEAVING -> capital(upstream(event)) + " is leaving and gets no new work" + reason + ".";
+			case HOST_LOST -> "An entry host was lost" + reason + ".";
+			case HOST_STOPPING -> "An entry host began a planned stop" + reason + ".";
+			case PLATFORM_LOST -> "The platform became unreachable from a host" + reason + ".";
+			case PLATFORM_BACK -> "The platform became reachable again from a host.";
+			case OUTCOME_UNKNOWN -> "It is not known whether " + subject + " ran; it was not run again" + reason + ".";
+			case COMMAND_SENT -> "A command was sent to " + upstream(event) + reason + ".";
+			case RESUMED -> capital(subject) + " continued on another engine where the first one had stopped.";
+			case HOST_STARTED -> "An entry host started.";
+			case CLIENT_GONE -> "The caller closed the connection before " + subject + " was answered in full.";
+		};
+	}
+
+	/**
+	 * Returns the identifiers and figures of an event.
+	 * @param event the event, not null
+	 * @return one line without a line break
+	 */
+	public static String detail(AccountRecord event) {
+		StringBuilder line = new StringBuilder();
+		line.append(event.getSubjectKind()).append(' ').append(event.getSubjectId());
+		line.append(", host ").append(event.getHost()).append(", event ").append(event.getEventId());
+		if (!event.getCauseEventId().isEmpty()) {
+			line.append(", caused by ").append(event.getCauseEventId());
+		}
+		new TreeMap<>(event.getFiguresMap())
+			.forEach((key, value) -> line.append(", ").append(key).append('=').append(value));
+		return line.toString().replace('\n', ' ').replace('\r', ' ');
+	}
+
+	/**
+	 * Returns a time as people read it.
+	 * @param wallMillis milliseconds since the epoch
+	 * @return the time in UTC, to the second
+	 */
+	public static String time(long wallMillis) {
+		return TIME.format(Instant.ofEpochMilli(wallMillis)) + " UTC";
+	}
+
+	static Optional<AccountCode> codeOf(AccountRecord event) {
+		return Optional.ofNullable(CODES.get(event.getCode()));
+	}
+
+	static String subject(AccountRecord event) {
+		return switch (event.getSubjectKind()) {
+			case "request" -> "the request";
+			case "batch" -> "the job";
+			case "item" -> "an item of the job";
+			case "upstream" -> upstream(event);
+			case "host" -> "the host";
+			case "config" -> "the configuration";
+			case "partition" -> "a part of the jobs";
+			default -> "the work";
+		};
+	}
+
+	private static String upstream(AccountRecord event) {
+		return figure(event, "kind").filter("plain"::equals).isPresent() ? "a service instance" : "an engine";
+	}
+
+	private static String workspace(AccountRecord event) {
+		return figure(event, "workspace").map((name) -> " of workspace " + name).orElse("");
+	}
+
+	private static String forService(AccountRecord event) {
+		return figure(event, "service").map((name) -> " for service " + name).orElse("");
+	}
+
+	private static String author(AccountRecord event) {
+		return figure(event, "author").map((name) -> " from " + name).orElse("");
+	}
+
+	private static Optional<String> figure(AccountRecord event, String key) {
+		String value = event.getFiguresOrDefault(key, "");
+		return (value.isBlank()) ? Optional.empty() : Optional.of(value.replace('\n', ' ').replace('\r', ' '));
+	}
+
+	private static String capital(String text) {
+		return Character.toUpperCase(text.charAt(0)) + text.substring(1);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/operator/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Operators' interface of a host: status, configuration, metrics, tracing and the
+ * account.
+ */
+package org.wigeonglade.entry.operator;
