--- a/core/src/main/java/org/wigeonglade/core/account/AccountCode.java
+++ b/core/src/main/java/org/wigeonglade/core/account/AccountCode.java
@@ -81,7 +81,10 @@
 	HOST_STARTED(25),
 
 	/** The client closed its connection. */
-	CLIENT_GONE(26);
+	CLIENT_GONE(26),
+
+	/** A configuration change was written to the log. */
+	CONFIG_PROPOSED(27);
 
 	private final int number;
 
--- a/core/src/main/java/org/wigeonglade/core/account/AccountSentences.java
+++ b/core/src/main/java/org/wigeonglade/core/account/AccountSentences.java
@@ -56,6 +56,8 @@
 			case TAKEN_OVER -> "A host took over " + subject + reason + ".";
 			case HANDED_OVER -> "A host handed over " + subject + reason + ".";
 			case CONFIG_ACCEPTED -> "A new configuration was accepted" + author(event) + reason + ".";
+			case CONFIG_PROPOSED ->
+				"A change of the configuration was written to the log" + author(event) + reason + ".";
 			case CONFIG_APPLIED -> "A host started to use a new configuration.";
 			case CONFIG_CONFLICT ->
 				"A change of the configuration" + author(event) + " was turned down because another change came first.";
