Activate an owner only after a read to the head

A historic claim of this host must give it nothing, so that the owner is now created after a complete read.

--- a/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
@@ -357,7 +357,6 @@
 				LOG.log(BatchEvent.HISTORY_LOST, PartitionAgent.this.context.partition(),
 						replaced.getAppliedOffset() + 1);
 			}
-			refreshOwnership();
 		}
 
 		@Override
