Implement the batch runtime on the log

Callers and dispatchers need submission, status, results, cancellation, keyed requests and work grants on every host.

--- a/core/src/main/java/org/wigeonglade/core/batch/JobState.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/JobState.java
@@ -138,6 +138,14 @@
 		return this.finishedWallMillis;
 	}
 
+	/**
+	 * Returns an independent copy, for use outside the thread that applies records.
+	 * @return the copy, never null
+	 */
+	public JobState snapshot() {
+		return copy();
+	}
+
 	long getCancelledOffset() {
 		return this.cancelledOffset;
 	}
--- a/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
@@ -62,6 +63,8 @@
 
 	private boolean claiming;
 
+	private boolean mayClaim;
+
 	private boolean releasing;
 
 	private boolean stopping;
@@ -70,6 +73,8 @@
 
 	private volatile PartitionView published;
 
+	private volatile Set<String> waiting = Set.of();
+
 	/**
 	 * Creates an agent that has read nothing.
 	 * @param context what its parts share, not null
@@ -130,12 +135,20 @@
 	}
 
 	/**
-	 * Returns whether items of a service wait here.
+	 * Returns whether items of a service wait here; may be called by any thread.
 	 * @param service the service
 	 * @return true if this host owns the partition and could grant one
 	 */
 	public boolean hasWaiting(String service) {
-		return isOwner() && this.owner.getLedger().hasWaiting(service);
+		return this.waiting.contains(service);
+	}
+
+	/**
+	 * Returns the state as far as it was read.
+	 * @return the state, to be used on the lane only
+	 */
+	public PartitionState getState() {
+		return this.state;
 	}
 
 	/**
@@ -172,13 +185,16 @@
 	 */
 	public void tick(FleetView fleet, List<HostId> ranked) {
 		this.view = fleet;
+		this.mayClaim = rank(ranked) == 0;
 		if (isOwner()) {
 			this.owner.tick();
 			this.keeper.tick();
 			rebalance(ranked);
 			publish();
 		}
-		boolean candidate = !ranked.isEmpty() && ranked.get(0).equals(this.self);
+		int rank = rank(ranked);
+		// The second host follows too, so that a takeover begins with a current state.
+		boolean candidate = rank == 0 || rank == 1;
 		long now = this.context.ticker().millis();
 		if ((candidate || this.owner != null) && !this.polling
 				&& now - this.lastReadMillis >= this.context.options().poll().toMillis()) {
@@ -225,11 +241,15 @@
 		if (read) {
 			takeOver();
 		}
-		if (read && !this.stopping && this.owner == null && !this.claiming && shouldClaim()) {
+		if (read && !this.stopping && this.mayClaim && this.owner == null && !this.claiming && shouldClaim()) {
 			claim();
 		}
 	}
 
+	private int rank(List<HostId> ranked) {
+		return ranked.indexOf(this.self);
+	}
+
 	private boolean shouldClaim() {
 		return OwnershipPolicy.shouldClaim(this.context.partition(), this.self, this.view, this.state,
 				this.ownerRecordMillis, this.context.ticker().millis(), this.context.options().lease());
@@ -330,11 +350,13 @@
 			this.owner = null;
 			this.keeper = null;
 			this.published = null;
+			this.waiting = Set.of();
 		}
 	}
 
 	private void publish() {
 		if (this.owner != null) {
+			this.waiting = this.owner.getLedger().servicesWithWaiting();
 			this.published = PartitionView.newBuilder()
 				.setPartition(this.context.partition())
 				.setTerm(this.owner.getTerm())
@@ -389,6 +411,7 @@
 		@Override
 		public void jobAccepted(JobState job) {
 			withOwner((ledger) -> ledger.addJob(job));
+			publish();
 		}
 
 		@Override
--- a/core/src/main/java/org/wigeonglade/core/batch/PartitionFollower.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionFollower.java
@@ -86,7 +86,7 @@
 			this.waiters.add(new Waiter(future));
 			read();
 		});
-		return Uni.createFrom().completionStage(future);
+		return Uni.createFrom().completionStage(future).emitOn(this.lane);
 	}
 
 	/**
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/batch/WorkGrants.java
@@ -0,0 +1,32 @@
+package org.wigeonglade.core.batch;
+
+/**
+ * Layout of the identifiers of grants: partition, term and a counter.
+ */
+public final class WorkGrants {
+
+	private static final int PARTITION_SHIFT = 52;
+
+	private static final int TERM_SHIFT = 28;
+
+	private static final long TERM_MASK = 0xffffffL;
+
+	private static final long COUNTER_MASK = 0xfffffffL;
+
+	private WorkGrants() {
+	}
+
+	/**
+	 * Returns the partition that granted an item.
+	 * @param grantId the identifier of the grant
+	 * @return the partition
+	 */
+	public static int partitionOf(long grantId) {
+		return (int) (grantId >>> PARTITION_SHIFT);
+	}
+
+	static long idOf(int partition, long term, long counter) {
+		return ((long) partition << PARTITION_SHIFT) | ((term & TERM_MASK) << TERM_SHIFT) | (counter & COUNTER_MASK);
+	}
+
+}
--- a/core/src/main/java/org/wigeonglade/core/batch/WorkLedger.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/WorkLedger.java
@@ -20,14 +20,6 @@
  */
 final class WorkLedger {
 
-	private static final int PARTITION_SHIFT = 52;
-
-	private static final int TERM_SHIFT = 28;
-
-	private static final long TERM_MASK = 0xffffffL;
-
-	private static final long COUNTER_MASK = 0xfffffffL;
-
 	private static final int MAX_CRASHES = 2;
 
 	/**
@@ -66,10 +58,6 @@
 		state.getJobs().stream().filter((job) -> !job.isFinished()).forEach(this::addJob);
 	}
 
-	static int partitionOf(long grantId) {
-		return (int) (grantId >>> PARTITION_SHIFT);
-	}
-
 	void addJob(JobState job) {
 		JobQueue queue = new JobQueue(job);
 		this.jobs.put(job.getId(), queue);
@@ -319,8 +307,7 @@
 	}
 
 	private Grant lend(FairQueue.Item item, boolean suspect, long nowMillis) {
-		long id = ((long) this.partition << PARTITION_SHIFT) | ((this.term & TERM_MASK) << TERM_SHIFT)
-				| (++this.counter & COUNTER_MASK);
+		long id = WorkGrants.idOf(this.partition, this.term, ++this.counter);
 		Grant grant = new Grant(id, item.queue(), item.index(), suspect, item.charged());
 		grant.setLeaseEndMillis(nowMillis + this.leaseMillis);
 		this.grants.put(id, grant);
--- a/entry/src/main/java/org/wigeonglade/entry/batch/BatchRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/BatchRuntime.java
@@ -9,6 +9,7 @@
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.WorkspaceId;
 import org.wigeonglade.schema.generated.peer.PartitionView;
+import org.wigeonglade.schema.generated.settings.HostSettings;
 
 /**
  * Batch runtime of one host. No method blocks; results arrive on threads of the runtime,
@@ -16,6 +17,15 @@
  */
 public interface BatchRuntime {
 
+	/**
+	 * Starts the description of a runtime.
+	 * @param settings the settings of the host, not null
+	 * @return a builder, never null
+	 */
+	static BatchRuntimeBuilder builder(HostSettings settings) {
+		return new BatchRuntimeBuilder(settings);
+	}
+
 	/**
 	 * Starts following and owning partitions.
 	 * @return completes when the handlers of peer frames are registered; the first claims
@@ -104,4 +114,10 @@
 	 */
 	void observePartitions(HostId host, List<PartitionView> partitions);
 
+	/**
+	 * Returns the number of append calls to the log that this runtime made.
+	 * @return the number since the start
+	 */
+	long getAppends();
+
 }
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/BatchRuntimeBuilder.java
@@ -0,0 +1,181 @@
+package org.wigeonglade.entry.batch;
+
+import java.time.Duration;
+import java.util.Objects;
+
+import org.wigeonglade.core.account.AccountRecorder;
+import org.wigeonglade.core.batch.PartitionOptions;
+import org.wigeonglade.core.config.ConfigurationSource;
+import org.wigeonglade.core.member.FleetViewSource;
+import org.wigeonglade.core.peer.PeerExchange;
+import org.wigeonglade.core.platform.LogService;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.schema.generated.settings.HostSettings;
+import org.wigeonglade.schema.generated.settings.LimitSettings;
+import org.wigeonglade.schema.generated.settings.TimingSettings;
+
+/**
+ * Describes the batch runtime of a host.
+ */
+public final class BatchRuntimeBuilder {
+
+	private final HostSettings settings;
+
+	private long incarnation = System.currentTimeMillis();
+
+	private LogService log;
+
+	private PeerExchange peers;
+
+	private FleetViewSource fleet;
+
+	private ConfigurationSource configuration;
+
+	private AccountRecorder account = (code, kind, id, cause, figures) -> "";
+
+	private Ticker ticker = Ticker.system();
+
+	private PartitionOptions options;
+
+	BatchRuntimeBuilder(HostSettings settings) {
+		this.settings = Objects.requireNonNull(settings, "settings");
+		TimingSettings timing = (settings.getTiming() != null) ? settings.getTiming() : new TimingSettings();
+		this.options = PartitionOptions.of(Duration.ofMillis(timing.getPartitionLeaseMs()),
+				Duration.ofMillis(timing.getWorkLeaseMs()), Duration.ofMillis(timing.getLogPollMs()),
+				Duration.ofMillis(timing.getGroupCommitMs()));
+	}
+
+	/**
+	 * Sets the incarnation; it must be the one that the digests of this host carry.
+	 * @param value grows with each start of the host
+	 * @return this builder
+	 */
+	public BatchRuntimeBuilder withIncarnation(long value) {
+		this.incarnation = value;
+		return this;
+	}
+
+	/**
+	 * Sets the log.
+	 * @param value the log, not null
+	 * @return this builder
+	 */
+	public BatchRuntimeBuilder withLog(LogService value) {
+		this.log = Objects.requireNonNull(value, "log");
+		return this;
+	}
+
+	/**
+	 * Sets the exchange with other hosts.
+	 * @param value the exchange, not null
+	 * @return this builder
+	 */
+	public BatchRuntimeBuilder withPeers(PeerExchange value) {
+		this.peers = Objects.requireNonNull(value, "peers");
+		return this;
+	}
+
+	/**
+	 * Sets the source of the fleet view.
+	 * @param value the source, not null
+	 * @return this builder
+	 */
+	public BatchRuntimeBuilder withFleet(FleetViewSource value) {
+		this.fleet = Objects.requireNonNull(value, "fleet");
+		return this;
+	}
+
+	/**
+	 * Sets the source of the configuration.
+	 * @param value the source, not null
+	 * @return this builder
+	 */
+	public BatchRuntimeBuilder withConfiguration(ConfigurationSource value) {
+		this.configuration = Objects.requireNonNull(value, "configuration");
+		return this;
+	}
+
+	/**
+	 * Sets the recorder of the account; without it nothing is recorded.
+	 * @param value the recorder, not null
+	 * @return this builder
+	 */
+	public BatchRuntimeBuilder withAccount(AccountRecorder value) {
+		this.account = Objects.requireNonNull(value, "account");
+		return this;
+	}
+
+	/**
+	 * Sets the clocks.
+	 * @param value the clocks, not null
+	 * @return this builder
+	 */
+	public BatchRuntimeBuilder withTicker(Ticker value) {
+		this.ticker = Objects.requireNonNull(value, "ticker");
+		return this;
+	}
+
+	/**
+	 * Sets the retention that the log is known to have.
+	 * @param retainedRecords records of a stream that are retained at least
+	 * @param snapshotEvery records between two snapshots
+	 * @return this builder
+	 */
+	public BatchRuntimeBuilder withRetention(long retainedRecords, long snapshotEvery) {
+		this.options = this.options.withRetention(retainedRecords, snapshotEvery);
+		return this;
+	}
+
+	/**
+	 * Creates the runtime without starting it.
+	 * @return a runtime, never null
+	 */
+	public BatchRuntime build() {
+		Objects.requireNonNull(this.log, "log");
+		Objects.requireNonNull(this.peers, "peers");
+		Objects.requireNonNull(this.fleet, "fleet");
+		Objects.requireNonNull(this.configuration, "configuration");
+		return new LogBatchRuntime(this);
+	}
+
+	HostSettings getSettings() {
+		return this.settings;
+	}
+
+	LimitSettings getLimits() {
+		return (this.settings.getLimits() != null) ? this.settings.getLimits() : new LimitSettings();
+	}
+
+	long getIncarnation() {
+		return this.incarnation;
+	}
+
+	LogService getLog() {
+		return this.log;
+	}
+
+	PeerExchange getPeers() {
+		return this.peers;
+	}
+
+	FleetViewSource getFleet() {
+		return this.fleet;
+	}
+
+	ConfigurationSource getConfiguration() {
+		return this.configuration;
+	}
+
+	AccountRecorder getAccount() {
+		return this.account;
+	}
+
+	Ticker getTicker() {
+		return this.ticker;
+	}
+
+	PartitionOptions getOptions() {
+		return this.options;
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/ExecutorLane.java
@@ -0,0 +1,68 @@
+package org.wigeonglade.entry.batch;
+
+import java.time.Duration;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+import io.smallrye.mutiny.subscription.Cancellable;
+import org.wigeonglade.core.batch.BatchEvent;
+import org.wigeonglade.core.batch.Lane;
+import org.wigeonglade.core.event.EventLogger;
+
+/**
+ * Lane on a thread of its own. Tasks that come after the close are dropped.
+ */
+final class ExecutorLane implements Lane {
+
+	private static final EventLogger LOG = EventLogger.of(ExecutorLane.class);
+
+	private final ScheduledThreadPoolExecutor executor;
+
+	ExecutorLane(String name) {
+		this.executor = new ScheduledThreadPoolExecutor(1,
+				(task) -> Thread.ofPlatform().daemon().name(name).unstarted(task));
+		this.executor.setRemoveOnCancelPolicy(true);
+		this.executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+	}
+
+	@Override
+	public void execute(Runnable task) {
+		try {
+			this.executor.execute(guard(task));
+		}
+		catch (RejectedExecutionException ex) {
+			// The host has stopped; nothing may run any more.
+			return;
+		}
+	}
+
+	@Override
+	public Cancellable schedule(Duration delay, Runnable task) {
+		try {
+			ScheduledFuture<?> future = this.executor.schedule(guard(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+			return () -> future.cancel(false);
+		}
+		catch (RejectedExecutionException ex) {
+			return () -> {
+			};
+		}
+	}
+
+	void close() {
+		this.executor.shutdown();
+	}
+
+	private static Runnable guard(Runnable task) {
+		return () -> {
+			try {
+				task.run();
+			}
+			catch (RuntimeException ex) {
+				LOG.log(BatchEvent.TASK_FAILED, ex, null, task.getClass().getSimpleName());
+			}
+		};
+	}
+
+}
