--- /dev/null
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/FleetHost.java
@@ -0,0 +1,36 @@
+package org.wigeonglade.bench.demo;
+
+/**
+ * One running entry host as the fixture needs it.
+ */
+public interface FleetHost {
+
+	/**
+	 * Returns the port for callers.
+	 * @return the bound port
+	 */
+	int callerPort();
+
+	/**
+	 * Returns the port for operators.
+	 * @return the bound port
+	 */
+	int operatorPort();
+
+	/**
+	 * Returns the port for other hosts.
+	 * @return the bound port
+	 */
+	int peerPort();
+
+	/**
+	 * Stops the host as planned; requests in progress finish.
+	 */
+	void stop();
+
+	/**
+	 * Drops the host without any handover.
+	 */
+	void kill();
+
+}
--- a/standins/src/main/java/org/wigeonglade/standins/log/LogStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/log/LogStandIn.java
@@ -159,6 +159,16 @@
 		return (found != null) ? found.read(0, Integer.MAX_VALUE).records() : List.of();
 	}
 
+	/**
+	 * Appends without HTTP, faults and rate limit, for fixtures.
+	 * @param stream the stream, not null
+	 * @param payload the record, not null
+	 * @return the offset of the record
+	 */
+	public long appendDirectly(String stream, byte[] payload) {
+		return store(stream, payload);
+	}
+
 	/**
 	 * Returns the names of all streams.
 	 * @return the names in order, never null
