Route, admit, retry and isolate online requests

Cause: the thin path sent each request to the runner with the fewest own requests and gave up at the first failure. Change: every answer is a stream over several attempts on one event loop. Runners are chosen by bounded prefix affinity or power of two choices within learned limits; requests past them wait in a fair queue or are refused at once with Retry-After; a lost attempt is resumed at its next token within the retry budget; a crash makes the fingerprints in flight suspects that run alone on a reserved runner, by leave of one host of the fleet, and the second crash quarantines them.

--- a/entry/src/main/java/org/wigeonglade/entry/host/EntryHost.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/EntryHost.java
@@ -8,16 +8,22 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.wigeonglade.core.config.ConfigurationSource;
 import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.PlatformException;
 import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.id.FailureDomain;
+import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.id.Region;
 import org.wigeonglade.core.member.FleetViewSource;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.entry.caller.CallerServer;
+import org.wigeonglade.entry.online.EventLoop;
 import org.wigeonglade.entry.online.OnlineRuntime;
+import org.wigeonglade.entry.online.OnlineRuntimeBuilder;
 import org.wigeonglade.schema.generated.settings.HostSettings;
 import org.wigeonglade.schema.generated.settings.TimingSettings;
 
@@ -39,6 +45,8 @@
 
 	private final Vertx vertx;
 
+	private final EventLoop loop;
+
 	private final OnlineRuntime online;
 
 	private final CallerServer callers;
@@ -58,7 +66,13 @@
 				? new ListedFleetView(this.settings.getHost(), builder.directory(this.vertx), this.ticker) : null;
 		FleetViewSource fleet = (this.listed != null) ? this.listed : builder.getFleet();
 		ConfigurationSource configuration = builder::getInitialConfiguration;
-		this.online = new OnlineRuntime(fleet, builder.clients(this.vertx));
+		this.loop = await(EventLoop.create(this.vertx));
+		this.online = new OnlineRuntimeBuilder(this.loop, HostId.of(this.settings.getHost()))
+			.withPlace(FailureDomain.of(this.settings.getFailureDomain()), Region.of(this.settings.getRegion()))
+			.withTicker(this.ticker)
+			.withFleet(fleet)
+			.withClients(builder.clients(this.vertx))
+			.build();
 		this.callers = new CallerServer(this.vertx, this.settings, this.ticker, configuration, this.online);
 	}
 
@@ -83,7 +97,10 @@
 			this.listed.poll();
 			this.vertx.setPeriodic(this.timing.getHostListPollMs(), (id) -> this.listed.poll());
 		}
-		await(this.callers.start());
+		this.online.start();
+		Promise<Void> opened = Promise.promise();
+		this.loop.execute(() -> this.callers.start().onComplete(opened));
+		await(opened.future());
 		LOG.log(HostEvent.STARTED, this.settings.getHost(), getCallerPort(), 0, 0);
 	}
 
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/online/Isolation.java
@@ -0,0 +1,125 @@
+package org.wigeonglade.entry.online;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.Optional;
+
+import org.wigeonglade.core.time.Ticker;
+
+/**
+ * Runs suspected requests one at a time, each alone on a runner without online work. Runs
+ * on one event loop.
+ */
+final class Isolation {
+
+	/** Interval at which a reserved runner is looked at, in milliseconds. */
+	private static final long POLL_MILLIS = 10;
+
+	/**
+	 * Time between the reservation and the run, in milliseconds: other hosts must have
+	 * taken notice and batch work must have been stopped.
+	 */
+	private static final long SETTLE_MILLIS = 25;
+
+	private final EventLoop loop;
+
+	private final HostLinks links;
+
+	private final ArrivalNotices arrivals;
+
+	private final Ticker ticker;
+
+	private final Deque<OnlineStream> waiting = new ArrayDeque<>();
+
+	private OnlineStream current;
+
+	private RunnerState reserved;
+
+	private long reservedAtMillis;
+
+	Isolation(EventLoop loop, HostLinks links, ArrivalNotices arrivals, Ticker ticker) {
+		this.loop = loop;
+		this.links = links;
+		this.arrivals = arrivals;
+		this.ticker = ticker;
+	}
+
+	void submit(OnlineStream stream) {
+		this.waiting.add(stream);
+		next();
+	}
+
+	// Takes the end of a request that waited or ran alone.
+	void ended(OnlineStream stream) {
+		this.waiting.remove(stream);
+		if (this.current == stream) {
+			this.current = null;
+			release();
+			next();
+		}
+	}
+
+	private void next() {
+		if (this.current == null && !this.waiting.isEmpty()) {
+			this.current = this.waiting.poll();
+			prepare(this.current);
+		}
+	}
+
+	private void prepare(OnlineStream stream) {
+		if (this.current != stream) {
+			return;
+		}
+		if (this.reserved == null || !isFit(this.reserved)) {
+			release();
+			find(stream).ifPresent(this::reserve);
+		}
+		long now = this.ticker.millis();
+		if (this.reserved != null && this.reserved.getOnline() == 0 && now - this.reservedAtMillis >= SETTLE_MILLIS
+				&& isIdle(this.reserved, now)) {
+			stream.start(this.reserved);
+			return;
+		}
+		this.loop.schedule(POLL_MILLIS, () -> prepare(stream));
+	}
+
+	private Optional<RunnerState> find(OnlineStream stream) {
+		long now = this.ticker.millis();
+		return stream.getAdmission()
+			.getPool()
+			.getLocal()
+			.stream()
+			.filter(this::isFit)
+			.filter((r) -> r.getOthersOnline(now) < RunnerState.RESERVED)
+			.filter((r) -> !stream.getFailedOn().contains(r.getMember().id()))
+			.min(Comparator.comparingInt((r) -> r.getOnline() + r.getOthersOnline(now)));
+	}
+
+	private boolean isFit(RunnerState runner) {
+		return !runner.getMember().leaving() && !runner.isBreakerOpen();
+	}
+
+	private static boolean isIdle(RunnerState runner, long nowMillis) {
+		return runner.getOthersOnline(nowMillis) == 0;
+	}
+
+	private void reserve(RunnerState runner) {
+		this.reserved = runner;
+		this.reservedAtMillis = this.ticker.millis();
+		runner.setReserved(true);
+		this.arrivals.changed(runner);
+		this.links.broadcastArrival(runner.getMember().domain(), runner.getMember(), RunnerState.RESERVED);
+	}
+
+	private void release() {
+		RunnerState runner = this.reserved;
+		if (runner != null) {
+			this.reserved = null;
+			runner.setReserved(false);
+			this.arrivals.changed(runner);
+			this.links.broadcastArrival(runner.getMember().domain(), runner.getMember(), runner.getOnline());
+		}
+	}
+
+}
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
@@ -1,26 +1,106 @@
 package org.wigeonglade.entry.online;
 
-import java.util.Comparator;
-import java.util.Optional;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
-import org.wigeonglade.core.error.ErrorCode;
-import org.wigeonglade.core.error.RefusedException;
-import org.wigeonglade.core.member.FleetViewSource;
+import io.smallrye.mutiny.Uni;
+import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.id.FailureDomain;
+import org.wigeonglade.core.id.Fingerprint;
+import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.id.Region;
+import org.wigeonglade.core.id.ServiceName;
+import org.wigeonglade.core.id.UpstreamId;
+import org.wigeonglade.core.peer.PeerExchange;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.schema.generated.log.QuarantineAdded;
+import org.wigeonglade.schema.generated.peer.Digest;
+import org.wigeonglade.schema.generated.peer.OnlineArrival;
+import org.wigeonglade.schema.generated.peer.PeerFrame;
+import org.wigeonglade.schema.generated.peer.QuarantineNotice;
+import org.wigeonglade.schema.generated.peer.ServiceView;
+import org.wigeonglade.schema.generated.peer.SuspectStep;
+import org.wigeonglade.schema.generated.peer.UpstreamView;
 
 /**
  * Runs online requests on the runners of the fleet.
  */
 public final class OnlineRuntime {
 
+	private static final EventLogger LOG = EventLogger.of(OnlineRuntime.class);
+
+	/**
+	 * Interval at which answers in progress and queues are looked at, in milliseconds.
+	 */
+	private static final long SWEEP_MILLIS = 50;
+
+	/** Interval between two load reports of a runner, in milliseconds. */
+	private static final long REPORT_MILLIS = 1000;
+
+	/** Silence after which a runner's answer is given up and resumed elsewhere. */
+	private static final long STALL_NANOS = 5_000_000_000L;
+
+	private final EventLoop loop;
+
+	private final Ticker ticker;
+
+	private final FailureDomain domain;
+
+	private final Region region;
+
 	private final RunnerTable runners;
 
+	private final Suspects suspects;
+
+	private final OnlineParts parts;
+
+	private final Random random;
+
+	private final Set<OnlineStream> active = new LinkedHashSet<>();
+
+	private final Map<String, ServiceAdmission> admissions = new ConcurrentHashMap<>();
+
+	private final Map<ServiceName, ArrivalRate> rates = new HashMap<>();
+
+	private volatile List<ServiceView> serviceViews = List.of();
+
+	private volatile ArrivalNotices.Listener batchListener = (runner, from, count) -> {
+	};
+
 	/**
 	 * Creates the runtime.
-	 * @param fleet the source of the fleet view, not null
-	 * @param clients the clients of upstreams, not null
+	 * @param builder the parts that it works with, not null
+	 */
+	public OnlineRuntime(OnlineRuntimeBuilder builder) {
+		this.loop = builder.getLoop();
+		this.ticker = builder.getTicker();
+		this.domain = builder.getDomain();
+		this.region = builder.getRegion();
+		this.random = new Random(builder.getSeed());
+		this.runners = new RunnerTable(builder.getSelf(), builder.getFleet(), builder.getClients(), this.ticker);
+		HostLinks links = new HostLinks(builder.getSelf(), this.runners, builder.getPeers());
+		ArrivalNotices arrivals = new ArrivalNotices(links,
+				(runner, from, count) -> this.batchListener.onArrival(runner, from, count));
+		this.suspects = new Suspects(this.loop, links, this.ticker, builder.getRecorder());
+		this.parts = new OnlineParts(this.loop, this.ticker, this.suspects,
+				new Isolation(this.loop, links, arrivals, this.ticker), arrivals, this.active);
+		if (builder.getPeers() != null) {
+			listen(builder.getPeers());
+		}
+	}
+
+	/**
+	 * Starts the periodic tasks.
 	 */
-	public OnlineRuntime(FleetViewSource fleet, UpstreamClients clients) {
-		this.runners = new RunnerTable(fleet, clients);
+	public void start() {
+		this.loop.every(SWEEP_MILLIS, () -> guarded("sweep", this::sweep));
+		this.loop.every(REPORT_MILLIS, () -> guarded("load reports", this::readReports));
+		this.loop.execute(() -> guarded("load reports", this::readReports));
 	}
 
 	/**
@@ -32,24 +112,160 @@
 	}
 
 	/**
-	 * Runs a request.
+	 * Returns the figures of the services for the digest of this host.
+	 * @return one entry for each service that was used
+	 */
+	public List<ServiceView> getServiceViews() {
+		return this.serviceViews;
+	}
+
+	/**
+	 * Runs a request. May be called from any thread.
 	 * @param request the request, not null
 	 * @param sink takes the answer, not null
 	 * @return the control of the answer, never null
 	 */
 	public StreamHandle run(OnlineRequest request, StreamSink sink) {
-		OnlineStream stream = new OnlineStream(request, sink);
-		Optional<RunnerState> runner = this.runners.getUsable(request.service())
-			.stream()
-			.min(Comparator.comparingInt(RunnerState::getOnline));
-		if (runner.isPresent()) {
-			stream.start(runner.get());
+		ServiceAdmission admission = this.admissions.computeIfAbsent(request.service() + "/" + request.model(),
+				(key) -> newAdmission(request));
+		OnlineStream stream = new OnlineStream(this.parts, request, admission, sink);
+		this.loop.execute(() -> {
+			this.rates.computeIfAbsent(request.service(), (s) -> new ArrivalRate()).plusArrival(this.ticker.nanos());
+			admission.getPool().setPlacement(request.profile().getPlacement());
+			this.active.add(stream);
+			this.suspects.enter(stream);
+		});
+		return stream;
+	}
+
+	/**
+	 * Takes the digest of another host.
+	 * @param from the host, not null
+	 * @param digest the digest, not null
+	 */
+	public void onDigest(HostId from, Digest digest) {
+		long now = this.ticker.millis();
+		for (UpstreamView view : digest.getUpstreamsList()) {
+			RunnerState runner = this.runners.find(UpstreamId.of(view.getUpstream()));
+			if (runner != null && runner.getMember().incarnation() == view.getIncarnation()) {
+				runner.setOthersOnline(from, view.getInFlightOnline(), now);
+			}
 		}
-		else {
-			sink.onFailure(new RefusedException(ErrorCode.NO_UPSTREAM,
-					"service " + request.service() + " has no runner", java.time.Duration.ofSeconds(1)));
+		FailureDomain other = FailureDomain.of(digest.getSelf().getFailureDomain());
+		this.loop.execute(() -> takeSpares(other, digest.getServicesList()));
+	}
+
+	/**
+	 * Takes a quarantine that was read from the control stream.
+	 * @param added the quarantine, not null
+	 */
+	public void onQuarantineRecorded(QuarantineAdded added) {
+		this.loop.execute(() -> this.suspects.learn(added, true));
+	}
+
+	/**
+	 * Takes the lifting of a quarantine that was read from the control stream.
+	 * @param fingerprint the fingerprint, not null
+	 */
+	public void onQuarantineLifted(Fingerprint fingerprint) {
+		this.loop.execute(() -> this.suspects.lift(fingerprint));
+	}
+
+	void setBatchListener(ArrivalNotices.Listener listener) {
+		this.batchListener = listener;
+	}
+
+	private ServiceAdmission newAdmission(OnlineRequest request) {
+		return new ServiceAdmission(
+				new RunnerPool(this.runners, this.ticker, request.service(), request.model(), this.domain, this.region),
+				this.ticker, this.random);
+	}
+
+	private void listen(PeerExchange peers) {
+		peers.handle(PeerFrame.BodyCase.ONLINE_ARRIVAL, (from, frame) -> {
+			OnlineArrival arrival = frame.getOnlineArrival();
+			RunnerState runner = this.runners.find(UpstreamId.of(arrival.getUpstream()));
+			if (runner != null) {
+				runner.setOthersOnline(from, arrival.getCount(), this.ticker.millis());
+				this.batchListener.onArrival(runner, from, arrival.getCount());
+			}
+			return Uni.createFrom().nullItem();
+		});
+		peers.handle(PeerFrame.BodyCase.QUARANTINE_NOTICE,
+				(from, frame) -> onNotice(from, frame.getQuarantineNotice()));
+	}
+
+	private Uni<PeerFrame> onNotice(HostId from, QuarantineNotice notice) {
+		Fingerprint fingerprint = Fingerprint.of(notice.getAdded().getFingerprint());
+		if (notice.getStep() == SuspectStep.SUSPECT_RUN_REQUESTED) {
+			return Uni.createFrom()
+				.emitter((emitter) -> this.loop.execute(() -> emitter
+					.complete(answer(notice, this.suspects.grantRun(fingerprint, from, notice.getRunLeaseMs())))));
+		}
+		this.loop.execute(() -> {
+			switch (notice.getStep()) {
+				case SUSPECT_CRASHED -> this.suspects.learn(notice.getAdded(), false);
+				case SUSPECT_CLEARED -> this.suspects.lift(fingerprint);
+				case SUSPECT_RUN_ENDED -> this.suspects.endRun(fingerprint, from);
+				default -> {
+				}
+			}
+		});
+		return Uni.createFrom().nullItem();
+	}
+
+	private static PeerFrame answer(QuarantineNotice request, boolean granted) {
+		return HostLinks.notice(granted ? SuspectStep.SUSPECT_RUN_GRANTED : SuspectStep.SUSPECT_RUN_REFUSED,
+				request.getAdded(), 0);
+	}
+
+	private void takeSpares(FailureDomain other, List<ServiceView> views) {
+		for (ServiceView view : views) {
+			String prefix = view.getService() + "/";
+			this.admissions.forEach((key, admission) -> {
+				if (key.startsWith(prefix)) {
+					admission.getPool().setSpare(other, view.getSpareSlots());
+					admission.pump();
+				}
+			});
+		}
+	}
+
+	private void sweep() {
+		long now = this.ticker.nanos();
+		for (OnlineStream stream : List.copyOf(this.active)) {
+			stream.check(now, STALL_NANOS);
+		}
+		this.admissions.values().forEach(ServiceAdmission::pump);
+		Map<ServiceName, ServiceView.Builder> views = new HashMap<>();
+		for (ServiceAdmission admission : this.admissions.values()) {
+			ServiceName service = admission.getPool().getService();
+			ServiceView.Builder view = views.computeIfAbsent(service,
+					(s) -> ServiceView.newBuilder()
+						.setService(s.value())
+						.setOnlineArrivalsPerS(this.rates.containsKey(s) ? this.rates.get(s).getPerSecond(now) : 0));
+			int spare = admission.getPool().getSpare() - admission.getQueued();
+			view.setSpareSlots(Math.max(view.getSpareSlots(), spare));
+		}
+		this.serviceViews = views.values().stream().map(ServiceView.Builder::build).toList();
+	}
+
+	private void readReports() {
+		for (RunnerState runner : this.runners.getStates()) {
+			if (runner.getMember().domain().equals(this.domain)) {
+				runner.getOnlineClient().load().subscribe().with(runner::setReport, (failure) -> {
+				});
+			}
+		}
+	}
+
+	private void guarded(String task, Runnable body) {
+		try {
+			body.run();
+		}
+		catch (RuntimeException ex) {
+			LOG.log(OnlineEvent.TASK_FAILED, ex, task);
 		}
-		return stream;
 	}
 
 }
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntimeBuilder.java
@@ -0,0 +1,170 @@
+package org.wigeonglade.entry.online;
+
+import java.util.Objects;
+
+import io.smallrye.mutiny.Uni;
+import org.wigeonglade.core.id.FailureDomain;
+import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.id.Region;
+import org.wigeonglade.core.member.FleetView;
+import org.wigeonglade.core.member.FleetViewSource;
+import org.wigeonglade.core.peer.PeerExchange;
+import org.wigeonglade.core.time.Ticker;
+
+/**
+ * Describes the online path of a host.
+ */
+public final class OnlineRuntimeBuilder {
+
+	private final EventLoop loop;
+
+	private final HostId self;
+
+	private FailureDomain domain;
+
+	private Region region;
+
+	private Ticker ticker = Ticker.system();
+
+	private FleetViewSource fleet = () -> FleetView.EMPTY;
+
+	private UpstreamClients clients;
+
+	private PeerExchange peers;
+
+	private QuarantineRecorder recorder = (added) -> Uni.createFrom().voidItem();
+
+	private long seed;
+
+	/**
+	 * Starts the description.
+	 * @param loop the event loop of the online path, not null
+	 * @param self the name of this host, not null
+	 */
+	public OnlineRuntimeBuilder(EventLoop loop, HostId self) {
+		this.loop = Objects.requireNonNull(loop, "loop");
+		this.self = Objects.requireNonNull(self, "self");
+		this.seed = self.value().hashCode();
+	}
+
+	/**
+	 * Sets where this host is.
+	 * @param domain the failure domain, not null
+	 * @param region the region, not null
+	 * @return this builder
+	 */
+	public OnlineRuntimeBuilder withPlace(FailureDomain domain, Region region) {
+		this.domain = Objects.requireNonNull(domain, "domain");
+		this.region = Objects.requireNonNull(region, "region");
+		return this;
+	}
+
+	/**
+	 * Sets the clocks.
+	 * @param ticker the clocks, not null
+	 * @return this builder
+	 */
+	public OnlineRuntimeBuilder withTicker(Ticker ticker) {
+		this.ticker = Objects.requireNonNull(ticker, "ticker");
+		return this;
+	}
+
+	/**
+	 * Sets the source of the fleet view.
+	 * @param fleet the source, not null
+	 * @return this builder
+	 */
+	public OnlineRuntimeBuilder withFleet(FleetViewSource fleet) {
+		this.fleet = Objects.requireNonNull(fleet, "fleet");
+		return this;
+	}
+
+	/**
+	 * Sets the clients of upstreams.
+	 * @param clients the clients, not null
+	 * @return this builder
+	 */
+	public OnlineRuntimeBuilder withClients(UpstreamClients clients) {
+		this.clients = Objects.requireNonNull(clients, "clients");
+		return this;
+	}
+
+	/**
+	 * Sets the exchange with other hosts.
+	 * @param peers the exchange, or null for a host that stands alone
+	 * @return this builder
+	 */
+	public OnlineRuntimeBuilder withPeers(PeerExchange peers) {
+		this.peers = peers;
+		return this;
+	}
+
+	/**
+	 * Sets the port to the control stream.
+	 * @param recorder records quarantines, not null
+	 * @return this builder
+	 */
+	public OnlineRuntimeBuilder withRecorder(QuarantineRecorder recorder) {
+		this.recorder = Objects.requireNonNull(recorder, "recorder");
+		return this;
+	}
+
+	/**
+	 * Sets the seed of random choices.
+	 * @param seed the seed
+	 * @return this builder
+	 */
+	public OnlineRuntimeBuilder withSeed(long seed) {
+		this.seed = seed;
+		return this;
+	}
+
+	/**
+	 * Creates the online path without starting it.
+	 * @return a runtime, never null
+	 */
+	public OnlineRuntime build() {
+		return new OnlineRuntime(this);
+	}
+
+	EventLoop getLoop() {
+		return this.loop;
+	}
+
+	HostId getSelf() {
+		return this.self;
+	}
+
+	FailureDomain getDomain() {
+		return this.domain;
+	}
+
+	Region getRegion() {
+		return this.region;
+	}
+
+	Ticker getTicker() {
+		return this.ticker;
+	}
+
+	FleetViewSource getFleet() {
+		return this.fleet;
+	}
+
+	UpstreamClients getClients() {
+		return this.clients;
+	}
+
+	PeerExchange getPeers() {
+		return this.peers;
+	}
+
+	QuarantineRecorder getRecorder() {
+		return this.recorder;
+	}
+
+	long getSeed() {
+		return this.seed;
+	}
+
+}
--- a/entry/src/main/java/org/wigeonglade/entry/online/RunnerTable.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/RunnerTable.java
@@ -1,16 +1,23 @@
 package org.wigeonglade.entry.online;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
+import org.wigeonglade.core.id.FailureDomain;
+import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.id.UpstreamId;
 import org.wigeonglade.core.member.FleetView;
 import org.wigeonglade.core.member.FleetViewSource;
 import org.wigeonglade.core.member.UpstreamMember;
+import org.wigeonglade.core.route.ConcurrencyLimit;
+import org.wigeonglade.core.route.Subset;
+import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.schema.generated.peer.LinkPurpose;
+import org.wigeonglade.schema.generated.peer.UpstreamView;
 
 /**
  * Keeps the state of all known runners in step with the fleet view. Thread-safe; readers
@@ -18,17 +25,21 @@
  */
 public final class RunnerTable {
 
+	private final HostId self;
+
 	private final FleetViewSource fleet;
 
 	private final UpstreamClients clients;
 
-	private volatile FleetView seen = FleetView.EMPTY;
+	private final Ticker ticker;
 
-	private volatile Map<UpstreamId, RunnerState> states = Map.of();
+	private volatile Snapshot snapshot = new Snapshot(FleetView.EMPTY, Map.of(), Map.of());
 
-	RunnerTable(FleetViewSource fleet, UpstreamClients clients) {
+	RunnerTable(HostId self, FleetViewSource fleet, UpstreamClients clients, Ticker ticker) {
+		this.self = self;
 		this.fleet = fleet;
 		this.clients = clients;
+		this.ticker = ticker;
 	}
 
 	/**
@@ -36,8 +47,7 @@
 	 * @return the states, never null
 	 */
 	public Collection<RunnerState> getStates() {
-		refresh();
-		return this.states.values();
+		return refresh().states().values();
 	}
 
 	/**
@@ -46,43 +56,94 @@
 	 * @return the state, or null if it is unknown
 	 */
 	public RunnerState find(UpstreamId id) {
-		refresh();
-		return this.states.get(id);
+		return refresh().states().get(id);
+	}
+
+	/**
+	 * Returns the figures of this host for its digest.
+	 * @return one entry for each known runner
+	 */
+	public List<UpstreamView> toUpstreamViews() {
+		return getStates().stream().map(RunnerTable::toView).toList();
+	}
+
+	/**
+	 * Returns the fleet view that the table is in step with.
+	 * @return the view, never null
+	 */
+	public FleetView getFleet() {
+		return refresh().view();
 	}
 
-	List<RunnerState> getUsable(ServiceName service) {
-		refresh();
-		return this.states.values()
-			.stream()
-			.filter((s) -> s.getMember().service().equals(service) && !s.getMember().leaving())
-			.toList();
+	/**
+	 * Returns the runners of this host's subset that may get new work.
+	 * @param service the service, not null
+	 * @param domain the failure domain, not null
+	 * @return the states, in stable order
+	 */
+	List<RunnerState> getSubset(ServiceName service, FailureDomain domain) {
+		return refresh().subsets().getOrDefault(new Group(service, domain), List.of());
 	}
 
-	private void refresh() {
+	private Snapshot refresh() {
+		Snapshot current = this.snapshot;
 		FleetView view = this.fleet.current();
-		if (view != this.seen) {
-			apply(view);
-		}
+		return (view != current.view()) ? apply(view) : current;
 	}
 
-	private synchronized void apply(FleetView view) {
+	private synchronized Snapshot apply(FleetView view) {
+		Snapshot before = this.snapshot;
+		if (view == before.view()) {
+			return before;
+		}
 		Map<UpstreamId, RunnerState> next = new HashMap<>();
+		Map<Group, List<UpstreamMember>> groups = new HashMap<>();
+		boolean first = before.view() == FleetView.EMPTY;
 		for (UpstreamMember member : view.upstreams()) {
-			if (!member.runner()) {
-				continue;
-			}
-			RunnerState state = this.states.get(member.id());
-			if (state == null || state.getMember().incarnation() != member.incarnation()
-					|| !state.getMember().address().equals(member.address())) {
-				state = new RunnerState(member, this.clients.engine(member, LinkPurpose.CONTROL));
-			}
-			else {
-				state.setMember(member);
+			if (member.runner()) {
+				next.put(member.id(), keepOrCreate(before.states().get(member.id()), member, first));
+				if (!member.leaving()) {
+					groups.computeIfAbsent(new Group(member.service(), member.domain()), (g) -> new ArrayList<>())
+						.add(member);
+				}
 			}
-			next.put(member.id(), state);
 		}
-		this.states = Map.copyOf(next);
-		this.seen = view;
+		Map<Group, List<RunnerState>> subsets = new HashMap<>();
+		groups.forEach((group, members) -> subsets.put(group,
+				Subset.of(this.self, members, Subset.DEFAULT_SIZE).stream().map((m) -> next.get(m.id())).toList()));
+		this.snapshot = new Snapshot(view, Map.copyOf(next), Map.copyOf(subsets));
+		return this.snapshot;
+	}
+
+	private RunnerState keepOrCreate(RunnerState known, UpstreamMember member, boolean first) {
+		if (known != null && known.getMember().incarnation() == member.incarnation()
+				&& known.getMember().address().equals(member.address())) {
+			known.setMember(member);
+			return known;
+		}
+		long now = this.ticker.nanos();
+		return new RunnerState(member, this.clients.engine(member, LinkPurpose.CONTROL),
+				this.clients.engine(member, LinkPurpose.BATCH),
+				first ? ConcurrencyLimit.initial(now) : ConcurrencyLimit.slowStart(now));
+	}
+
+	private static UpstreamView toView(RunnerState state) {
+		return UpstreamView.newBuilder()
+			.setUpstream(state.getMember().id().value())
+			.setIncarnation(state.getMember().incarnation())
+			.setInFlightOnline(state.getAnnouncedCount())
+			.setInFlightBatch(state.getBatch())
+			.setLimit(state.getLimit())
+			.setLeaving(state.getMember().leaving())
+			.setOpenBreaker(state.isBreakerOpen())
+			.build();
+	}
+
+	private record Group(ServiceName service, FailureDomain domain) {
+	}
+
+	private record Snapshot(FleetView view, Map<UpstreamId, RunnerState> states,
+			Map<Group, List<RunnerState>> subsets) {
 	}
 
 }
