Dispatch batch items to idle slots of runners

Cause: batch work must use the slots that online work leaves and give them back at once. Change: each host dispatches to the runners that it ranks first for. A dispatcher keeps a small reserve of granted items, fills idle slots each 10 ms and on each arrival, preempts its newest streams when online requests arrive, keeps their tokens and resumes there, runs suspects alone on a runner kept for them, and reports outcomes until they are taken. Load of other hosts is read from their digests; the dispatcher counts announced arrivals instead, which are repeated each second. Completion bodies and answers move to a package of their own.

--- a/core/src/main/java/org/wigeonglade/core/route/EndpointChoice.java
+++ b/core/src/main/java/org/wigeonglade/core/route/EndpointChoice.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.function.IntUnaryOperator;
 
+import org.wigeonglade.core.member.Rendezvous;
+
 /**
  * Chooses an upstream for a request: the rendezvous choice of the prompt prefix while its
  * load is bounded, otherwise the less used of two random candidates.
--- a/core/src/main/java/org/wigeonglade/core/route/Subset.java
+++ b/core/src/main/java/org/wigeonglade/core/route/Subset.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.member.Rendezvous;
 import org.wigeonglade.core.member.UpstreamMember;
 
 /**
@@ -29,7 +30,7 @@
 		if (upstreams.size() <= size) {
 			return upstreams;
 		}
-		return Rendezvous.rank(host.value(), upstreams, (u) -> u.id().value()).subList(0, size);
+		return Rendezvous.subset(host.value(), upstreams, (u) -> u.id().value(), size);
 	}
 
 }
--- a/core/src/test/java/org/wigeonglade/core/route/EndpointChoiceTests.java
+++ b/core/src/test/java/org/wigeonglade/core/route/EndpointChoiceTests.java
@@ -6,6 +6,7 @@
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
+import org.wigeonglade.core.member.Rendezvous;
 
 /**
  * Guards against requests that pass the limit of an upstream, and against one prefix that
--- a/entry/src/main/java/org/wigeonglade/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CallerServer.java
@@ -15,6 +15,7 @@
 import org.wigeonglade.core.error.WigeongladeException;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.entry.completion.JsonReader;
 import org.wigeonglade.entry.online.OnlineRuntime;
 import org.wigeonglade.schema.generated.settings.HostSettings;
 import org.wigeonglade.schema.generated.settings.LimitSettings;
--- a/entry/src/main/java/org/wigeonglade/entry/caller/CompletionHandler.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CompletionHandler.java
@@ -1,16 +1,17 @@
 package org.wigeonglade.entry.caller;
 
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
-import com.google.common.hash.Hashing;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.RoutingContext;
-import org.wigeonglade.core.id.Fingerprint;
 import org.wigeonglade.core.id.RequestId;
 import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.id.WorkspaceId;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.entry.completion.CompletionBody;
+import org.wigeonglade.entry.completion.CompletionJson;
+import org.wigeonglade.entry.completion.Fingerprints;
+import org.wigeonglade.entry.completion.JsonReader;
 import org.wigeonglade.entry.online.OnlineRequest;
 import org.wigeonglade.entry.online.OnlineRuntime;
 import org.wigeonglade.entry.online.StreamHandle;
@@ -47,7 +48,7 @@
 		String traceParent = context.request().getHeader("traceparent");
 		OnlineRequest request = new OnlineRequest(RequestId.of(id), WorkspaceId.of(grant.workspace().getName()),
 				grant.workspace().getWeight(), ServiceName.of(service.getName()), profile, body.model(), body.prompt(),
-				body.maxTokens(), fingerprint(service.getName(), bytes),
+				body.maxTokens(), Fingerprints.of(service.getName(), bytes),
 				this.ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(profile.getDeadlineMs()),
 				(traceParent != null) ? traceParent : "");
 		respond(context.response(), request, body);
@@ -63,14 +64,4 @@
 		response.closeHandler((ignored) -> handle.cancel());
 	}
 
-	private static Fingerprint fingerprint(String service, byte[] body) {
-		return Fingerprint.of(Hashing.sha256()
-			.newHasher()
-			.putString(service, StandardCharsets.UTF_8)
-			.putByte((byte) 0)
-			.putBytes(body)
-			.hash()
-			.toString());
-	}
-
 }
--- a/entry/src/main/java/org/wigeonglade/entry/caller/CompletionSink.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CompletionSink.java
@@ -3,6 +3,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import org.wigeonglade.core.engine.EngineEvent;
 import org.wigeonglade.core.error.WigeongladeException;
+import org.wigeonglade.entry.completion.CompletionJson;
 import org.wigeonglade.entry.online.StreamHandle;
 import org.wigeonglade.entry.online.StreamSink;
 
--- a/entry/src/main/java/org/wigeonglade/entry/caller/CompletionBody.java
+++ b/entry/src/main/java/org/wigeonglade/entry/completion/CompletionBody.java
@@ -1,4 +1,4 @@
-package org.wigeonglade.entry.caller;
+package org.wigeonglade.entry.completion;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.wigeonglade.core.error.ErrorCode;
@@ -13,7 +13,7 @@
  * @param stream whether the answer is streamed by SSE
  * @param chat whether the chat form is used
  */
-record CompletionBody(String model, String prompt, int maxTokens, boolean stream, boolean chat) {
+public record CompletionBody(String model, String prompt, int maxTokens, boolean stream, boolean chat) {
 
 	/** Tokens of an answer when the body does not say. */
 	private static final int DEFAULT_MAX_TOKENS = 256;
@@ -21,7 +21,14 @@
 	/** Largest accepted number of tokens of an answer. */
 	private static final int LARGEST_MAX_TOKENS = 32_768;
 
-	static CompletionBody of(JsonNode body, boolean chat) {
+	/**
+	 * Checks a body.
+	 * @param body the parsed body, not null
+	 * @param chat whether the chat form is used
+	 * @return the checked body, never null
+	 * @throws InvalidRequestException if a field is missing or out of range
+	 */
+	public static CompletionBody of(JsonNode body, boolean chat) {
 		String model = text(body.get("model"), "model");
 		String prompt = chat ? joinMessages(body.get("messages")) : text(body.get("prompt"), "prompt");
 		return new CompletionBody(model, prompt, maxTokens(body), body.path("stream").asBoolean(false), chat);
--- a/entry/src/main/java/org/wigeonglade/entry/caller/CompletionJson.java
+++ b/entry/src/main/java/org/wigeonglade/entry/completion/CompletionJson.java
@@ -1,4 +1,4 @@
-package org.wigeonglade.entry.caller;
+package org.wigeonglade.entry.completion;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonArray;
@@ -8,7 +8,7 @@
 /**
  * Writes answers in the completion and chat completion formats.
  */
-final class CompletionJson {
+public final class CompletionJson {
 
 	private static final Buffer DONE = Buffer.buffer("data: [DONE]\n\n");
 
@@ -18,13 +18,25 @@
 
 	private final long createdSeconds;
 
-	CompletionJson(String id, CompletionBody body, long createdSeconds) {
+	/**
+	 * Creates the format of one answer.
+	 * @param id the identifier of the answer, not null
+	 * @param body the request, not null
+	 * @param createdSeconds the time, seconds since the epoch
+	 */
+	public CompletionJson(String id, CompletionBody body, long createdSeconds) {
 		this.id = id;
 		this.body = body;
 		this.createdSeconds = createdSeconds;
 	}
 
-	Buffer whole(String text, EngineEvent.End end) {
+	/**
+	 * Writes a whole answer.
+	 * @param text the text, not null
+	 * @param end the end mark, not null
+	 * @return the JSON body
+	 */
+	public Buffer whole(String text, EngineEvent.End end) {
 		JsonObject choice = new JsonObject().put("index", 0);
 		if (this.body.chat()) {
 			choice.put("message", new JsonObject().put("role", "assistant").put("content", text));
@@ -37,16 +49,31 @@
 			.toBuffer();
 	}
 
-	Buffer chunk(String text) {
+	/**
+	 * Writes one token of a streamed answer.
+	 * @param text the text of the token, not null
+	 * @return a server-sent event
+	 */
+	public Buffer chunk(String text) {
 		return event(frame(chunkObject(), choice(text).put("finish_reason", null)));
 	}
 
-	Buffer last(EngineEvent.End end) {
+	/**
+	 * Writes the end of a streamed answer.
+	 * @param end the end mark, not null
+	 * @return the last server-sent events
+	 */
+	public Buffer last(EngineEvent.End end) {
 		JsonObject frame = frame(chunkObject(), choice("").put("finish_reason", end.finishReason()));
 		return event(frame.put("usage", usage(end))).appendBuffer(DONE);
 	}
 
-	static Buffer error(JsonObject error) {
+	/**
+	 * Writes the failure that ends a streamed answer.
+	 * @param error the error body, not null
+	 * @return a server-sent event
+	 */
+	public static Buffer error(JsonObject error) {
 		return Buffer.buffer("event: error\ndata: ").appendBuffer(error.toBuffer()).appendString("\n\n");
 	}
 
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/completion/Fingerprints.java
@@ -0,0 +1,32 @@
+package org.wigeonglade.entry.completion;
+
+import java.nio.charset.StandardCharsets;
+
+import com.google.common.hash.Hashing;
+import org.wigeonglade.core.id.Fingerprint;
+
+/**
+ * Computes the fingerprint of a request.
+ */
+public final class Fingerprints {
+
+	private Fingerprints() {
+	}
+
+	/**
+	 * Returns the fingerprint of a request.
+	 * @param service the service, not null
+	 * @param body the body as it was sent, not null
+	 * @return the SHA-256 of service and body
+	 */
+	public static Fingerprint of(String service, byte[] body) {
+		return Fingerprint.of(Hashing.sha256()
+			.newHasher()
+			.putString(service, StandardCharsets.UTF_8)
+			.putByte((byte) 0)
+			.putBytes(body)
+			.hash()
+			.toString());
+	}
+
+}
--- a/entry/src/main/java/org/wigeonglade/entry/caller/JsonReader.java
+++ b/entry/src/main/java/org/wigeonglade/entry/completion/JsonReader.java
@@ -1,4 +1,4 @@
-package org.wigeonglade.entry.caller;
+package org.wigeonglade.entry.completion;
 
 import java.io.IOException;
 
@@ -15,11 +15,15 @@
 /**
  * Parses JSON bodies of callers within a nesting limit.
  */
-final class JsonReader {
+public final class JsonReader {
 
 	private final ObjectMapper mapper;
 
-	JsonReader(int maxDepth) {
+	/**
+	 * Creates a reader.
+	 * @param maxDepth the largest nesting depth, at least 1
+	 */
+	public JsonReader(int maxDepth) {
 		JsonFactory factory = JsonFactory.builder()
 			.streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(maxDepth).build())
 			.enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
@@ -27,7 +31,13 @@
 		this.mapper = new ObjectMapper(factory).enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 	}
 
-	JsonNode readObject(byte[] body) {
+	/**
+	 * Parses a body.
+	 * @param body the bytes, not null
+	 * @return a JSON object, never null
+	 * @throws InvalidRequestException if the body is not a JSON object within the limits
+	 */
+	public JsonNode readObject(byte[] body) {
 		JsonNode node;
 		try {
 			node = this.mapper.readTree(body);
--- a/entry/src/main/java/org/wigeonglade/entry/online/ArrivalNotices.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/ArrivalNotices.java
@@ -18,7 +18,7 @@
 	}
 
 	void changed(RunnerState runner) {
-		HostId dispatcher = this.links.dispatcherOf(runner.getMember());
+		HostId dispatcher = runner.getDispatcher();
 		if (dispatcher.equals(this.links.getSelf())) {
 			this.local.onArrival(runner, dispatcher, runner.getAnnouncedCount());
 		}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/online/BatchDispatcher.java
@@ -0,0 +1,225 @@
+package org.wigeonglade.entry.online;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.wigeonglade.core.batch.WorkSource;
+import org.wigeonglade.core.error.ErrorCode;
+import org.wigeonglade.core.error.WigeongladeException;
+import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.id.Fingerprint;
+import org.wigeonglade.core.id.UpstreamId;
+import org.wigeonglade.core.retry.Suspicion;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.entry.completion.CompletionBody;
+import org.wigeonglade.entry.completion.Fingerprints;
+import org.wigeonglade.entry.completion.JsonReader;
+import org.wigeonglade.schema.generated.peer.WorkGrant;
+import org.wigeonglade.schema.generated.peer.WorkItem;
+import org.wigeonglade.schema.generated.peer.WorkRequest;
+import org.wigeonglade.schema.generated.peer.WorkStatus;
+
+/**
+ * Dispatches batch items to the runners that this host is responsible for. Runs on its
+ * own event loop, so that batch work does not delay online requests.
+ */
+public final class BatchDispatcher {
+
+	private static final EventLogger LOG = EventLogger.of(BatchDispatcher.class);
+
+	/** Interval at which slots are looked at, in milliseconds. */
+	private static final long TICK_MILLIS = 10;
+
+	/** Pause after a request that brought nothing, in milliseconds. */
+	private static final long EMPTY_PAUSE_MILLIS = 50;
+
+	/** Nesting depth of item bodies; they were checked when the job was accepted. */
+	private static final int MAX_DEPTH = 1000;
+
+	private final EventLoop loop;
+
+	private final Ticker ticker;
+
+	private final OnlineRuntime online;
+
+	private final WorkSource source;
+
+	private final WorkReporter reporter;
+
+	private final JsonReader json = new JsonReader(MAX_DEPTH);
+
+	private final Map<UpstreamId, RunnerDispatcher> dispatchers = new HashMap<>();
+
+	private final Map<UpstreamId, Long> nextRequestMillis = new HashMap<>();
+
+	private final Set<UpstreamId> requesting = new HashSet<>();
+
+	private boolean stopped;
+
+	private long timer = -1;
+
+	/**
+	 * Creates the dispatcher without starting it.
+	 * @param loop the event loop of batch work, not null
+	 * @param ticker the clocks, not null
+	 * @param online the online path that shares the runners, not null
+	 * @param source gives items and takes results, not null
+	 */
+	public BatchDispatcher(EventLoop loop, Ticker ticker, OnlineRuntime online, WorkSource source) {
+		this.loop = loop;
+		this.ticker = ticker;
+		this.online = online;
+		this.source = source;
+		this.reporter = new WorkReporter(loop, source, ticker,
+				(grants) -> this.dispatchers.values().forEach((d) -> d.revoke(grants)));
+	}
+
+	/**
+	 * Starts dispatching.
+	 */
+	public void start() {
+		this.online.setBatchListener((runner, from, count) -> this.loop.execute(() -> arrived(runner)));
+		this.loop.execute(() -> this.timer = this.loop.every(TICK_MILLIS, this::tick));
+	}
+
+	/**
+	 * Stops all streams, gives their items back and reports what is left. Calls back when
+	 * the reports were sent.
+	 * @param done called on the event loop of batch work
+	 */
+	public void stop(Runnable done) {
+		this.loop.execute(() -> {
+			this.stopped = true;
+			this.dispatchers.values().forEach(RunnerDispatcher::close);
+			this.dispatchers.clear();
+			drain(100, done);
+		});
+	}
+
+	private void drain(int rounds, Runnable done) {
+		if (this.reporter.getPending() == 0 || rounds == 0) {
+			this.loop.cancel(this.timer);
+			done.run();
+			return;
+		}
+		this.reporter.flush(List.of());
+		this.loop.schedule(TICK_MILLIS, () -> drain(rounds - 1, done));
+	}
+
+	private void arrived(RunnerState runner) {
+		RunnerDispatcher dispatcher = this.dispatchers.get(runner.getMember().id());
+		if (dispatcher != null) {
+			dispatcher.adjust();
+		}
+	}
+
+	private void tick() {
+		if (this.stopped) {
+			return;
+		}
+		try {
+			refresh();
+			for (RunnerDispatcher dispatcher : this.dispatchers.values()) {
+				dispatcher.adjust();
+				requestWork(dispatcher);
+			}
+			List<Long> grants = new ArrayList<>();
+			this.dispatchers.values().forEach((d) -> d.addGrants(grants));
+			this.reporter.flush(grants);
+		}
+		catch (RuntimeException ex) {
+			LOG.log(OnlineEvent.TASK_FAILED, ex, "batch dispatch");
+		}
+	}
+
+	private void refresh() {
+		Set<RunnerState> own = new HashSet<>(this.online.getDispatchedHere());
+		this.dispatchers.values().removeIf((dispatcher) -> {
+			boolean gone = !own.contains(dispatcher.getRunner());
+			if (gone) {
+				dispatcher.close();
+			}
+			return gone;
+		});
+		for (RunnerState runner : own) {
+			this.dispatchers.computeIfAbsent(runner.getMember().id(),
+					(id) -> new RunnerDispatcher(this.loop, this.ticker, runner, this.online, this.reporter::add));
+		}
+	}
+
+	private void requestWork(RunnerDispatcher dispatcher) {
+		UpstreamId id = dispatcher.getRunner().getMember().id();
+		String service = dispatcher.getRunner().getMember().service().value();
+		int wanted = dispatcher.getWanted();
+		long now = this.ticker.millis();
+		if (wanted == 0 || this.requesting.contains(id) || now < this.nextRequestMillis.getOrDefault(id, 0L)
+				|| !this.source.hasPending(service)) {
+			return;
+		}
+		this.requesting.add(id);
+		WorkRequest request = WorkRequest.newBuilder()
+			.setUpstream(id.value())
+			.setService(service)
+			.setMaxItems(wanted)
+			.setIsolated(dispatcher.isIdleOfOnline())
+			.build();
+		this.source.request(request)
+			.subscribe()
+			.with((grant) -> this.loop.execute(() -> granted(id, grant)),
+					(failure) -> this.loop.execute(() -> notGranted(id, failure)));
+	}
+
+	private void notGranted(UpstreamId id, Throwable failure) {
+		LOG.log(OnlineEvent.WORK_EXCHANGE_FAILED, failure, id);
+		granted(id, WorkGrant.getDefaultInstance());
+	}
+
+	private void granted(UpstreamId id, WorkGrant grant) {
+		this.requesting.remove(id);
+		if (grant.getItemsCount() == 0) {
+			this.nextRequestMillis.put(id, this.ticker.millis() + EMPTY_PAUSE_MILLIS);
+		}
+		RunnerDispatcher dispatcher = this.dispatchers.get(id);
+		for (WorkItem item : grant.getItemsList()) {
+			accept(dispatcher, item);
+		}
+		if (dispatcher != null) {
+			dispatcher.adjust();
+		}
+	}
+
+	private void accept(RunnerDispatcher dispatcher, WorkItem item) {
+		if (dispatcher == null || this.stopped) {
+			this.reporter.add(new BatchStream(item, null, null).outcome(WorkStatus.WORK_RETURNED, "").build());
+			return;
+		}
+		String name = dispatcher.getRunner().getMember().id().value();
+		Fingerprint fingerprint = Fingerprints.of(dispatcher.getRunner().getMember().service().value(),
+				item.getBody().toByteArray());
+		Suspicion suspicion = this.online.getSuspects().find(fingerprint).orElse(null);
+		if (suspicion != null && suspicion.quarantined()) {
+			this.reporter.add(new BatchStream(item, null, fingerprint).failed(WorkStatus.WORK_FAILED, name,
+					ErrorCode.QUARANTINED.getCode(), "the request is quarantined: " + suspicion.reason()));
+			return;
+		}
+		try {
+			CompletionBody body = parse(item);
+			dispatcher.take(new BatchStream(item, body, fingerprint), item.getSuspect() || suspicion != null);
+		}
+		catch (WigeongladeException ex) {
+			this.reporter.add(new BatchStream(item, null, fingerprint).failed(WorkStatus.WORK_FAILED, name,
+					ex.getCode().getCode(), ex.getMessage()));
+		}
+	}
+
+	private CompletionBody parse(WorkItem item) {
+		JsonNode node = this.json.readObject(item.getBody().toByteArray());
+		return CompletionBody.of(node, node.has("messages"));
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/online/BatchStream.java
@@ -0,0 +1,106 @@
+package org.wigeonglade.entry.online;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.protobuf.ByteString;
+import org.wigeonglade.core.engine.EngineRequest;
+import org.wigeonglade.core.id.Fingerprint;
+import org.wigeonglade.core.id.RequestId;
+import org.wigeonglade.entry.completion.CompletionBody;
+import org.wigeonglade.schema.generated.peer.WorkItem;
+import org.wigeonglade.schema.generated.peer.WorkOutcome;
+import org.wigeonglade.schema.generated.peer.WorkStatus;
+
+/**
+ * One batch item that a dispatcher holds, with the tokens that earlier attempts already
+ * produced. Not thread-safe.
+ */
+final class BatchStream {
+
+	private final WorkItem item;
+
+	private final CompletionBody body;
+
+	private final Fingerprint fingerprint;
+
+	private final List<String> tokens = new ArrayList<>();
+
+	private Attempt attempt;
+
+	private int attempts;
+
+	private long parkedAtMillis;
+
+	BatchStream(WorkItem item, CompletionBody body, Fingerprint fingerprint) {
+		this.item = item;
+		this.body = body;
+		this.fingerprint = fingerprint;
+	}
+
+	WorkItem getItem() {
+		return this.item;
+	}
+
+	CompletionBody getBody() {
+		return this.body;
+	}
+
+	Fingerprint getFingerprint() {
+		return this.fingerprint;
+	}
+
+	long getGrantId() {
+		return this.item.getGrantId();
+	}
+
+	List<String> getTokens() {
+		return this.tokens;
+	}
+
+	Attempt getAttempt() {
+		return this.attempt;
+	}
+
+	long getParkedAtMillis() {
+		return this.parkedAtMillis;
+	}
+
+	void setParkedAtMillis(long parkedAtMillis) {
+		this.parkedAtMillis = parkedAtMillis;
+	}
+
+	EngineRequest begin(Attempt started) {
+		this.attempt = started;
+		this.attempts++;
+		String id = this.item.getBatchId() + "." + this.item.getIndex() + "." + this.item.getGrantId() + "."
+				+ this.attempts;
+		return new EngineRequest(RequestId.of(id), this.body.model(), this.body.prompt(), this.body.maxTokens(),
+				this.tokens, "");
+	}
+
+	void end() {
+		this.attempt = null;
+	}
+
+	WorkOutcome.Builder outcome(WorkStatus status, String upstream) {
+		return WorkOutcome.newBuilder()
+			.setPartition(this.item.getPartition())
+			.setTerm(this.item.getTerm())
+			.setBatchId(this.item.getBatchId())
+			.setIndex(this.item.getIndex())
+			.setGrantId(this.item.getGrantId())
+			.setStatus(status)
+			.setTokens(this.tokens.size())
+			.setUpstream(upstream);
+	}
+
+	WorkOutcome failed(WorkStatus status, String upstream, String code, String message) {
+		return outcome(status, upstream).setErrorCode(code).setErrorMessage(message).build();
+	}
+
+	WorkOutcome completed(String upstream, byte[] result) {
+		return outcome(WorkStatus.WORK_COMPLETED, upstream).setResult(ByteString.copyFrom(result)).build();
+	}
+
+}
--- a/entry/src/main/java/org/wigeonglade/entry/online/HostLinks.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/HostLinks.java
@@ -8,9 +8,9 @@
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.member.FleetView;
 import org.wigeonglade.core.member.HostMember;
+import org.wigeonglade.core.member.Rendezvous;
 import org.wigeonglade.core.member.UpstreamMember;
 import org.wigeonglade.core.peer.PeerExchange;
-import org.wigeonglade.core.route.Rendezvous;
 import org.wigeonglade.schema.generated.log.QuarantineAdded;
 import org.wigeonglade.schema.generated.peer.LinkPurpose;
 import org.wigeonglade.schema.generated.peer.OnlineArrival;
@@ -43,14 +43,6 @@
 		return this.self;
 	}
 
-	// Returns the host that dispatches batch work to a runner.
-	HostId dispatcherOf(UpstreamMember runner) {
-		FleetView view = this.runners.getFleet();
-		return Rendezvous.first(runner.id().value(), view.getHostsOf(runner.domain()), (h) -> h.id().value())
-			.map(HostMember::id)
-			.orElse(this.self);
-	}
-
 	// Returns the host that lets one run of a fingerprint be in progress at a time.
 	HostId watcherOf(Fingerprint fingerprint) {
 		FleetView view = this.runners.getFleet();
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
@@ -16,6 +16,7 @@
 import org.wigeonglade.core.id.Region;
 import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.id.UpstreamId;
+import org.wigeonglade.core.member.FleetLoadSource;
 import org.wigeonglade.core.peer.PeerExchange;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.schema.generated.log.QuarantineAdded;
@@ -25,7 +26,6 @@
 import org.wigeonglade.schema.generated.peer.QuarantineNotice;
 import org.wigeonglade.schema.generated.peer.ServiceView;
 import org.wigeonglade.schema.generated.peer.SuspectStep;
-import org.wigeonglade.schema.generated.peer.UpstreamView;
 
 /**
  * Runs online requests on the runners of the fleet.
@@ -53,8 +53,12 @@
 
 	private final Region region;
 
+	private final FleetLoadSource load;
+
 	private final RunnerTable runners;
 
+	private final HostLinks links;
+
 	private final Suspects suspects;
 
 	private final OnlineParts parts;
@@ -81,14 +85,16 @@
 		this.ticker = builder.getTicker();
 		this.domain = builder.getDomain();
 		this.region = builder.getRegion();
+		this.load = builder.getLoad();
 		this.random = new Random(builder.getSeed());
-		this.runners = new RunnerTable(builder.getSelf(), builder.getFleet(), builder.getClients(), this.ticker);
-		HostLinks links = new HostLinks(builder.getSelf(), this.runners, builder.getPeers());
-		ArrivalNotices arrivals = new ArrivalNotices(links,
+		this.runners = new RunnerTable(builder.getSelf(), builder.getFleet(), builder.getClients(), this.ticker,
+				builder.getLoad());
+		this.links = new HostLinks(builder.getSelf(), this.runners, builder.getPeers());
+		ArrivalNotices arrivals = new ArrivalNotices(this.links,
 				(runner, from, count) -> this.batchListener.onArrival(runner, from, count));
-		this.suspects = new Suspects(this.loop, links, this.ticker, builder.getRecorder());
+		this.suspects = new Suspects(this.loop, this.links, this.ticker, builder.getRecorder());
 		this.parts = new OnlineParts(this.loop, this.ticker, this.suspects,
-				new Isolation(this.loop, links, arrivals, this.ticker), arrivals, this.active);
+				new Isolation(this.loop, this.links, arrivals, this.ticker), arrivals, this.active);
 		if (builder.getPeers() != null) {
 			listen(builder.getPeers());
 		}
@@ -100,6 +106,7 @@
 	public void start() {
 		this.loop.every(SWEEP_MILLIS, () -> guarded("sweep", this::sweep));
 		this.loop.every(REPORT_MILLIS, () -> guarded("load reports", this::readReports));
+		this.loop.every(REPORT_MILLIS, () -> guarded("arrival notices", this::repeatArrivals));
 		this.loop.execute(() -> guarded("load reports", this::readReports));
 	}
 
@@ -111,14 +118,6 @@
 		return this.runners;
 	}
 
-	/**
-	 * Returns the figures of the services for the digest of this host.
-	 * @return one entry for each service that was used
-	 */
-	public List<ServiceView> getServiceViews() {
-		return this.serviceViews;
-	}
-
 	/**
 	 * Runs a request. May be called from any thread.
 	 * @param request the request, not null
@@ -138,23 +137,6 @@
 		return stream;
 	}
 
-	/**
-	 * Takes the digest of another host.
-	 * @param from the host, not null
-	 * @param digest the digest, not null
-	 */
-	public void onDigest(HostId from, Digest digest) {
-		long now = this.ticker.millis();
-		for (UpstreamView view : digest.getUpstreamsList()) {
-			RunnerState runner = this.runners.find(UpstreamId.of(view.getUpstream()));
-			if (runner != null && runner.getMember().incarnation() == view.getIncarnation()) {
-				runner.setOthersOnline(from, view.getInFlightOnline(), now);
-			}
-		}
-		FailureDomain other = FailureDomain.of(digest.getSelf().getFailureDomain());
-		this.loop.execute(() -> takeSpares(other, digest.getServicesList()));
-	}
-
 	/**
 	 * Takes a quarantine that was read from the control stream.
 	 * @param added the quarantine, not null
@@ -171,14 +153,35 @@
 		this.loop.execute(() -> this.suspects.lift(fingerprint));
 	}
 
+	/**
+	 * Adds the figures of this host to its digest. May be called from any thread.
+	 * @param digest the digest to add to, not null
+	 */
+	public void contribute(Digest.Builder digest) {
+		digest.addAllUpstreams(this.runners.toUpstreamViews());
+		digest.addAllServices(this.serviceViews);
+		digest.setQuarantineCount((int) this.suspects.countQuarantined());
+	}
+
+	List<RunnerState> getDispatchedHere() {
+		return this.runners.getStates().stream().filter(RunnerState::isDispatchedHere).toList();
+	}
+
+	HostLinks getLinks() {
+		return this.links;
+	}
+
+	Suspects getSuspects() {
+		return this.suspects;
+	}
+
 	void setBatchListener(ArrivalNotices.Listener listener) {
 		this.batchListener = listener;
 	}
 
 	private ServiceAdmission newAdmission(OnlineRequest request) {
-		return new ServiceAdmission(
-				new RunnerPool(this.runners, this.ticker, request.service(), request.model(), this.domain, this.region),
-				this.ticker, this.random);
+		return new ServiceAdmission(new RunnerPool(this.runners, this.ticker, request.service(), request.model(),
+				this.domain, this.region, this.load), this.ticker, this.random);
 	}
 
 	private void listen(PeerExchange peers) {
@@ -219,18 +222,6 @@
 				request.getAdded(), 0);
 	}
 
-	private void takeSpares(FailureDomain other, List<ServiceView> views) {
-		for (ServiceView view : views) {
-			String prefix = view.getService() + "/";
-			this.admissions.forEach((key, admission) -> {
-				if (key.startsWith(prefix)) {
-					admission.getPool().setSpare(other, view.getSpareSlots());
-					admission.pump();
-				}
-			});
-		}
-	}
-
 	private void sweep() {
 		long now = this.ticker.nanos();
 		for (OnlineStream stream : List.copyOf(this.active)) {
@@ -250,6 +241,15 @@
 		this.serviceViews = views.values().stream().map(ServiceView.Builder::build).toList();
 	}
 
+	// Counts that were announced and lost are corrected here.
+	private void repeatArrivals() {
+		for (RunnerState runner : this.runners.getStates()) {
+			if (runner.getOnline() > 0) {
+				this.parts.arrivals().changed(runner);
+			}
+		}
+	}
+
 	private void readReports() {
 		for (RunnerState runner : this.runners.getStates()) {
 			if (runner.getMember().domain().equals(this.domain)) {
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntimeBuilder.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntimeBuilder.java
@@ -6,6 +6,8 @@
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.Region;
+import org.wigeonglade.core.member.FleetLoad;
+import org.wigeonglade.core.member.FleetLoadSource;
 import org.wigeonglade.core.member.FleetView;
 import org.wigeonglade.core.member.FleetViewSource;
 import org.wigeonglade.core.peer.PeerExchange;
@@ -32,6 +34,8 @@
 
 	private PeerExchange peers;
 
+	private FleetLoadSource load = () -> FleetLoad.EMPTY;
+
 	private QuarantineRecorder recorder = (added) -> Uni.createFrom().voidItem();
 
 	private long seed;
@@ -99,6 +103,16 @@
 		return this;
 	}
 
+	/**
+	 * Sets the source of the load that other hosts tell.
+	 * @param load the source, not null
+	 * @return this builder
+	 */
+	public OnlineRuntimeBuilder withLoad(FleetLoadSource load) {
+		this.load = Objects.requireNonNull(load, "load");
+		return this;
+	}
+
 	/**
 	 * Sets the port to the control stream.
 	 * @param recorder records quarantines, not null
@@ -159,6 +173,10 @@
 		return this.peers;
 	}
 
+	FleetLoadSource getLoad() {
+		return this.load;
+	}
+
 	QuarantineRecorder getRecorder() {
 		return this.recorder;
 	}
--- a/entry/src/main/java/org/wigeonglade/entry/online/RunnerPool.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/RunnerPool.java
@@ -11,6 +11,8 @@
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.Region;
 import org.wigeonglade.core.id.ServiceName;
+import org.wigeonglade.core.member.FleetLoad;
+import org.wigeonglade.core.member.FleetLoadSource;
 import org.wigeonglade.core.route.Endpoint;
 import org.wigeonglade.core.route.EndpointChoice;
 import org.wigeonglade.core.time.Ticker;
@@ -25,9 +27,6 @@
 
 	private static final EventLogger LOG = EventLogger.of(RunnerPool.class);
 
-	/** Age from which a report of spare places counts no more, in milliseconds. */
-	private static final long SPARE_VALID_MILLIS = 3000;
-
 	/**
 	 * Places that the other domain must have left. Keeps a domain near its limit from
 	 * being filled from outside, so that two busy domains never trade requests.
@@ -46,20 +45,25 @@
 
 	private final Region region;
 
-	private final Map<FailureDomain, Spare> spares = new HashMap<>();
+	private final FleetLoadSource load;
+
+	private final Map<FailureDomain, Integer> taken = new HashMap<>();
+
+	private FleetLoad seen = FleetLoad.EMPTY;
 
 	private boolean mayLeaveDomain;
 
 	private boolean mayLeaveRegion;
 
 	RunnerPool(RunnerTable runners, Ticker ticker, ServiceName service, String model, FailureDomain domain,
-			Region region) {
+			Region region, FleetLoadSource load) {
 		this.runners = runners;
 		this.ticker = ticker;
 		this.service = service;
 		this.model = model;
 		this.domain = domain;
 		this.region = region;
+		this.load = load;
 	}
 
 	ServiceName getService() {
@@ -71,13 +75,6 @@
 		this.mayLeaveRegion = placement == Profile.Placement.ANYWHERE;
 	}
 
-	// Takes the spare places that a host of another domain reports.
-	void setSpare(FailureDomain other, int places) {
-		if (!other.equals(this.domain)) {
-			this.spares.put(other, new Spare(places, this.ticker.millis()));
-		}
-	}
-
 	List<RunnerState> getLocal() {
 		return withModel(this.runners.getSubset(this.service, this.domain));
 	}
@@ -114,7 +111,7 @@
 		Optional<RunnerState> chosen = EndpointChoice.choose(endpoints, "", random::nextInt)
 			.map((endpoint) -> candidates.get(endpoints.indexOf(endpoint)));
 		chosen.ifPresent((runner) -> {
-			this.spares.computeIfPresent(target.orElseThrow(), (d, s) -> new Spare(s.places() - 1, s.seenMillis()));
+			this.taken.merge(target.orElseThrow(), 1, Integer::sum);
 			LOG.log(OnlineEvent.SPILLED, request.id(), runner.getMember().id());
 		});
 		return chosen;
@@ -124,14 +121,18 @@
 		if (!this.mayLeaveDomain) {
 			return Optional.empty();
 		}
-		long now = this.ticker.millis();
+		FleetLoad told = this.load.currentLoad();
+		if (told != this.seen) {
+			this.seen = told;
+			this.taken.clear();
+		}
 		FailureDomain best = null;
 		int most = SPARE_KEPT;
-		for (Map.Entry<FailureDomain, Spare> entry : this.spares.entrySet()) {
-			Spare spare = entry.getValue();
-			if (spare.places() > most && now - spare.seenMillis() <= SPARE_VALID_MILLIS && isAllowed(entry.getKey())) {
-				best = entry.getKey();
-				most = spare.places();
+		for (FailureDomain other : this.runners.getDomains(this.service)) {
+			int places = told.getService(other, this.service).spareSlots() - this.taken.getOrDefault(other, 0);
+			if (!other.equals(this.domain) && places > most && isAllowed(other)) {
+				best = other;
+				most = places;
 			}
 		}
 		return Optional.ofNullable(best);
@@ -157,7 +158,4 @@
 		return models.isEmpty() || models.contains(this.model);
 	}
 
-	private record Spare(int places, long seenMillis) {
-	}
-
 }
--- a/entry/src/main/java/org/wigeonglade/entry/online/RunnerState.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/RunnerState.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.IntSupplier;
 
 import org.wigeonglade.core.engine.EngineClient;
 import org.wigeonglade.core.engine.LoadReport;
@@ -44,12 +45,22 @@
 
 	private volatile LoadReport report;
 
+	private final IntSupplier digested;
+
 	private volatile boolean reserved;
 
-	RunnerState(UpstreamMember member, EngineClient onlineClient, EngineClient batchClient, ConcurrencyLimit limit) {
+	private volatile boolean keptForBatch;
+
+	private volatile HostId dispatcher;
+
+	private volatile boolean dispatchedHere;
+
+	RunnerState(UpstreamMember member, EngineClient onlineClient, EngineClient batchClient, ConcurrencyLimit limit,
+			IntSupplier digested) {
 		this.member = member;
 		this.onlineClient = onlineClient;
 		this.batchClient = batchClient;
+		this.digested = digested;
 		this.limit = new AtomicReference<>(limit);
 	}
 
@@ -103,10 +114,26 @@
 
 	/**
 	 * Returns the online requests of other hosts in flight on the runner, as last known.
+	 * The host that dispatches batch work to the runner is told each change; other hosts
+	 * know only the last digests and reservations.
 	 * @param nowMillis the monotonic time in milliseconds
 	 * @return a count, at least 0
 	 */
 	public int getOthersOnline(long nowMillis) {
+		int announced = sumAnnounced(nowMillis);
+		return this.dispatchedHere ? announced : Math.max(announced, this.digested.getAsInt());
+	}
+
+	/**
+	 * Returns all online requests in flight on the runner, as announced to this host.
+	 * @param nowMillis the monotonic time in milliseconds
+	 * @return a count, at least 0
+	 */
+	int getAnnouncedOnline(long nowMillis) {
+		return (this.reserved ? RESERVED : this.online.get()) + sumAnnounced(nowMillis);
+	}
+
+	private int sumAnnounced(long nowMillis) {
 		int sum = 0;
 		for (Others entry : this.others.values()) {
 			if (nowMillis - entry.seenMillis() <= OTHERS_VALID_MILLIS) {
@@ -129,7 +156,7 @@
 	Endpoint toEndpoint(long nowNanos) {
 		int load = this.online.get() + getOthersOnline(nowNanos / 1_000_000L);
 		return new Endpoint(this.member.id().value(), load, getLimit(),
-				!this.reserved && this.breaker.get().allows(nowNanos));
+				!this.reserved && !this.keptForBatch && this.breaker.get().allows(nowNanos));
 	}
 
 	// Returns the name with the incarnation, as crashes are recorded.
@@ -138,7 +165,7 @@
 	}
 
 	int getAnnouncedCount() {
-		return this.reserved ? RESERVED : this.online.get();
+		return (this.reserved || this.keptForBatch) ? RESERVED : this.online.get();
 	}
 
 	EngineClient getOnlineClient() {
@@ -153,12 +180,29 @@
 		this.member = member;
 	}
 
+	void setDispatcher(HostId host, boolean here) {
+		this.dispatcher = host;
+		this.dispatchedHere = here;
+	}
+
+	HostId getDispatcher() {
+		return this.dispatcher;
+	}
+
+	boolean isDispatchedHere() {
+		return this.dispatchedHere;
+	}
+
+	boolean mayDispatch(long nowNanos) {
+		return this.breaker.get().allows(nowNanos);
+	}
+
 	void setReserved(boolean reserved) {
 		this.reserved = reserved;
 	}
 
-	boolean isReserved() {
-		return this.reserved;
+	void setKeptForBatch(boolean kept) {
+		this.keptForBatch = kept;
 	}
 
 	void setReport(LoadReport report) {
--- a/entry/src/main/java/org/wigeonglade/entry/online/RunnerTable.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/RunnerTable.java
@@ -5,13 +5,18 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.id.UpstreamId;
+import org.wigeonglade.core.member.FleetLoadSource;
 import org.wigeonglade.core.member.FleetView;
 import org.wigeonglade.core.member.FleetViewSource;
+import org.wigeonglade.core.member.HostMember;
+import org.wigeonglade.core.member.Rendezvous;
 import org.wigeonglade.core.member.UpstreamMember;
 import org.wigeonglade.core.route.ConcurrencyLimit;
 import org.wigeonglade.core.route.Subset;
@@ -25,6 +30,9 @@
  */
 public final class RunnerTable {
 
+	/** Stands for the dispatcher of a domain without hosts. */
+	private static final HostId NOBODY = HostId.of("nobody");
+
 	private final HostId self;
 
 	private final FleetViewSource fleet;
@@ -33,13 +41,16 @@
 
 	private final Ticker ticker;
 
+	private final FleetLoadSource load;
+
 	private volatile Snapshot snapshot = new Snapshot(FleetView.EMPTY, Map.of(), Map.of());
 
-	RunnerTable(HostId self, FleetViewSource fleet, UpstreamClients clients, Ticker ticker) {
+	RunnerTable(HostId self, FleetViewSource fleet, UpstreamClients clients, Ticker ticker, FleetLoadSource load) {
 		this.self = self;
 		this.fleet = fleet;
 		this.clients = clients;
 		this.ticker = ticker;
+		this.load = load;
 	}
 
 	/**
@@ -61,10 +72,13 @@
 
 	/**
 	 * Returns the figures of this host for its digest.
-	 * @return one entry for each known runner
+	 * @return one entry for each runner with work of this host or an open breaker
 	 */
 	public List<UpstreamView> toUpstreamViews() {
-		return getStates().stream().map(RunnerTable::toView).toList();
+		return getStates().stream()
+			.filter((s) -> s.getAnnouncedCount() > 0 || s.getBatch() > 0 || s.isBreakerOpen())
+			.map(RunnerTable::toView)
+			.toList();
 	}
 
 	/**
@@ -85,6 +99,16 @@
 		return refresh().subsets().getOrDefault(new Group(service, domain), List.of());
 	}
 
+	Set<FailureDomain> getDomains(ServiceName service) {
+		Set<FailureDomain> domains = new TreeSet<>();
+		for (Group group : refresh().subsets().keySet()) {
+			if (group.service().equals(service)) {
+				domains.add(group.domain());
+			}
+		}
+		return domains;
+	}
+
 	private Snapshot refresh() {
 		Snapshot current = this.snapshot;
 		FleetView view = this.fleet.current();
@@ -101,7 +125,10 @@
 		boolean first = before.view() == FleetView.EMPTY;
 		for (UpstreamMember member : view.upstreams()) {
 			if (member.runner()) {
-				next.put(member.id(), keepOrCreate(before.states().get(member.id()), member, first));
+				RunnerState state = keepOrCreate(before.states().get(member.id()), member, first);
+				HostId dispatcher = dispatcherOf(view, member);
+				state.setDispatcher(dispatcher, dispatcher.equals(this.self));
+				next.put(member.id(), state);
 				if (!member.leaving()) {
 					groups.computeIfAbsent(new Group(member.service(), member.domain()), (g) -> new ArrayList<>())
 						.add(member);
@@ -115,6 +142,12 @@
 		return this.snapshot;
 	}
 
+	private HostId dispatcherOf(FleetView view, UpstreamMember member) {
+		return Rendezvous.first(member.id().value(), view.getHostsOf(member.domain()), (h) -> h.id().value())
+			.map(HostMember::id)
+			.orElse(NOBODY);
+	}
+
 	private RunnerState keepOrCreate(RunnerState known, UpstreamMember member, boolean first) {
 		if (known != null && known.getMember().incarnation() == member.incarnation()
 				&& known.getMember().address().equals(member.address())) {
@@ -124,7 +157,8 @@
 		long now = this.ticker.nanos();
 		return new RunnerState(member, this.clients.engine(member, LinkPurpose.CONTROL),
 				this.clients.engine(member, LinkPurpose.BATCH),
-				first ? ConcurrencyLimit.initial(now) : ConcurrencyLimit.slowStart(now));
+				first ? ConcurrencyLimit.initial(now) : ConcurrencyLimit.slowStart(now),
+				() -> this.load.currentLoad().getUpstream(member.id()).inFlightOnline());
 	}
 
 	private static UpstreamView toView(RunnerState state) {
--- a/entry/src/main/java/org/wigeonglade/entry/online/Suspects.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/Suspects.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -56,7 +57,7 @@
 
 	private final Cache<Fingerprint, Boolean> harmless = CacheBuilder.newBuilder().maximumSize(HARMLESS_SIZE).build();
 
-	private final Map<Fingerprint, Suspicion> known = new LinkedHashMap<>();
+	private final Map<Fingerprint, Suspicion> known = Collections.synchronizedMap(new LinkedHashMap<>());
 
 	Suspects(EventLoop loop, HostLinks links, Ticker ticker, QuarantineRecorder recorder) {
 		this.loop = loop;
@@ -65,12 +66,15 @@
 		this.recorder = recorder;
 	}
 
+	// May be called from any thread.
 	Optional<Suspicion> find(Fingerprint fingerprint) {
 		return Optional.ofNullable(this.known.get(fingerprint));
 	}
 
 	long countQuarantined() {
-		return this.known.values().stream().filter(Suspicion::quarantined).count();
+		synchronized (this.known) {
+			return this.known.values().stream().filter(Suspicion::quarantined).count();
+		}
 	}
 
 	// Takes a request that wants to run. It goes on now or later by OnlineStream#proceed,
@@ -143,6 +147,11 @@
 		}
 	}
 
+	// Takes a crash with a batch item in flight; may be called from any thread.
+	void reportLater(Fingerprint fingerprint, String upstream) {
+		this.loop.execute(() -> report(fingerprint, upstream));
+	}
+
 	// Takes a notice or a record of the control stream.
 	void learn(QuarantineAdded added, boolean recorded) {
 		boolean quarantined = recorded || added.getCrashedUpstreamsCount() >= Suspicion.CRASHES_TO_QUARANTINE;
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/online/WorkReporter.java
@@ -0,0 +1,104 @@
+package org.wigeonglade.entry.online;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.wigeonglade.core.batch.WorkSource;
+import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.schema.generated.peer.WorkAck;
+import org.wigeonglade.schema.generated.peer.WorkOutcome;
+import org.wigeonglade.schema.generated.peer.WorkResult;
+
+/**
+ * Reports outcomes to the owners of batch work and renews the leases of held grants. An
+ * outcome is reported again until it is taken. Runs on one event loop.
+ */
+final class WorkReporter {
+
+	private static final EventLogger LOG = EventLogger.of(WorkReporter.class);
+
+	/** Largest number of outcomes in one report. */
+	private static final int LARGEST_REPORT = 256;
+
+	/** Interval of lease renewals without outcomes, in milliseconds. */
+	private static final long RENEW_MILLIS = 500;
+
+	/** Delay before outcomes that were not taken are reported again. */
+	private static final long RESEND_MILLIS = 250;
+
+	private final EventLoop loop;
+
+	private final WorkSource source;
+
+	private final Ticker ticker;
+
+	private final Consumer<List<Long>> revoked;
+
+	private final Map<Long, WorkOutcome> pending = new LinkedHashMap<>();
+
+	private boolean reporting;
+
+	private long nextRenewMillis;
+
+	private long resendAtMillis;
+
+	private int fresh;
+
+	WorkReporter(EventLoop loop, WorkSource source, Ticker ticker, Consumer<List<Long>> revoked) {
+		this.loop = loop;
+		this.source = source;
+		this.ticker = ticker;
+		this.revoked = revoked;
+	}
+
+	int getPending() {
+		return this.pending.size();
+	}
+
+	void add(WorkOutcome outcome) {
+		this.pending.put(outcome.getGrantId(), outcome);
+		this.fresh++;
+	}
+
+	// Sends what is due; called every few milliseconds.
+	void flush(List<Long> heldGrants) {
+		long now = this.ticker.millis();
+		boolean renew = now >= this.nextRenewMillis && !heldGrants.isEmpty();
+		boolean resend = !this.pending.isEmpty() && now >= this.resendAtMillis;
+		if (this.reporting || !(this.fresh > 0 || renew || resend)) {
+			return;
+		}
+		this.reporting = true;
+		this.fresh = 0;
+		this.nextRenewMillis = now + RENEW_MILLIS;
+		this.resendAtMillis = now + RESEND_MILLIS;
+		List<WorkOutcome> outcomes = this.pending.values().stream().limit(LARGEST_REPORT).toList();
+		WorkResult result = WorkResult.newBuilder().addAllOutcomes(outcomes).addAllRunningGrants(heldGrants).build();
+		this.source.report(result)
+			.subscribe()
+			.with((ack) -> this.loop.execute(() -> acknowledged(ack, outcomes.size())),
+					(failure) -> this.loop.execute(() -> failed(failure)));
+	}
+
+	private void acknowledged(WorkAck ack, int sent) {
+		this.reporting = false;
+		ack.getAcceptedGrantsList().forEach(this.pending::remove);
+		ack.getRevokedGrantsList().forEach(this.pending::remove);
+		if (sent == LARGEST_REPORT && !this.pending.isEmpty()) {
+			this.fresh = this.pending.size();
+		}
+		if (ack.getRevokedGrantsCount() > 0) {
+			this.revoked.accept(new ArrayList<>(ack.getRevokedGrantsList()));
+		}
+	}
+
+	private void failed(Throwable failure) {
+		this.reporting = false;
+		LOG.log(OnlineEvent.WORK_EXCHANGE_FAILED, failure, "all");
+	}
+
+}
