--- a/core/src/main/java/org/wigeonglade/core/config/AcceptedChange.java
+++ b/core/src/main/java/org/wigeonglade/core/config/AcceptedChange.java
@@ -13,13 +13,14 @@
  * @param rollbackOf the version whose body it repeats, 0 for none
  * @param offset the offset of its record in the stream
  * @param bodyBytes the size of the body
+ * @param recordId the writer, its incarnation and the sequence number of the record
  */
 public record AcceptedChange(long version, String author, String reason, long wallTimeMillis, long rollbackOf,
-		long offset, int bodyBytes) {
+		long offset, int bodyBytes, String recordId) {
 
-	static AcceptedChange of(ConfigChange change, long offset) {
+	static AcceptedChange of(ConfigChange change, long offset, String recordId) {
 		return new AcceptedChange(change.getVersion(), change.getAuthor(), change.getReason(), change.getWallTimeMs(),
-				change.getRollbackOf(), offset, change.getBody().size());
+				change.getRollbackOf(), offset, change.getBody().size(), recordId);
 	}
 
 }
--- a/core/src/main/java/org/wigeonglade/core/config/ConfigurationReplay.java
+++ b/core/src/main/java/org/wigeonglade/core/config/ConfigurationReplay.java
@@ -58,6 +58,15 @@
 		return START;
 	}
 
+	/**
+	 * Returns the identifier of a record, by which its writer finds it again.
+	 * @param record the record, not null
+	 * @return the writer, its incarnation and the sequence number
+	 */
+	public static String getRecordId(LogRecord record) {
+		return record.getHost() + ":" + record.getIncarnation() + ":" + record.getSequence();
+	}
+
 	/**
 	 * Returns the offset to read next.
 	 * @return the offset, at least 0
@@ -134,7 +143,7 @@
 				this.currentOffset, this.history);
 		for (LogEntry entry : record.getEntriesList()) {
 			if (entry.hasConfigChange()) {
-				state = state.plus(offset, entry.getConfigChange());
+				state = state.plus(offset, getRecordId(record), entry.getConfigChange());
 			}
 		}
 		return state;
@@ -149,22 +158,22 @@
 		return plus(offset, LogRecord.getDefaultInstance());
 	}
 
-	private ConfigurationReplay plus(long offset, ConfigChange change) {
+	private ConfigurationReplay plus(long offset, String recordId, ConfigChange change) {
 		if (change.getVersion() < 1 || change.getBaseVersion() != change.getVersion() - 1) {
 			return this;
 		}
 		if (change.getCarried()) {
-			return plusCarried(offset, change);
+			return plusCarried(offset, recordId, change);
 		}
 		boolean accepted = (this.joinedLate) ? change.getVersion() > getVersion()
 				: change.getBaseVersion() == getVersion();
-		return (accepted) ? withCurrent(offset, change) : this;
+		return (accepted) ? withCurrent(offset, recordId, change) : this;
 	}
 
-	private ConfigurationReplay plusCarried(long offset, ConfigChange change) {
+	private ConfigurationReplay plusCarried(long offset, String recordId, ConfigChange change) {
 		ConfigChange original = change.toBuilder().clearCarried().build();
 		if (this.joinedLate && change.getVersion() >= getVersion()) {
-			return withCurrent(offset, original);
+			return withCurrent(offset, recordId, original);
 		}
 		if (original.equals(this.current)) {
 			return new ConfigurationReplay(this.nextOffset, this.joinedLate, this.current, offset, this.history);
@@ -172,10 +181,10 @@
 		return this;
 	}
 
-	private ConfigurationReplay withCurrent(long offset, ConfigChange change) {
+	private ConfigurationReplay withCurrent(long offset, String recordId, ConfigChange change) {
 		List<AcceptedChange> extended = new ArrayList<>(this.history);
 		extended.removeIf((c) -> c.version() >= change.getVersion());
-		extended.add(AcceptedChange.of(change, offset));
+		extended.add(AcceptedChange.of(change, offset, recordId));
 		if (extended.size() > MAX_HISTORY) {
 			extended.removeFirst();
 		}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/control/MemberRuntime.java
@@ -0,0 +1,392 @@
+package org.wigeonglade.entry.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+
+import io.smallrye.mutiny.Uni;
+import org.wigeonglade.core.account.AccountCode;
+import org.wigeonglade.core.error.ErrorCode;
+import org.wigeonglade.core.error.PeerException;
+import org.wigeonglade.core.error.WigeongladeException;
+import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.id.UpstreamId;
+import org.wigeonglade.core.member.DigestSource;
+import org.wigeonglade.core.member.FleetLoad;
+import org.wigeonglade.core.member.FleetView;
+import org.wigeonglade.core.member.HostMember;
+import org.wigeonglade.core.member.MemberTable;
+import org.wigeonglade.core.member.MemberTiming;
+import org.wigeonglade.core.peer.PeerHandler;
+import org.wigeonglade.core.platform.ListedHost;
+import org.wigeonglade.schema.generated.peer.Digest;
+import org.wigeonglade.schema.generated.peer.HostView;
+import org.wigeonglade.schema.generated.peer.LeavingNotice;
+import org.wigeonglade.schema.generated.peer.LinkPurpose;
+import org.wigeonglade.schema.generated.peer.PeerFrame;
+import org.wigeonglade.schema.generated.peer.StopNotice;
+import org.wigeonglade.schema.generated.peer.UpstreamView;
+
+/**
+ * Reads the host list, exchanges digests and notices, and publishes snapshots of the
+ * fleet. All state changes run on the control loop; snapshots can be read from anywhere.
+ */
+final class MemberRuntime {
+
+	private static final EventLogger logger = EventLogger.of(MemberRuntime.class);
+
+	private static final String HOST_LIST = "host list";
+
+	private final ControlContext context;
+
+	private final PlatformHealth health;
+
+	private final MemberTable table;
+
+	private final List<DigestSource> sources = new CopyOnWriteArrayList<>();
+
+	private final List<Consumer<Digest>> listeners = new CopyOnWriteArrayList<>();
+
+	private final Map<HostId, FleetLoad.ReceivedDigest> digests = new HashMap<>();
+
+	private final Map<HostId, String> learned = new HashMap<>();
+
+	private final Set<HostId> greeted = new HashSet<>();
+
+	private LongSupplier configVersion = () -> 0;
+
+	private long heartbeat;
+
+	private boolean stopping;
+
+	private boolean listRead;
+
+	private long listPollStarted = Long.MIN_VALUE;
+
+	private boolean listPolling;
+
+	private long nextListPoll;
+
+	private long nextDigest;
+
+	private long lastTick = Long.MIN_VALUE;
+
+	private volatile FleetView view = FleetView.EMPTY;
+
+	private volatile FleetLoad load = FleetLoad.EMPTY;
+
+	private volatile List<HostMember> lost = List.of();
+
+	MemberRuntime(ControlContext context, PlatformHealth health) {
+		this.context = context;
+		this.health = health;
+		this.table = MemberTable.of(context.identity().host(), context.identity().domain(),
+				new MemberTiming(context.options().hostSilent().toMillis(), context.options().meshLimit()));
+		context.exchange().handle(PeerFrame.BodyCase.DIGEST, onLoop(this::onDigest));
+		context.exchange().handle(PeerFrame.BodyCase.LEAVING_NOTICE, onLoop(this::onLeavingNotice));
+		context.exchange().handle(PeerFrame.BodyCase.STOP_NOTICE, onLoop(this::onStopNotice));
+		applySelf(context.now());
+		publish(context.now());
+	}
+
+	FleetView getView() {
+		return this.view;
+	}
+
+	FleetLoad getLoad() {
+		return this.load;
+	}
+
+	List<HostMember> getLost() {
+		return this.lost;
+	}
+
+	Map<HostId, String> getAddresses() {
+		return this.table.getAddresses();
+	}
+
+	Set<HostId> getGreeted() {
+		return Set.copyOf(this.greeted);
+	}
+
+	void addSource(DigestSource source) {
+		this.sources.add(source);
+	}
+
+	void addListener(Consumer<Digest> listener) {
+		this.listeners.add(listener);
+	}
+
+	void setConfigVersion(LongSupplier source) {
+		this.configVersion = source;
+	}
+
+	void tick() {
+		long now = this.context.now();
+		applyPause(now);
+		if (now >= this.nextListPoll) {
+			this.nextListPoll = now + this.context.options().hostListPoll().toMillis();
+			pollList(now);
+		}
+		if (now >= this.nextDigest) {
+			this.nextDigest = now + this.context.options().digestInterval().toMillis();
+			if (!this.listRead) {
+				greetSeeds();
+			}
+			sendDigests();
+		}
+		publish(now);
+	}
+
+	// Sends a digest at once, such as after a configuration came into force.
+	void sendDigests() {
+		long now = this.context.now();
+		applySelf(now);
+		learnAddresses();
+		PeerFrame frame = PeerFrame.newBuilder().setDigest(buildDigest(now)).build();
+		getReceivers().forEach((host) -> this.context.exchange().send(host, LinkPurpose.CONTROL, frame));
+	}
+
+	// Marks an upstream as leaving and tells every host that can be reached.
+	void reportLeaving(UpstreamId upstream, long incarnation, String source) {
+		long now = this.context.now();
+		if (!this.table.applyLeaving(upstream, incarnation, 0, now)) {
+			return;
+		}
+		logger.log(ControlEvent.UPSTREAM_LEAVING, upstream, incarnation, source);
+		this.context.record(AccountCode.UPSTREAM_LEAVING, "upstream", upstream.value(), Map.of("source", source));
+		publish(now);
+		spread(PeerFrame.newBuilder()
+			.setLeavingNotice(LeavingNotice.newBuilder().setUpstream(upstream.value()).setIncarnation(incarnation))
+			.build());
+	}
+
+	// Tells every host that this one stops.
+	void announceStop() {
+		this.stopping = true;
+		spread(PeerFrame.newBuilder()
+			.setStopNotice(StopNotice.newBuilder()
+				.setHost(this.context.identity().host().value())
+				.setIncarnation(this.context.identity().incarnation()))
+			.build());
+		sendDigests();
+		publish(this.context.now());
+	}
+
+	private void applyPause(long now) {
+		long gap = (this.lastTick == Long.MIN_VALUE) ? 0 : now - this.lastTick;
+		this.lastTick = now;
+		if (gap > this.context.options().hostSilent().toMillis() / 2) {
+			logger.log(ControlEvent.PAUSED, gap);
+			this.table.applyPause(gap);
+		}
+	}
+
+	private void pollList(long now) {
+		if (this.listPolling && now - this.listPollStarted < 2 * this.context.options().platformTimeout().toMillis()) {
+			return;
+		}
+		this.listPolling = true;
+		this.listPollStarted = now;
+		this.context.onLoop(this.context.hostDirectory().list()).subscribe().with(this::onList, (failure) -> {
+			this.listPolling = false;
+			this.health.failed(HOST_LIST, failure);
+		});
+	}
+
+	private void onList(List<ListedHost> list) {
+		this.listPolling = false;
+		this.health.succeeded(HOST_LIST);
+		long now = this.context.now();
+		try {
+			Set<UpstreamId> before = getLeaving();
+			this.table.applyList(list, now);
+			this.listRead |= !list.isEmpty();
+			publish(now);
+			for (ListedHost host : list) {
+				if (host.leaving() && !host.service().isEmpty() && !before.contains(UpstreamId.of(host.name()))) {
+					spreadListed(host);
+				}
+			}
+		}
+		catch (RuntimeException ex) {
+			this.health.failed(HOST_LIST, ex);
+		}
+	}
+
+	// The first host that reads of a leaving upstream tells the others, which may read
+	// the list later or not at all.
+	private void spreadListed(ListedHost host) {
+		logger.log(ControlEvent.UPSTREAM_LEAVING, host.name(), host.incarnation(), HOST_LIST);
+		this.context.record(AccountCode.UPSTREAM_LEAVING, "upstream", host.name(), Map.of("source", HOST_LIST));
+		spread(PeerFrame.newBuilder()
+			.setLeavingNotice(LeavingNotice.newBuilder().setUpstream(host.name()).setIncarnation(host.incarnation()))
+			.build());
+	}
+
+	private Set<UpstreamId> getLeaving() {
+		return this.table.toView(this.context.now(), true)
+			.upstreams()
+			.stream()
+			.filter((u) -> u.leaving())
+			.map((u) -> u.id())
+			.collect(Collectors.toSet());
+	}
+
+	private void greetSeeds() {
+		for (String seed : this.context.options().seeds()) {
+			if (!seed.equals(this.context.peerAddress()) && !this.learned.containsValue(seed)) {
+				this.context.onLoop(this.context.directory().greet(seed)).subscribe().with((host) -> {
+					if (!host.equals(this.context.identity().host())) {
+						this.greeted.add(host);
+						this.learned.put(host, seed);
+					}
+				}, (failure) -> {
+				});
+			}
+		}
+	}
+
+	private Set<HostId> getReceivers() {
+		Set<HostId> receivers = new HashSet<>(this.table.getDigestReceivers());
+		receivers.addAll(this.greeted);
+		return receivers;
+	}
+
+	private void spread(PeerFrame frame) {
+		getReceivers().forEach((host) -> this.context.exchange().send(host, LinkPurpose.CONTROL, frame));
+	}
+
+	private void learnAddresses() {
+		this.table.getAddresses().forEach((host, address) -> {
+			if (!address.equals(this.learned.put(host, address))) {
+				this.context.directory().learn(host, address);
+			}
+		});
+	}
+
+	private void applySelf(long now) {
+		this.heartbeat++;
+		this.table.applyHost(buildSelf(), now);
+	}
+
+	private HostView buildSelf() {
+		return HostView.newBuilder()
+			.setHost(this.context.identity().host().value())
+			.setIncarnation(this.context.identity().incarnation())
+			.setFailureDomain(this.context.identity().domain().value())
+			.setRegion(this.context.identity().region().value())
+			.setPeerAddress(this.context.peerAddress())
+			.setHeartbeat(this.heartbeat)
+			.setStopping(this.stopping)
+			.setConfigVersion(this.configVersion.getAsLong())
+			.build();
+	}
+
+	private Digest buildDigest(long now) {
+		Digest.Builder digest = Digest.newBuilder()
+			.setSelf(buildSelf())
+			.setConfigVersion(this.configVersion.getAsLong())
+			.setPlatformReachable(this.health.isReachable())
+			.addAllKnownHosts(this.table.nextRelayed(this.context.options().relayedViews(), now))
+			.addAllUpstreams(this.table.getLeavingViews(now));
+		for (DigestSource source : this.sources) {
+			source.contribute(digest);
+		}
+		return digest.build();
+	}
+
+	private void onDigest(HostId from, PeerFrame frame) {
+		Digest digest = frame.getDigest();
+		if (!digest.getSelf().getHost().equals(from.value())) {
+			throw new PeerException(ErrorCode.PEER_MESSAGE_INVALID,
+					"a digest must be of its sender " + from + " but is of '" + digest.getSelf().getHost() + "'");
+		}
+		long now = this.context.now();
+		FleetLoad.ReceivedDigest received = new FleetLoad.ReceivedDigest(digest, now);
+		// Fails on malformed names before anything of the digest is kept.
+		FleetLoad.of(List.of(received));
+		if (this.table.applyHost(digest.getSelf(), now)) {
+			this.digests.put(from, received);
+		}
+		digest.getKnownHostsList()
+			.stream()
+			.filter((v) -> !v.getHost().equals(this.context.identity().host().value()))
+			.forEach((v) -> this.table.applyHost(v, now));
+		for (UpstreamView upstream : digest.getUpstreamsList()) {
+			if (upstream.getLeaving() && this.table.applyLeaving(UpstreamId.of(upstream.getUpstream()),
+					upstream.getIncarnation(), upstream.getLeavingAgeMs(), now)) {
+				logger.log(ControlEvent.UPSTREAM_LEAVING, upstream.getUpstream(), upstream.getIncarnation(), from);
+				publish(now);
+			}
+		}
+		this.listeners.forEach((listener) -> listener.accept(digest));
+	}
+
+	private void onLeavingNotice(HostId from, PeerFrame frame) {
+		LeavingNotice notice = frame.getLeavingNotice();
+		// Passing news on reaches hosts that the sender cannot reach.
+		reportLeaving(UpstreamId.of(notice.getUpstream()), notice.getIncarnation(), from.value());
+	}
+
+	private void onStopNotice(HostId from, PeerFrame frame) {
+		this.table.applyStopping(HostId.of(frame.getStopNotice().getHost()), frame.getStopNotice().getIncarnation(),
+				this.context.now());
+		publish(this.context.now());
+	}
+
+	private void publish(long now) {
+		FleetView next = this.table.toView(now, this.health.isReachable());
+		reportChanges(this.view, next, now);
+		Set<HostId> live = next.hosts().stream().map(HostMember::id).collect(Collectors.toSet());
+		this.digests.keySet().retainAll(live);
+		this.view = next;
+		this.load = FleetLoad.of(this.digests.values());
+		this.lost = this.table.getLost(now);
+	}
+
+	private void reportChanges(FleetView before, FleetView after, long now) {
+		Map<HostId, HostMember> old = new HashMap<>();
+		before.hosts().forEach((h) -> old.put(h.id(), h));
+		for (HostMember host : after.hosts()) {
+			if (old.remove(host.id()) == null) {
+				logger.log(ControlEvent.HOST_FOUND, host.id(), host.incarnation(), host.domain());
+			}
+		}
+		for (HostMember host : new ArrayList<>(old.values())) {
+			long silent = now - host.lastSeenMillis();
+			logger.log(ControlEvent.HOST_LOST, host.id(), host.incarnation(), silent);
+			this.context.record(AccountCode.HOST_LOST, "host", host.id().value(),
+					Map.of("silent_ms", String.valueOf(silent)));
+		}
+	}
+
+	private PeerHandler onLoop(FrameConsumer consumer) {
+		return (from, frame) -> Uni.createFrom().<PeerFrame>item(() -> {
+			try {
+				consumer.accept(from, frame);
+			}
+			catch (WigeongladeException ex) {
+				logger.log(ControlEvent.DIGEST_REJECTED, from, ex.getMessage());
+				throw ex;
+			}
+			return null;
+		}).runSubscriptionOn(this.context.loop());
+	}
+
+	@FunctionalInterface
+	private interface FrameConsumer {
+
+		void accept(HostId from, PeerFrame frame);
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonglade/entry/control/PlatformHealth.java
@@ -0,0 +1,45 @@
+package org.wigeonglade.entry.control;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.wigeonglade.core.account.AccountCode;
+import org.wigeonglade.core.event.EventLogger;
+
+/**
+ * Keeps whether the last exchange with each service of the platform succeeded.
+ * Thread-safe.
+ */
+final class PlatformHealth {
+
+	private static final EventLogger logger = EventLogger.of(PlatformHealth.class);
+
+	private final Map<String, Boolean> reachable = new ConcurrentHashMap<>();
+
+	private final ControlContext context;
+
+	PlatformHealth(ControlContext context) {
+		this.context = context;
+	}
+
+	void succeeded(String service) {
+		if (Boolean.FALSE.equals(this.reachable.put(service, true))) {
+			logger.log(ControlEvent.PLATFORM_BACK, service);
+			this.context.record(AccountCode.PLATFORM_BACK, "host", this.context.identity().host().value(),
+					Map.of("service", service));
+		}
+	}
+
+	void failed(String service, Throwable failure) {
+		if (!Boolean.FALSE.equals(this.reachable.put(service, false))) {
+			logger.log(ControlEvent.PLATFORM_LOST, service, failure.getMessage());
+			this.context.record(AccountCode.PLATFORM_LOST, "host", this.context.identity().host().value(),
+					Map.of("service", service));
+		}
+	}
+
+	boolean isReachable() {
+		return !this.reachable.isEmpty() && !this.reachable.containsValue(false);
+	}
+
+}
