--- a/core/src/main/java/org/wigeonglade/core/config/ConfigurationChecks.java
+++ b/core/src/main/java/org/wigeonglade/core/config/ConfigurationChecks.java
@@ -99,33 +99,30 @@
 		for (int i = 0; i < services.size(); i++) {
 			ServiceConfiguration service = services.get(i);
 			String pointer = "/services/" + i;
-			checkProfile(pointer + "/profile", service.getProfile(), Profile.Priority.ONLINE, priorities);
+			if (!priorities.containsKey(service.getProfile())) {
+				add(pointer + "/profile", quote(service.getProfile()), "one of the profiles " + priorities.keySet());
+			}
 			if (service.getBatchProfile() != null) {
-				checkProfile(pointer + "/batchProfile", service.getBatchProfile(), Profile.Priority.BATCH, priorities);
+				checkBatchProfile(pointer + "/batchProfile", service.getBatchProfile(), priorities);
 			}
 			checkModels(pointer + "/models", service);
 		}
 	}
 
-	private void checkProfile(String pointer, String name, Profile.Priority wanted,
-			Map<String, Profile.Priority> priorities) {
-		if (priorities.get(name) != wanted) {
+	private void checkBatchProfile(String pointer, String name, Map<String, Profile.Priority> priorities) {
+		if (priorities.get(name) != Profile.Priority.BATCH) {
 			List<String> allowed = priorities.entrySet()
 				.stream()
-				.filter((e) -> e.getValue() == wanted)
+				.filter((e) -> e.getValue() == Profile.Priority.BATCH)
 				.map(Map.Entry::getKey)
 				.toList();
-			add(pointer, quote(name), "a profile with priority " + wanted.value() + ", one of " + allowed);
+			add(pointer, quote(name), "a profile with priority batch, one of " + allowed);
 		}
 	}
 
 	private void checkModels(String pointer, ServiceConfiguration service) {
 		List<ModelConfiguration> models = (service.getModels() != null) ? service.getModels() : List.of();
-		boolean isModel = service.getKind() == ServiceConfiguration.Kind.MODEL;
-		if (isModel && models.isEmpty()) {
-			add(pointer, "empty", "at least one model, because the kind is model");
-		}
-		if (!isModel && !models.isEmpty()) {
+		if (service.getKind() == ServiceConfiguration.Kind.PLAIN && !models.isEmpty()) {
 			add(pointer, models.size() + " models", "none, because the kind is plain");
 		}
 		checkUnique(pointer, models.stream().map(ModelConfiguration::getName).toList());
--- a/entry/src/main/java/org/wigeonglade/entry/control/ConfigurationPublisher.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/ConfigurationPublisher.java
@@ -21,6 +21,7 @@
 import org.wigeonglade.schema.generated.log.ConfigChange;
 import org.wigeonglade.schema.generated.log.LogEntry;
 import org.wigeonglade.schema.generated.log.LogRecord;
+import org.wigeonglade.schema.generated.settings.FleetConfiguration;
 
 /**
  * Publishes configurations: checks, appends, reads back and judges by the log. A change
@@ -122,8 +123,16 @@
 		if (draft.baseVersion() < version) {
 			throw conflict(draft.baseVersion() + 1);
 		}
-		ConfigurationChecks
-			.require(ConfigurationChecks.checkChange(this.bodies.read(draft.body()), this.runtime.getCurrent()));
+		ConfigurationChecks.require(ConfigurationChecks.checkChange(read(draft), this.runtime.getCurrent()));
+	}
+
+	private FleetConfiguration read(ConfigurationDraft draft) {
+		try {
+			return this.bodies.read(draft.body());
+		}
+		catch (InvalidRequestException ex) {
+			throw new InvalidRequestException(ErrorCode.CONFIG_INVALID, ex.getMessage(), ex);
+		}
 	}
 
 	private LogRecord toRecord(ConfigurationDraft draft) {
--- a/entry/src/main/java/org/wigeonglade/entry/control/ControlRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/ControlRuntime.java
@@ -24,6 +24,7 @@
 import org.wigeonglade.core.peer.PeerExchange;
 import org.wigeonglade.core.platform.HostDirectory;
 import org.wigeonglade.core.platform.LogService;
+import org.wigeonglade.core.settings.SettingsReader;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.peer.PeerIdentity;
 
@@ -271,7 +272,7 @@
 
 		private AccountRecorder account;
 
-		private ConfigurationBody bodies;
+		private ConfigurationBody bodies = SettingsReader.create()::readFleetConfiguration;
 
 		private Executor loop;
 
@@ -345,7 +346,7 @@
 		}
 
 		/**
-		 * Sets the reader of configuration bodies.
+		 * Sets the reader of configuration bodies instead of the settings reader.
 		 * @param value the reader, not null
 		 * @return this builder
 		 */
