--- a/entry/src/main/java/org/wigeonglade/entry/control/ConfigurationRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/ConfigurationRuntime.java
@@ -1,6 +1,7 @@
 package org.wigeonglade.entry.control;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -43,6 +44,8 @@
 
 	private final StreamReader reader;
 
+	private final Map<HostId, Long> offers = new LinkedHashMap<>();
+
 	private final StartupVotes votes = new StartupVotes();
 
 	private final List<Consumer<VersionedConfiguration>> listeners = new CopyOnWriteArrayList<>();
@@ -61,7 +64,7 @@
 
 	private long problemVersion;
 
-	private long fetching;
+	private boolean fetching;
 
 	private long fetchStarted;
 
@@ -198,20 +201,35 @@
 	}
 
 	private void onPeerVersion(String host, long version) {
-		long now = this.context.now();
-		long timeout = this.context.options().platformTimeout().toMillis();
-		boolean wanted = this.ready && version > this.highest.getVersion();
-		boolean running = version <= this.fetching && now - this.fetchStarted < timeout;
-		if (wanted && !running) {
-			this.fetching = version;
-			this.fetchStarted = now;
-			fetch(HostId.of(host)).subscribe().with((answer) -> onAnswer(answer, host), (failure) -> this.fetching = 0);
+		if (this.ready && version > this.highest.getVersion()) {
+			this.offers.put(HostId.of(host), version);
+			fetchNext();
 		}
 	}
 
-	private void onAnswer(ConfigAnswer answer, String host) {
-		this.fetching = 0;
-		answer.getChangesList().forEach((change) -> adopt(change, host));
+	// Asks one of the hosts that told a higher version; after a failure the next one,
+	// since
+	// a link may work in one direction only.
+	private void fetchNext() {
+		long now = this.context.now();
+		boolean running = this.fetching
+				&& now - this.fetchStarted < 2 * this.context.options().platformTimeout().toMillis();
+		this.offers.values().removeIf((version) -> version <= this.highest.getVersion());
+		if (running || this.offers.isEmpty()) {
+			return;
+		}
+		HostId host = this.offers.keySet().iterator().next();
+		this.offers.remove(host);
+		this.fetching = true;
+		this.fetchStarted = now;
+		fetch(host).subscribe().with((answer) -> {
+			this.fetching = false;
+			answer.getChangesList().forEach((change) -> adopt(change, host.value()));
+			fetchNext();
+		}, (failure) -> {
+			this.fetching = false;
+			fetchNext();
+		});
 	}
 
 	private void askPeers() {
