--- /dev/null
+++ b/cli/src/main/java/org/wigeonglade/cli/logging/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Output of the log: {@link java.lang.System.Logger} through java.util.logging to
+ * standard error, as text or as JSON lines.
+ */
+package org.wigeonglade.cli.logging;
--- a/core/src/main/java/org/wigeonglade/core/event/EventLogger.java
+++ b/core/src/main/java/org/wigeonglade/core/event/EventLogger.java
@@ -1,10 +1,12 @@
 package org.wigeonglade.core.event;
 
 import java.lang.System.Logger;
+import java.util.ResourceBundle;
 
 /**
  * Writes numbered events through {@link System.Logger}. A line holds the number, the text
- * and {@code name=value} pairs in the order of the catalogue. Thread-safe.
+ * and {@code name=value} pairs in the order of the catalogue; the record also carries a
+ * {@link LoggedEvent} for formatters. Thread-safe.
  */
 public final class EventLogger {
 
@@ -42,18 +44,21 @@
 		if (!this.logger.isLoggable(event.getLevel())) {
 			return;
 		}
-		this.logger.log(event.getLevel(), () -> format(event, values), cause);
+		LoggedEvent logged = new LoggedEvent(event, values, cause);
+		this.logger.log(event.getLevel(), (ResourceBundle) null, format(logged), logged);
 	}
 
-	static String format(LogEvent event, Object... values) {
+	static String format(LoggedEvent logged) {
+		LogEvent event = logged.event();
 		StringBuilder line = new StringBuilder();
 		line.append("WGE-").append(event.getNumber()).append(' ').append(event.getText());
-		String[] fields = event.getFields();
-		for (int i = 0; i < fields.length; i++) {
-			Object value = (i < values.length) ? values[i] : null;
-			line.append(' ').append(fields[i]).append('=').append(value);
+		logged.getFigures().forEach((name, value) -> line.append(' ').append(name).append('=').append(value));
+		if (logged.cause() != null) {
+			line.append(" cause=").append(logged.cause());
 		}
-		return line.toString();
+		// A backend that fills in parameters must not take a brace of a value for a
+		// place.
+		return line.toString().replace("{", "(").replace("}", ")").replace('\n', ' ').replace('\r', ' ');
 	}
 
 }
