--- a/cli/src/main/java/org/wigeonglade/cli/HostClient.java
+++ b/cli/src/main/java/org/wigeonglade/cli/HostClient.java
@@ -96,10 +96,7 @@
 		try {
 			JsonObject error = new JsonObject(text).getJsonObject("error", new JsonObject());
 			String code = error.getString("code", "");
-			ErrorCode known = Arrays.stream(ErrorCode.values())
-				.filter((candidate) -> candidate.getCode().equals(code))
-				.findFirst()
-				.orElse(null);
+			ErrorCode known = ErrorCode.find(code).orElse(null);
 			if (known != null) {
 				return new RemoteException(known, toRan(error.getString("ran", "")), error.getString("message", ""),
 						null);
--- a/core/src/main/java/org/wigeonglade/core/settings/SettingsReader.java
+++ b/core/src/main/java/org/wigeonglade/core/settings/SettingsReader.java
@@ -23,6 +23,8 @@
 import com.networknt.schema.SchemaRegistry;
 import com.networknt.schema.SchemaRegistryConfig;
 import com.networknt.schema.SpecificationVersion;
+import org.wigeonglade.core.config.ConfigurationChecks;
+import org.wigeonglade.core.config.ConfigurationViolation;
 import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.InvalidRequestException;
 import org.wigeonglade.schema.generated.settings.FleetConfiguration;
@@ -149,7 +151,9 @@
 	private FleetConfiguration readFleetConfiguration(byte[] json, String source) {
 		JsonNode tree = parse(json, source);
 		validate(this.fleetSchema, tree, source);
-		return SettingsDefaults.fill(bind(tree, FleetConfiguration.class, source));
+		FleetConfiguration body = SettingsDefaults.fill(bind(tree, FleetConfiguration.class, source));
+		report(source, ConfigurationChecks.check(body).stream().map(ConfigurationViolation::toString).toList());
+		return body;
 	}
 
 	private static byte[] readFile(Path file) {
@@ -204,8 +208,11 @@
 
 	private void validate(Schema schema, JsonNode tree, String source) {
 		List<Error> errors = schema.validate(tree);
-		List<String> violations = (!errors.isEmpty()) ? errors.stream().map(SettingsReader::describe).toList()
-				: SettingsRules.check(tree);
+		report(source, (!errors.isEmpty()) ? errors.stream().map(SettingsReader::describe).toList()
+				: SettingsRules.check(tree));
+	}
+
+	private static void report(String source, List<String> violations) {
 		if (violations.isEmpty()) {
 			return;
 		}
--- a/core/src/main/java/org/wigeonglade/core/settings/SettingsRules.java
+++ b/core/src/main/java/org/wigeonglade/core/settings/SettingsRules.java
@@ -1,17 +1,14 @@
 package org.wigeonglade.core.settings;
 
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
 /**
- * Checks what a JSON Schema cannot state: unique names, references between objects, port
- * numbers and control characters. Expects a tree that is valid against its schema.
+ * Checks what a JSON Schema cannot state and what the bound objects no longer show: port
+ * numbers, control characters and empty lists. Expects a tree that is valid against its
+ * schema.
  */
 final class SettingsRules {
 
@@ -28,7 +25,7 @@
 		SettingsRules rules = new SettingsRules();
 		rules.checkText("", tree);
 		if (tree.has("services")) {
-			rules.checkFleet(tree);
+			rules.checkWorkspaces(tree.path("workspaces"));
 		}
 		else {
 			rules.checkHost(tree);
@@ -69,70 +66,17 @@
 		}
 	}
 
-	private void checkFleet(JsonNode tree) {
-		Map<String, JsonNode> profiles = index("/profiles", tree.path("profiles"));
-		Map<String, JsonNode> services = index("/services", tree.path("services"));
-		index("/workspaces", tree.path("workspaces"));
-		int position = 0;
-		for (JsonNode service : tree.path("services")) {
-			String pointer = "/services/" + position++;
-			checkReference(pointer + "/profile", service.path("profile"), profiles, "profiles");
-			checkBatchProfile(pointer + "/batchProfile", service.path("batchProfile"), profiles);
-		}
-		position = 0;
-		Set<String> keyHashes = new HashSet<>();
-		for (JsonNode workspace : tree.path("workspaces")) {
-			checkWorkspace("/workspaces/" + position++, workspace, services, keyHashes);
-		}
-	}
-
-	private void checkBatchProfile(String pointer, JsonNode name, Map<String, JsonNode> profiles) {
-		if (name.isMissingNode()) {
-			return;
-		}
-		checkReference(pointer, name, profiles, "profiles");
-		JsonNode profile = profiles.get(name.textValue());
-		if (profile != null && !"batch".equals(profile.path("priority").textValue())) {
-			this.violations.add(violation(pointer, name, "a batch profile must have priority \"batch\""));
-		}
-	}
-
-	private void checkWorkspace(String pointer, JsonNode workspace, Map<String, JsonNode> services,
-			Set<String> keyHashes) {
-		JsonNode hashes = workspace.path("keyHashes");
-		for (int i = 0; i < hashes.size(); i++) {
-			if (!keyHashes.add(hashes.get(i).textValue())) {
-				this.violations.add(violation(pointer + "/keyHashes/" + i, hashes.get(i),
-						"an API key may belong to one workspace only"));
-			}
-		}
-		JsonNode allowed = workspace.path("services");
-		if (allowed.isArray() && allowed.isEmpty()) {
-			this.violations.add(violation(pointer + "/services", allowed,
-					"the list must name a service; without the key the workspace may call all services"));
-		}
-		for (int i = 0; i < allowed.size(); i++) {
-			checkReference(pointer + "/services/" + i, allowed.get(i), services, "services");
-		}
-	}
-
-	private void checkReference(String pointer, JsonNode name, Map<String, JsonNode> targets, String kind) {
-		if (!targets.containsKey(name.textValue())) {
-			this.violations.add(violation(pointer, name,
-					"it must be one of the " + kind + " " + targets.keySet().stream().sorted().toList()));
-		}
-	}
-
-	private Map<String, JsonNode> index(String pointer, JsonNode array) {
-		Map<String, JsonNode> byName = new HashMap<>();
-		for (int i = 0; i < array.size(); i++) {
-			JsonNode name = array.get(i).path("name");
-			if (byName.put(name.textValue(), array.get(i)) != null) {
-				this.violations
-					.add(violation(pointer + "/" + i + "/name", name, "the name must be unique in " + pointer));
+	// The generated list is empty both when the key is absent and when it names nothing,
+	// and
+	// an absent key allows all services.
+	private void checkWorkspaces(JsonNode workspaces) {
+		for (int i = 0; i < workspaces.size(); i++) {
+			JsonNode allowed = workspaces.get(i).path("services");
+			if (allowed.isArray() && allowed.isEmpty()) {
+				this.violations.add(violation("/workspaces/" + i + "/services", allowed,
+						"the list must name a service; without the key the workspace may call all services"));
 			}
 		}
-		return byName;
 	}
 
 	// The patterns of addresses, URLs and paths do not restrict the characters after
--- a/core/src/test/java/org/wigeonglade/core/settings/SettingsReaderTests.java
+++ b/core/src/test/java/org/wigeonglade/core/settings/SettingsReaderTests.java
@@ -36,7 +36,8 @@
 	private static final String FLEET = """
 			{"profiles":[{"name":"family","words":"A family waits for it.","priority":"online","idempotent":true},
 			{"name":"night","words":"Runs at night.","priority":"batch","idempotent":true}],
-			"services":[{"name":"runokieli","kind":"model","profile":"family","batchProfile":"night"}],
+			"services":[{"name":"runokieli","kind":"model","profile":"family","batchProfile":"night",
+			"models":[{"name":"runokieli","version":"1"}]}],
 			"workspaces":[{"name":"muistopuu","keyHashes":["%s"],"services":["runokieli"]}]}"""
 		.formatted("a".repeat(64));
 
--- a/entry/src/main/java/org/wigeonglade/entry/operator/AccountCollector.java
+++ b/entry/src/main/java/org/wigeonglade/entry/operator/AccountCollector.java
@@ -89,7 +89,7 @@
 					.setJson(ByteString
 						.copyFrom(new JsonObject().put(SINCE, this.startWallMillis).toBuffer().getBytes()));
 			}
-			default -> throw new PeerException(ErrorCode.PEER_MESSAGE_INVALID,
+			default -> throw new PeerException(ErrorCode.PEER_UNSUPPORTED,
 					"query kind " + query.getKindValue() + " is not known to this version");
 		}
 		return Uni.createFrom().item(PeerFrame.newBuilder().setQueryAnswer(answer).build());
--- a/entry/src/test/java/org/wigeonglade/entry/operator/OperatorServerTests.java
+++ b/entry/src/test/java/org/wigeonglade/entry/operator/OperatorServerTests.java
@@ -54,7 +54,7 @@
 
 	private static final String VALID = """
 			{"profiles":[{"name":"family","words":"A family waits.","priority":"online","idempotent":true}],
-			"services":[{"name":"runokieli","kind":"model","profile":"family"}],"workspaces":[]}""";
+			"services":[{"name":"runokieli","kind":"plain","profile":"family"}],"workspaces":[]}""";
 
 	private final HttpClient client = HttpClient.newHttpClient();
 
--- a/standins/src/main/java/org/wigeonglade/standins/hosts/HostListStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/hosts/HostListStandIn.java
@@ -41,7 +41,18 @@
 	 * @return the started stand-in, never null
 	 */
 	public static HostListStandIn start(Vertx vertx, long lagMillis) {
-		HostListStandIn list = new HostListStandIn(StandInServer.create(vertx, 0), lagMillis);
+		return start(vertx, 0, lagMillis);
+	}
+
+	/**
+	 * Starts a host list on a given port.
+	 * @param vertx the event loops to share, or null to create own ones
+	 * @param port the port, 0 for a free one
+	 * @param lagMillis the time until a change is visible, in milliseconds
+	 * @return the started stand-in, never null
+	 */
+	public static HostListStandIn start(Vertx vertx, int port, long lagMillis) {
+		HostListStandIn list = new HostListStandIn(StandInServer.create(vertx, port), lagMillis);
 		Router router = Router.router(list.server.getVertx());
 		router.get("/hosts").handler((context) -> FaultyAnswer.give(context, list.faults.next("hosts"), list::encode));
 		list.server.start(router);
@@ -80,6 +91,17 @@
 		this.visible.put(host.name(), host);
 	}
 
+	/**
+	 * Replaces all entries after the lag.
+	 * @param hosts the entries, not null
+	 */
+	public void replaceAll(List<ListedHost> hosts) {
+		later(() -> {
+			this.visible.clear();
+			hosts.forEach((host) -> this.visible.put(host.name(), host));
+		});
+	}
+
 	/**
 	 * Marks an entry as leaving after the lag.
 	 * @param name the name of the entry, not null
--- a/standins/src/main/java/org/wigeonglade/standins/service/ServiceStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/service/ServiceStandIn.java
@@ -40,7 +40,17 @@
 	 * @return the started stand-in, never null
 	 */
 	public static ServiceStandIn start(Vertx vertx) {
-		ServiceStandIn service = new ServiceStandIn(StandInServer.create(vertx, 0));
+		return start(vertx, 0);
+	}
+
+	/**
+	 * Starts a service on a given port.
+	 * @param vertx the event loops to share, or null to create own ones
+	 * @param port the port, 0 for a free one
+	 * @return the started stand-in, never null
+	 */
+	public static ServiceStandIn start(Vertx vertx, int port) {
+		ServiceStandIn service = new ServiceStandIn(StandInServer.create(vertx, port));
 		Router router = Router.router(service.server.getVertx());
 		router.route().handler(BodyHandler.create(false));
 		router.route().handler(service::handle);
--- a/standins/src/main/java/org/wigeonglade/standins/weight/WeightStoreStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/weight/WeightStoreStandIn.java
@@ -37,7 +37,18 @@
 	 * @return the started stand-in, never null
 	 */
 	public static WeightStoreStandIn start(Vertx vertx, long millisPerLoad) {
-		WeightStoreStandIn store = new WeightStoreStandIn(StandInServer.create(vertx, 0), millisPerLoad);
+		return start(vertx, 0, millisPerLoad);
+	}
+
+	/**
+	 * Starts a weight store on a given port.
+	 * @param vertx the event loops to share, or null to create own ones
+	 * @param port the port, 0 for a free one
+	 * @param millisPerLoad the time that one load takes, in milliseconds
+	 * @return the started stand-in, never null
+	 */
+	public static WeightStoreStandIn start(Vertx vertx, int port, long millisPerLoad) {
+		WeightStoreStandIn store = new WeightStoreStandIn(StandInServer.create(vertx, port), millisPerLoad);
 		Router router = Router.router(store.server.getVertx());
 		router.get("/weights/:model/:version").handler(store::load);
 		store.server.start(router);
