Complete the callers' interface

Cause: callers could only ask for completions. Attempts that were lost never count as not run. Figures: nothing was measured.

--- a/entry/src/main/java/org/wigeonglade/entry/caller/CompletionSink.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CompletionSink.java
@@ -4,6 +4,7 @@
 import org.wigeonglade.core.engine.EngineEvent;
 import org.wigeonglade.core.error.WigeongladeException;
 import org.wigeonglade.entry.completion.CompletionJson;
+import org.wigeonglade.entry.online.OnlineRequest;
 import org.wigeonglade.entry.online.StreamHandle;
 import org.wigeonglade.entry.online.StreamSink;
 
@@ -19,14 +20,18 @@
 
 	private final String requestId;
 
+	private final RequestObserver observer;
+
 	private final StringBuilder text;
 
 	private StreamHandle handle;
 
-	CompletionSink(HttpServerResponse response, CompletionJson json, String requestId, boolean stream) {
+	CompletionSink(HttpServerResponse response, CompletionJson json, OnlineRequest request, boolean stream,
+			RequestObserver observer) {
 		this.response = response;
 		this.json = json;
-		this.requestId = requestId;
+		this.requestId = request.id().value();
+		this.observer = observer;
 		this.text = stream ? null : new StringBuilder();
 	}
 
@@ -34,8 +39,13 @@
 		this.handle = control;
 	}
 
+	void clientGone() {
+		this.observer.clientGone();
+	}
+
 	@Override
 	public void onToken(EngineEvent.Token token) {
+		this.observer.token();
 		if (this.text != null) {
 			this.text.append(token.text());
 			return;
@@ -53,6 +63,7 @@
 
 	@Override
 	public void onEnd(EngineEvent.End end) {
+		this.observer.completed();
 		if (this.response.closed() || this.response.ended()) {
 			return;
 		}
@@ -66,6 +77,7 @@
 
 	@Override
 	public void onFailure(WigeongladeException failure) {
+		this.observer.failed(failure);
 		if (this.response.closed() || this.response.ended()) {
 			return;
 		}
--- a/entry/src/main/java/org/wigeonglade/entry/host/EntryHost.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/EntryHost.java
@@ -11,6 +11,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import org.wigeonglade.core.account.AccountRing;
 import org.wigeonglade.core.config.ConfigurationSource;
 import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.PlatformException;
@@ -20,10 +21,13 @@
 import org.wigeonglade.core.id.Region;
 import org.wigeonglade.core.member.FleetViewSource;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.entry.caller.CallerParts;
 import org.wigeonglade.entry.caller.CallerServer;
 import org.wigeonglade.entry.online.EventLoop;
 import org.wigeonglade.entry.online.OnlineRuntime;
 import org.wigeonglade.entry.online.OnlineRuntimeBuilder;
+import org.wigeonglade.entry.operator.HopTracer;
+import org.wigeonglade.entry.operator.HostMetrics;
 import org.wigeonglade.schema.generated.settings.HostSettings;
 import org.wigeonglade.schema.generated.settings.TimingSettings;
 
@@ -47,6 +51,12 @@
 
 	private final EventLoop loop;
 
+	private final HostMetrics metrics = HostMetrics.create();
+
+	private final HopTracer tracer;
+
+	private final AccountRing account;
+
 	private final OnlineRuntime online;
 
 	private final CallerServer callers;
@@ -66,6 +76,10 @@
 				? new ListedFleetView(this.settings.getHost(), builder.directory(this.vertx), this.ticker) : null;
 		FleetViewSource fleet = (this.listed != null) ? this.listed : builder.getFleet();
 		ConfigurationSource configuration = builder::getInitialConfiguration;
+		long incarnation = this.ticker.wallMillis();
+		this.tracer = HopTracer.create(this.settings);
+		this.account = AccountRing.create(HostId.of(this.settings.getHost()), incarnation, this.ticker,
+				AccountRing.DEFAULT_CAPACITY);
 		this.loop = await(EventLoop.create(this.vertx));
 		this.online = new OnlineRuntimeBuilder(this.loop, HostId.of(this.settings.getHost()))
 			.withPlace(FailureDomain.of(this.settings.getFailureDomain()), Region.of(this.settings.getRegion()))
@@ -73,7 +87,8 @@
 			.withFleet(fleet)
 			.withClients(builder.clients(this.vertx))
 			.build();
-		this.callers = new CallerServer(this.vertx, this.settings, this.ticker, configuration, this.online);
+		this.callers = new CallerServer(this.vertx, new CallerParts(this.settings, this.ticker, configuration,
+				this.online, null, this.metrics, this.account, this.tracer));
 	}
 
 	/**
--- a/entry/src/main/java/org/wigeonglade/entry/host/EntryHostBuilder.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/EntryHostBuilder.java
@@ -34,7 +34,7 @@
 
 	private Function<Vertx, HostDirectory> directory = (vertx) -> () -> Uni.createFrom().item(List.of());
 
-	private Function<Vertx, UpstreamClients> clients;
+	private Function<Vertx, UpstreamClients> clients = HttpUpstreamClients::new;
 
 	EntryHostBuilder(HostSettings settings) {
 		this.settings = settings;
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
@@ -61,6 +61,8 @@
 
 	private final Suspects suspects;
 
+	private final ServiceCalls serviceCalls;
+
 	private final OnlineParts parts;
 
 	private final Random random;
@@ -93,6 +95,7 @@
 		ArrivalNotices arrivals = new ArrivalNotices(this.links,
 				(runner, from, count) -> this.batchListener.onArrival(runner, from, count));
 		this.suspects = new Suspects(this.loop, this.links, this.ticker, builder.getRecorder());
+		this.serviceCalls = new ServiceCalls(builder, this.suspects);
 		this.parts = new OnlineParts(this.loop, this.ticker, this.suspects,
 				new Isolation(this.loop, this.links, arrivals, this.ticker), arrivals, this.active);
 		if (builder.getPeers() != null) {
@@ -163,6 +166,14 @@
 		digest.setQuarantineCount((int) this.suspects.countQuarantined());
 	}
 
+	/**
+	 * Returns the calls to plain services.
+	 * @return the calls, never null
+	 */
+	public ServiceCalls getServiceCalls() {
+		return this.serviceCalls;
+	}
+
 	List<RunnerState> getDispatchedHere() {
 		return this.runners.getStates().stream().filter(RunnerState::isDispatchedHere).toList();
 	}
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineStream.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineStream.java
@@ -143,7 +143,7 @@
 			finish(refusal);
 		}
 		else {
-			finish(new UpstreamException(refusal.getCode(), RanState.RAN, false,
+			finish(new UpstreamException(refusal.getCode(), ran(), false,
 					refusal.getMessage() + "; an earlier attempt was lost", null));
 		}
 	}
@@ -177,7 +177,7 @@
 			finish((this.attempts == 0)
 					? new RefusedException(ErrorCode.DEADLINE_EXCEEDED, "the deadline passed while the request waited",
 							Duration.ofSeconds(1))
-					: new UpstreamException(ErrorCode.DEADLINE_EXCEEDED, RanState.RAN, false,
+					: new UpstreamException(ErrorCode.DEADLINE_EXCEEDED, ran(), false,
 							"the deadline passed before the answer was complete", null));
 			return;
 		}
@@ -343,6 +343,10 @@
 				this.request.traceParent());
 	}
 
+	private RanState ran() {
+		return this.tokens.isEmpty() ? RanState.UNKNOWN : RanState.RAN;
+	}
+
 	private double firstTokenRatio(Attempt source) {
 		if (this.tokens.size() == this.firstTokenIndex) {
 			return 0;
