Place models on runners under a term

One host per service and failure domain holds the placement under a term in the control stream. Property tests and simulated hosts with pauses and partitions pass; nothing was measured.

--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/place/PlacementKey.java
@@ -0,0 +1,19 @@
+package org.wigeonglade.core.place;
+
+import org.wigeonglade.core.id.FailureDomain;
+import org.wigeonglade.core.id.ServiceName;
+
+/**
+ * Names the runners of one service in one failure domain, which one host places.
+ *
+ * @param service the service
+ * @param domain the failure domain
+ */
+public record PlacementKey(ServiceName service, FailureDomain domain) {
+
+	@Override
+	public String toString() {
+		return this.service + "/" + this.domain;
+	}
+
+}
--- a/entry/src/main/java/org/wigeonglade/entry/control/ControlRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/ControlRuntime.java
@@ -22,11 +22,13 @@
 import org.wigeonglade.core.member.FleetViewSource;
 import org.wigeonglade.core.peer.PeerDirectory;
 import org.wigeonglade.core.peer.PeerExchange;
+import org.wigeonglade.core.place.PlacementLease;
 import org.wigeonglade.core.platform.HostDirectory;
 import org.wigeonglade.core.platform.LogService;
 import org.wigeonglade.core.settings.SettingsReader;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.peer.PeerIdentity;
+import org.wigeonglade.schema.generated.log.LogEntry;
 
 /**
  * Runs membership and configuration of one host. The sources that it gives can be read
@@ -55,6 +57,10 @@
 
 	private final ConfigurationCarrier carrier;
 
+	private final ControlStream stream;
+
+	private final PlacementRuntime placement;
+
 	private ControlRuntime(Builder builder) {
 		this.scheduler = (builder.loop != null) ? null : newScheduler(builder.identity.host().value());
 		Executor loop = (builder.loop != null) ? builder.loop : this.scheduler;
@@ -72,6 +78,9 @@
 		this.publisher = new ConfigurationPublisher(this.context, builder.bodies, this.configuration, configAppender);
 		this.carrier = new ConfigurationCarrier(this.context, this.members, this.configuration, configAppender);
 		this.configuration.addSliceListener(this.carrier::onSlice);
+		this.stream = new ControlStream(this.context, health);
+		this.placement = (builder.targets == null) ? null : new PlacementRuntime(this.context, this.members,
+				this.configuration, this.stream, builder.targets, builder.lease);
 	}
 
 	/**
@@ -142,6 +151,24 @@
 		this.configuration.addListener(listener);
 	}
 
+	/**
+	 * Registers a listener that is told of each entry of the control stream in order,
+	 * such as quarantine and durable events of the account.
+	 * @param listener the listener, called on the control loop and not allowed to block
+	 */
+	public void addControlListener(Consumer<LogEntry> listener) {
+		this.stream.addListener(listener);
+	}
+
+	/**
+	 * Appends entries to the control stream.
+	 * @param entries the entries, not null
+	 * @return the offset; fails with the failure of the platform
+	 */
+	public Uni<Long> appendControl(List<LogEntry> entries) {
+		return this.stream.append(this.stream.next(entries));
+	}
+
 	/**
 	 * Marks an upstream as leaving here and on every host that can be reached.
 	 * @param upstream the upstream, not null
@@ -156,7 +183,12 @@
 	 * Tells all hosts that this one stops. It stays a member until it closes.
 	 */
 	public void announceStop() {
-		this.context.loop().execute(this.members::announceStop);
+		this.context.loop().execute(() -> {
+			this.members.announceStop();
+			if (this.placement != null) {
+				this.placement.release();
+			}
+		});
 	}
 
 	/**
@@ -223,6 +255,11 @@
 		step("members", this.members::tick);
 		step("configuration", this.configuration::tick);
 		step("carrier", this.carrier::tick);
+		step("control stream", () -> this.stream.tick(this.context.options().logPoll().toMillis()
+				* FollowerChoice.getPollFactor(this.context, this.members)));
+		if (this.placement != null) {
+			step("placement", this.placement::tick);
+		}
 	}
 
 	private static void step(String name, Runnable action) {
@@ -276,6 +313,10 @@
 
 		private Executor loop;
 
+		private PlacementTargets targets;
+
+		private PlacementLease lease = PlacementLease.defaults();
+
 		private Builder() {
 		}
 
@@ -355,6 +396,18 @@
 			return this;
 		}
 
+		/**
+		 * Turns placement on.
+		 * @param value gives access to the runners; null turns placement off
+		 * @param times the lease of a placement, not null
+		 * @return this builder
+		 */
+		public Builder placement(PlacementTargets value, PlacementLease times) {
+			this.targets = value;
+			this.lease = times;
+			return this;
+		}
+
 		/**
 		 * Creates the runtime; {@link ControlRuntime#start()} starts it. Handlers of peer
 		 * messages are registered at once.
--- a/entry/src/test/java/org/wigeonglade/entry/control/SimulatedFleet.java
+++ b/entry/src/test/java/org/wigeonglade/entry/control/SimulatedFleet.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import io.smallrye.mutiny.Uni;
 import org.testng.Assert;
@@ -16,6 +17,7 @@
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.Region;
+import org.wigeonglade.core.place.PlacementLease;
 import org.wigeonglade.core.platform.HostRole;
 import org.wigeonglade.core.platform.ListedHost;
 import org.wigeonglade.core.time.ManualTicker;
@@ -30,8 +32,13 @@
 
 	static final Duration STEP = Duration.ofMillis(100);
 
-	private static final ConfigurationBody BODIES = (
-			json) -> new FleetConfiguration().withProfiles(List.of()).withServices(List.of()).withWorkspaces(List.of());
+	private static final FleetConfiguration EMPTY = new FleetConfiguration().withProfiles(List.of())
+		.withServices(List.of())
+		.withWorkspaces(List.of());
+
+	private final ConfigurationBody bodies;
+
+	private final Function<HostId, PlacementTargets> targets;
 
 	private final SimulatedNetwork network = new SimulatedNetwork();
 
@@ -46,6 +53,12 @@
 	private final Set<HostId> paused = new HashSet<>();
 
 	SimulatedFleet(int hosts) {
+		this(hosts, EMPTY, (host) -> null);
+	}
+
+	SimulatedFleet(int hosts, FleetConfiguration body, Function<HostId, PlacementTargets> targets) {
+		this.bodies = (json) -> body;
+		this.targets = targets;
 		for (int i = 0; i < hosts; i++) {
 			HostId host = HostId.of("h" + i);
 			this.platform.list(
@@ -62,6 +75,14 @@
 		return this.platform;
 	}
 
+	long getMillis() {
+		return this.tickers.values().iterator().next().millis();
+	}
+
+	boolean isPaused(HostId host) {
+		return this.paused.contains(host);
+	}
+
 	ControlRuntime get(String host) {
 		return this.runtimes.get(HostId.of(host));
 	}
@@ -83,7 +104,8 @@
 			.ticker(ticker)
 			.exchange(endpoint, endpoint)
 			.platform(this.platform.directoryFor(host), this.platform.logFor(host))
-			.bodies(BODIES)
+			.bodies(this.bodies)
+			.placement(this.targets.apply(host), PlacementLease.defaults())
 			.loop(this.network.executor())
 			.build());
 	}
