--- a/cli/src/main/java/org/wigeonglade/cli/Console.java
+++ b/cli/src/main/java/org/wigeonglade/cli/Console.java
@@ -4,6 +4,10 @@
 import java.util.Locale;
 
 import io.vertx.core.json.JsonObject;
+import me.tongfei.progressbar.ConsoleProgressBarConsumer;
+import me.tongfei.progressbar.ProgressBar;
+import me.tongfei.progressbar.ProgressBarBuilder;
+import me.tongfei.progressbar.ProgressBarConsumer;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
@@ -37,4 +41,34 @@
 		println(String.format(Locale.ROOT, format, values));
 	}
 
+	// The bar goes to standard error and shows nothing unless a person watches a
+	// terminal.
+	ProgressBar openProgress(String task, long steps) {
+		boolean watched = !this.json && System.console() != null;
+		return new ProgressBarBuilder().setTaskName(task)
+			.setInitialMax(steps)
+			.setConsumer((watched) ? new ConsoleProgressBarConsumer(System.err) : new SilentProgress())
+			.build();
+	}
+
+	/**
+	 * Drops the bar where nobody watches.
+	 */
+	private static final class SilentProgress implements ProgressBarConsumer {
+
+		@Override
+		public int getMaxRenderedLength() {
+			return 0;
+		}
+
+		@Override
+		public void accept(String rendered) {
+		}
+
+		@Override
+		public void close() {
+		}
+
+	}
+
 }
--- a/cli/src/main/java/org/wigeonglade/cli/StopSignals.java
+++ b/cli/src/main/java/org/wigeonglade/cli/StopSignals.java
@@ -29,13 +29,7 @@
 		this.atOnce = atOnce;
 	}
 
-	/**
-	 * Waits until the process is to end.
-	 * @param planned the planned stop, which returns the exit code
-	 * @param atOnce what is done before the process ends at the second signal; it must be
-	 * short
-	 * @return the exit code of the planned stop
-	 */
+	// The work at the second signal must be short, since the process ends right after it.
 	static int await(IntSupplier planned, Runnable atOnce) {
 		StopSignals signals = new StopSignals(planned, atOnce);
 		for (String name : List.of("TERM", "INT")) {
