--- a/bench/src/main/java/org/wigeonglade/bench/demo/EntryHostStarter.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/EntryHostStarter.java
@@ -1,6 +1,10 @@
 package org.wigeonglade.bench.demo;
 
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
@@ -11,6 +15,7 @@
 import org.wigeonglade.core.engine.EngineClient;
 import org.wigeonglade.core.engine.ServiceClient;
 import org.wigeonglade.core.member.UpstreamMember;
+import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.entry.host.EntryHost;
 import org.wigeonglade.entry.online.UpstreamClients;
 import org.wigeonglade.schema.generated.peer.LinkPurpose;
@@ -24,31 +29,43 @@
 
 	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
-	private EntryHostStarter() {
+	private static final int EVENT_LOOPS = 2;
+
+	private final Ticker ticker;
+
+	private EntryHostStarter(Ticker ticker) {
+		this.ticker = ticker;
 	}
 
 	/**
 	 * Returns a starter.
+	 * @param ticker the clocks of the hosts, not null
 	 * @return a starter, never null
 	 */
-	public static EntryHostStarter create() {
-		return new EntryHostStarter();
+	public static EntryHostStarter create(Ticker ticker) {
+		return new EntryHostStarter(ticker);
 	}
 
 	@Override
 	public FleetHost start(HostSettings settings, FleetConfiguration configuration) {
 		Duration timeout = Duration.ofMillis(settings.getPlatform().getTimeoutMs());
+		AtomicReference<Vertx> loops = new AtomicReference<>();
 		EntryHost host = EntryHost.builder(settings)
+			.withTicker(this.ticker)
+			.withEventLoops(EVENT_LOOPS)
 			.withInitialConfiguration(configuration)
 			.withDirectory((vertx) -> HttpHostDirectory.of(vertx, HttpClients.create(vertx, CONNECT_TIMEOUT),
 					settings.getPlatform().getHostListUrl(), timeout))
-			.withClients(HttpUpstreamClients::new)
+			.withClients((vertx) -> {
+				loops.set(vertx);
+				return new HttpUpstreamClients(vertx);
+			})
 			.build();
 		host.start();
-		return new RunningHost(host);
+		return new RunningHost(host, loops.get());
 	}
 
-	private record RunningHost(EntryHost host) implements FleetHost {
+	private record RunningHost(EntryHost host, Vertx loops) implements FleetHost {
 
 		@Override
 		public int callerPort() {
@@ -65,6 +82,24 @@
 			return 0;
 		}
 
+		@Override
+		public void pause(long millis) {
+			CountDownLatch ended = new CountDownLatch(EVENT_LOOPS);
+			for (int i = 0; i < EVENT_LOOPS; i++) {
+				// Contexts are assigned to the event loops in turn.
+				this.loops.getOrCreateContext().runOnContext((ignored) -> {
+					LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+					ended.countDown();
+				});
+			}
+			try {
+				ended.await();
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+
 		@Override
 		public void stop() {
 			this.host.stop();
--- a/bench/src/main/java/org/wigeonglade/bench/demo/FleetFixture.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/FleetFixture.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.UnaryOperator;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.protobuf.ByteString;
@@ -12,6 +13,7 @@
 import io.vertx.core.VertxOptions;
 import org.wigeonglade.core.platform.HostRole;
 import org.wigeonglade.core.platform.ListedHost;
+import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.schema.generated.log.ConfigChange;
 import org.wigeonglade.schema.generated.log.LogEntry;
 import org.wigeonglade.schema.generated.log.LogRecord;
@@ -274,7 +276,8 @@
 	private void publishConfiguration() {
 		byte[] body;
 		try {
-			body = new ObjectMapper().writeValueAsBytes(this.configuration);
+			body = new ObjectMapper().setSerializationInclusion(JsonInclude.Include.NON_NULL)
+				.writeValueAsBytes(this.configuration);
 		}
 		catch (JsonProcessingException ex) {
 			throw new IllegalStateException("the configuration cannot be written", ex);
@@ -316,7 +319,7 @@
 
 		private final Deployment deployment;
 
-		private FleetHostStarter starter = EntryHostStarter.create();
+		private FleetHostStarter starter = EntryHostStarter.create(Ticker.system());
 
 		private UnaryOperator<EngineSettings> engine = UnaryOperator.identity();
 
--- a/bench/src/main/java/org/wigeonglade/bench/demo/FleetHost.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/FleetHost.java
@@ -23,6 +23,12 @@
 	 */
 	int peerPort();
 
+	/**
+	 * Blocks the event loops of the host, as a long pause of its process does.
+	 * @param millis the length of the pause
+	 */
+	void pause(long millis);
+
 	/**
 	 * Stops the host as planned; requests in progress finish.
 	 */
--- a/bench/src/main/java/org/wigeonglade/bench/history/HistoryRecorder.java
+++ b/bench/src/main/java/org/wigeonglade/bench/history/HistoryRecorder.java
@@ -2,6 +2,7 @@
 
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
 
 import org.wigeonglade.standins.engine.EngineLedger;
 import org.wigeonglade.standins.service.ServiceStandIn;
@@ -13,12 +14,24 @@
 
 	private final Queue<HistoryEntry> entries = new ConcurrentLinkedQueue<>();
 
+	private volatile Consumer<HistoryEntry> listener = (entry) -> {
+	};
+
 	/**
 	 * Records an entry.
 	 * @param entry the entry, not null
 	 */
 	public void record(HistoryEntry entry) {
 		this.entries.add(entry);
+		this.listener.accept(entry);
+	}
+
+	/**
+	 * Sets a listener of coming entries, for faults at a step that only a client sees.
+	 * @param value called on the client's thread, not null
+	 */
+	public void listen(Consumer<HistoryEntry> value) {
+		this.listener = value;
 	}
 
 	/**
--- a/bench/src/main/java/org/wigeonglade/bench/history/PromiseCheckers.java
+++ b/bench/src/main/java/org/wigeonglade/bench/history/PromiseCheckers.java
@@ -182,6 +182,12 @@
 
 	static List<String> checkConfigurations(History history) {
 		List<String> evidence = new ArrayList<>();
+		Set<Long> accepted = new HashSet<>();
+		history.of(ConfigAccepted.class).forEach((change) -> {
+			if (!accepted.add(change.version())) {
+				evidence.add("version " + change.version() + " was accepted from two operators");
+			}
+		});
 		Map<String, Long> seen = new HashMap<>();
 		history.of(ConfigSeen.class).forEach((read) -> {
 			Long before = seen.put(read.host(), read.version());
@@ -189,11 +195,11 @@
 				evidence.add(read.host() + " went back from version " + before + " to " + read.version());
 			}
 			history.of(ConfigAccepted.class)
-				.filter((accepted) -> accepted.version() > read.version())
-				.filter((accepted) -> read.nanos() > accepted.nanos() + CONFIG_BOUND.toNanos())
-				.forEach((accepted) -> evidence.add(
-						read.host() + " is at version " + read.version() + " " + millis(read.nanos() - accepted.nanos())
-								+ " ms after version " + accepted.version() + " was accepted"));
+				.filter((change) -> change.version() > read.version())
+				.filter((change) -> read.nanos() > change.nanos() + CONFIG_BOUND.toNanos())
+				.forEach((change) -> evidence
+					.add(read.host() + " is at version " + read.version() + " " + millis(read.nanos() - change.nanos())
+							+ " ms after version " + change.version() + " was accepted"));
 		});
 		return evidence;
 	}
--- a/bench/src/test/java/org/wigeonglade/bench/history/PromiseCheckersTests.java
+++ b/bench/src/test/java/org/wigeonglade/bench/history/PromiseCheckersTests.java
@@ -61,7 +61,8 @@
 				{ "P5", new ServiceCall("h1", "s1", ms(4), ms(9), 503, "not_run"), 1 },
 				{ "P6", new ServiceRun("svc", "s1", ms(40)), 1 }, { "P7", work("r1", "QUEUED", "p6", 3200), 1 },
 				{ "P8", online("h2", "p7", 6900, 7400, false, "", "connection_lost", ""), 1 },
-				{ "P9", new ConfigSeen("h1", 1, ms(7250)), 2 }, { "P9", new ConfigSeen("h2", 1, ms(7250)), 1 } };
+				{ "P9", new ConfigSeen("h1", 1, ms(7250)), 2 }, { "P9", new ConfigSeen("h2", 1, ms(7250)), 1 },
+				{ "P9", new ConfigAccepted(2, ms(7100)), 1 } };
 	}
 
 	@Test
--- a/standins/src/main/java/org/wigeonglade/standins/engine/EngineLedger.java
+++ b/standins/src/main/java/org/wigeonglade/standins/engine/EngineLedger.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -20,13 +21,23 @@
 
 	private long crashes;
 
-	synchronized void record(Kind kind, String requestId, String prompt, int tokens, long nanos) {
-		this.entries.add(new Entry(kind, requestId, prompt, tokens, nanos));
+	private volatile Consumer<Entry> listener = (entry) -> {
+	};
+
+	void record(Kind kind, String requestId, String prompt, int tokens, long nanos) {
+		Entry entry = new Entry(kind, requestId, prompt, tokens, nanos);
+		add(entry);
+		this.listener.accept(entry);
+	}
+
+	private synchronized void add(Entry entry) {
+		this.entries.add(entry);
+		Kind kind = entry.kind;
 		if (kind == Kind.STARTED) {
 			this.running++;
 			this.maxRunning = Math.max(this.maxRunning, this.running);
 		}
-		else if (kind != Kind.QUEUED && kind != Kind.DROPPED) {
+		else if (kind != Kind.QUEUED && kind != Kind.DROPPED && kind != Kind.FIRST_TOKEN) {
 			this.running--;
 		}
 	}
@@ -35,6 +46,14 @@
 		this.crashes++;
 	}
 
+	/**
+	 * Sets a listener of coming entries, for faults at a step of a request.
+	 * @param value called on the engine's event loop and not allowed to block, not null
+	 */
+	public void listen(Consumer<Entry> value) {
+		this.listener = value;
+	}
+
 	/**
 	 * Returns all entries.
 	 * @return a copy in order of time
@@ -105,6 +124,9 @@
 		/** A request got a slot: it ran. */
 		STARTED,
 
+		/** The first token of this attempt was written. */
+		FIRST_TOKEN,
+
 		/** The whole answer was written. */
 		COMPLETED,
 
--- a/standins/src/main/java/org/wigeonglade/standins/engine/EngineScheduler.java
+++ b/standins/src/main/java/org/wigeonglade/standins/engine/EngineScheduler.java
@@ -157,7 +157,11 @@
 		boolean changed = false;
 		for (Iterator<EngineStream> iterator = this.running.iterator(); iterator.hasNext();) {
 			EngineStream stream = iterator.next();
+			int written = stream.getWritten();
 			stream.writeDue(now, this.settings.tokenMicros * NANOS_PER_MICRO, this.endMark);
+			if (written == 0 && stream.getWritten() > 0) {
+				record(Kind.FIRST_TOKEN, stream);
+			}
 			if (stream.isDone()) {
 				iterator.remove();
 				record(Kind.COMPLETED, stream);
--- a/standins/src/main/java/org/wigeonglade/standins/log/LogStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/log/LogStandIn.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -61,6 +62,9 @@
 
 	private volatile long latencyMillis;
 
+	private volatile BiConsumer<String, byte[]> listener = (stream, payload) -> {
+	};
+
 	private LogStandIn(Builder builder) {
 		this.server = StandInServer.create(builder.vertx, builder.port);
 		this.ticker = builder.ticker;
@@ -110,6 +114,15 @@
 		return this.readFaults;
 	}
 
+	/**
+	 * Sets a listener of coming appends, for faults at a step of a flow.
+	 * @param value called with the stream and the record after the append took effect, on
+	 * an event loop and not allowed to block
+	 */
+	public void listen(BiConsumer<String, byte[]> value) {
+		this.listener = value;
+	}
+
 	/**
 	 * Starts or ends an outage in which every call is failed.
 	 * @param fault how calls fail, or null to end the outage
@@ -268,6 +281,7 @@
 		long offset = stream.append(payload, this.ticker.nanos());
 		this.appends.incrementAndGet();
 		this.appendedBytes.addAndGet(payload.length);
+		this.listener.accept(name, payload);
 		return offset;
 	}
 
