--- a/entry/src/main/java/org/wigeonglade/entry/online/RunnerTable.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/RunnerTable.java
@@ -1,16 +1,28 @@
 package org.wigeonglade.entry.online;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
+import org.wigeonglade.core.id.FailureDomain;
+import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.id.UpstreamId;
+import org.wigeonglade.core.member.FleetLoadSource;
 import org.wigeonglade.core.member.FleetView;
 import org.wigeonglade.core.member.FleetViewSource;
+import org.wigeonglade.core.member.HostMember;
+import org.wigeonglade.core.member.Rendezvous;
 import org.wigeonglade.core.member.UpstreamMember;
+import org.wigeonglade.core.route.ConcurrencyLimit;
+import org.wigeonglade.core.route.Subset;
+import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.schema.generated.peer.LinkPurpose;
+import org.wigeonglade.schema.generated.peer.UpstreamView;
 
 /**
  * Keeps the state of all known runners in step with the fleet view. Thread-safe; readers
@@ -18,17 +30,27 @@
  */
 public final class RunnerTable {
 
+	/** Stands for the dispatcher of a domain without hosts. */
+	private static final HostId NOBODY = HostId.of("nobody");
+
+	private final HostId self;
+
 	private final FleetViewSource fleet;
 
 	private final UpstreamClients clients;
 
-	private volatile FleetView seen = FleetView.EMPTY;
+	private final Ticker ticker;
 
-	private volatile Map<UpstreamId, RunnerState> states = Map.of();
+	private final FleetLoadSource load;
 
-	RunnerTable(FleetViewSource fleet, UpstreamClients clients) {
+	private volatile Snapshot snapshot = new Snapshot(FleetView.EMPTY, Map.of(), Map.of());
+
+	RunnerTable(HostId self, FleetViewSource fleet, UpstreamClients clients, Ticker ticker, FleetLoadSource load) {
+		this.self = self;
 		this.fleet = fleet;
 		this.clients = clients;
+		this.ticker = ticker;
+		this.load = load;
 	}
 
 	/**
@@ -36,8 +58,7 @@
 	 * @return the states, never null
 	 */
 	public Collection<RunnerState> getStates() {
-		refresh();
-		return this.states.values();
+		return refresh().states().values();
 	}
 
 	/**
@@ -46,43 +67,117 @@
 	 * @return the state, or null if it is unknown
 	 */
 	public RunnerState find(UpstreamId id) {
-		refresh();
-		return this.states.get(id);
+		return refresh().states().get(id);
 	}
 
-	List<RunnerState> getUsable(ServiceName service) {
-		refresh();
-		return this.states.values()
-			.stream()
-			.filter((s) -> s.getMember().service().equals(service) && !s.getMember().leaving())
+	/**
+	 * Returns the figures of this host for its digest.
+	 * @return one entry for each runner with work of this host or an open breaker
+	 */
+	public List<UpstreamView> toUpstreamViews() {
+		return getStates().stream()
+			.filter((s) -> s.getAnnouncedCount() > 0 || s.getBatch() > 0 || s.isBreakerOpen())
+			.map(RunnerTable::toView)
 			.toList();
 	}
 
-	private void refresh() {
-		FleetView view = this.fleet.current();
-		if (view != this.seen) {
-			apply(view);
+	/**
+	 * Returns the fleet view that the table is in step with.
+	 * @return the view, never null
+	 */
+	public FleetView getFleet() {
+		return refresh().view();
+	}
+
+	/**
+	 * Returns the runners of this host's subset that may get new work.
+	 * @param service the service, not null
+	 * @param domain the failure domain, not null
+	 * @return the states, in stable order
+	 */
+	List<RunnerState> getSubset(ServiceName service, FailureDomain domain) {
+		return refresh().subsets().getOrDefault(new Group(service, domain), List.of());
+	}
+
+	Set<FailureDomain> getDomains(ServiceName service) {
+		Set<FailureDomain> domains = new TreeSet<>();
+		for (Group group : refresh().subsets().keySet()) {
+			if (group.service().equals(service)) {
+				domains.add(group.domain());
+			}
 		}
+		return domains;
+	}
+
+	private Snapshot refresh() {
+		Snapshot current = this.snapshot;
+		FleetView view = this.fleet.current();
+		return (view != current.view()) ? apply(view) : current;
 	}
 
-	private synchronized void apply(FleetView view) {
+	private synchronized Snapshot apply(FleetView view) {
+		Snapshot before = this.snapshot;
+		if (view == before.view()) {
+			return before;
+		}
 		Map<UpstreamId, RunnerState> next = new HashMap<>();
+		Map<Group, List<UpstreamMember>> groups = new HashMap<>();
+		boolean first = before.view() == FleetView.EMPTY;
 		for (UpstreamMember member : view.upstreams()) {
-			if (!member.runner()) {
-				continue;
-			}
-			RunnerState state = this.states.get(member.id());
-			if (state == null || state.getMember().incarnation() != member.incarnation()
-					|| !state.getMember().address().equals(member.address())) {
-				state = new RunnerState(member, this.clients.engine(member, LinkPurpose.CONTROL));
+			if (member.runner()) {
+				RunnerState state = keepOrCreate(before.states().get(member.id()), member, first);
+				HostId dispatcher = dispatcherOf(view, member);
+				state.setDispatcher(dispatcher, dispatcher.equals(this.self));
+				next.put(member.id(), state);
+				if (!member.leaving()) {
+					groups.computeIfAbsent(new Group(member.service(), member.domain()), (g) -> new ArrayList<>())
+						.add(member);
+				}
 			}
-			else {
-				state.setMember(member);
-			}
-			next.put(member.id(), state);
 		}
-		this.states = Map.copyOf(next);
-		this.seen = view;
+		Map<Group, List<RunnerState>> subsets = new HashMap<>();
+		groups.forEach((group, members) -> subsets.put(group,
+				Subset.of(this.self, members, Subset.DEFAULT_SIZE).stream().map((m) -> next.get(m.id())).toList()));
+		this.snapshot = new Snapshot(view, Map.copyOf(next), Map.copyOf(subsets));
+		return this.snapshot;
+	}
+
+	private HostId dispatcherOf(FleetView view, UpstreamMember member) {
+		return Rendezvous.first(member.id().value(), view.getHostsOf(member.domain()), (h) -> h.id().value())
+			.map(HostMember::id)
+			.orElse(NOBODY);
+	}
+
+	private RunnerState keepOrCreate(RunnerState known, UpstreamMember member, boolean first) {
+		if (known != null && known.getMember().incarnation() == member.incarnation()
+				&& known.getMember().address().equals(member.address())) {
+			known.setMember(member);
+			return known;
+		}
+		long now = this.ticker.nanos();
+		return new RunnerState(member, this.clients.engine(member, LinkPurpose.CONTROL),
+				this.clients.engine(member, LinkPurpose.BATCH),
+				first ? ConcurrencyLimit.initial(now) : ConcurrencyLimit.slowStart(now),
+				() -> this.load.currentLoad().getUpstream(member.id()).inFlightOnline());
+	}
+
+	private static UpstreamView toView(RunnerState state) {
+		return UpstreamView.newBuilder()
+			.setUpstream(state.getMember().id().value())
+			.setIncarnation(state.getMember().incarnation())
+			.setInFlightOnline(state.getAnnouncedCount())
+			.setInFlightBatch(state.getBatch())
+			.setLimit(state.getLimit())
+			.setLeaving(state.getMember().leaving())
+			.setOpenBreaker(state.isBreakerOpen())
+			.build();
+	}
+
+	private record Group(ServiceName service, FailureDomain domain) {
+	}
+
+	private record Snapshot(FleetView view, Map<UpstreamId, RunnerState> states,
+			Map<Group, List<RunnerState>> subsets) {
 	}
 
 }
