Wire control, peers and operators into the entry host

Cause: the host read the host list directly and stood alone. Change: the host builds exchange, control runtime, online path, batch dispatcher, operators' and callers' listeners from its settings, follows the planned stop (readiness, notice, balancer delay, hand-over of batch work, drain, release) and ends with code 130 at a second signal. The status of a job also has request_counts, which the demo reads.

--- a/bench/src/main/java/org/wigeonglade/bench/demo/EntryHostStarter.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/EntryHostStarter.java
@@ -57,12 +57,12 @@
 
 		@Override
 		public int operatorPort() {
-			return 0;
+			return this.host.getOperatorPort();
 		}
 
 		@Override
 		public int peerPort() {
-			return 0;
+			return this.host.getPeerPort();
 		}
 
 		@Override
--- a/entry/src/main/java/org/wigeonglade/entry/caller/BatchHandler.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/BatchHandler.java
@@ -102,6 +102,10 @@
 			.put("object", "batch")
 			.put("service", job.service())
 			.put("status", job.state().name().toLowerCase(Locale.ROOT))
+			.put("request_counts",
+					new JsonObject().put("total", job.items())
+						.put("completed", job.completed())
+						.put("failed", job.failed()))
 			.put("items", job.items())
 			.put("completed", job.completed())
 			.put("failed", job.failed())
--- a/entry/src/main/java/org/wigeonglade/entry/host/EntryHost.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/EntryHost.java
@@ -2,32 +2,9 @@
 
 import java.time.Duration;
 import java.util.Objects;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 
-import io.vertx.core.Future;
-import io.vertx.core.Promise;
-import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
-import org.wigeonglade.core.account.AccountRing;
-import org.wigeonglade.core.config.ConfigurationSource;
-import org.wigeonglade.core.error.ErrorCode;
-import org.wigeonglade.core.error.PlatformException;
 import org.wigeonglade.core.event.EventLogger;
-import org.wigeonglade.core.id.FailureDomain;
-import org.wigeonglade.core.id.HostId;
-import org.wigeonglade.core.id.Region;
-import org.wigeonglade.core.member.FleetViewSource;
-import org.wigeonglade.core.time.Ticker;
-import org.wigeonglade.entry.caller.CallerParts;
-import org.wigeonglade.entry.caller.CallerServer;
-import org.wigeonglade.entry.online.EventLoop;
-import org.wigeonglade.entry.online.OnlineRuntime;
-import org.wigeonglade.entry.online.OnlineRuntimeBuilder;
-import org.wigeonglade.entry.operator.HopTracer;
-import org.wigeonglade.entry.operator.HostMetrics;
 import org.wigeonglade.schema.generated.settings.HostSettings;
 import org.wigeonglade.schema.generated.settings.TimingSettings;
 
@@ -39,56 +16,23 @@
 
 	private static final EventLogger LOG = EventLogger.of(EntryHost.class);
 
-	private static final Duration START_LIMIT = Duration.ofSeconds(30);
+	/** Interval at which the end of requests in progress is awaited, in milliseconds. */
+	private static final long DRAIN_POLL_MILLIS = 5;
+
+	private final EntryHostBuilder builder;
 
 	private final HostSettings settings;
 
 	private final TimingSettings timing;
 
-	private final Ticker ticker;
-
-	private final Vertx vertx;
-
-	private final EventLoop loop;
-
-	private final HostMetrics metrics = HostMetrics.create();
-
-	private final HopTracer tracer;
-
-	private final AccountRing account;
-
-	private final OnlineRuntime online;
-
-	private final CallerServer callers;
-
-	private final ListedFleetView listed;
-
 	private final AtomicReference<HostPhase> phase = new AtomicReference<>(HostPhase.NEW);
 
+	private volatile HostAssembly assembly;
+
 	EntryHost(EntryHostBuilder builder) {
+		this.builder = builder;
 		this.settings = builder.getSettings();
 		this.timing = (this.settings.getTiming() != null) ? this.settings.getTiming() : new TimingSettings();
-		this.ticker = builder.getTicker();
-		this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(builder.getEventLoops())
-			.setWorkerPoolSize(2)
-			.setInternalBlockingPoolSize(2));
-		this.listed = (builder.getFleet() == null)
-				? new ListedFleetView(this.settings.getHost(), builder.directory(this.vertx), this.ticker) : null;
-		FleetViewSource fleet = (this.listed != null) ? this.listed : builder.getFleet();
-		ConfigurationSource configuration = builder::getInitialConfiguration;
-		long incarnation = this.ticker.wallMillis();
-		this.tracer = HopTracer.create(this.settings);
-		this.account = AccountRing.create(HostId.of(this.settings.getHost()), incarnation, this.ticker,
-				AccountRing.DEFAULT_CAPACITY);
-		this.loop = await(EventLoop.create(this.vertx));
-		this.online = new OnlineRuntimeBuilder(this.loop, HostId.of(this.settings.getHost()))
-			.withPlace(FailureDomain.of(this.settings.getFailureDomain()), Region.of(this.settings.getRegion()))
-			.withTicker(this.ticker)
-			.withFleet(fleet)
-			.withClients(builder.clients(this.vertx))
-			.build();
-		this.callers = new CallerServer(this.vertx, new CallerParts(this.settings, this.ticker, configuration,
-				this.online, null, this.metrics, this.account, this.tracer));
 	}
 
 	/**
@@ -102,41 +46,48 @@
 
 	/**
 	 * Starts all parts and waits until callers are served.
-	 * @throws PlatformException if a listener cannot be opened
+	 * @throws org.wigeonglade.core.error.PlatformException if a part cannot be started
 	 */
 	public void start() {
 		if (!this.phase.compareAndSet(HostPhase.NEW, HostPhase.STARTED)) {
 			throw new IllegalStateException("host was started before");
 		}
-		if (this.listed != null) {
-			this.listed.poll();
-			this.vertx.setPeriodic(this.timing.getHostListPollMs(), (id) -> this.listed.poll());
+		HostAssembly created = new HostAssembly(this.builder, this::isReady);
+		this.assembly = created;
+		try {
+			created.start();
+		}
+		catch (RuntimeException ex) {
+			kill();
+			throw ex;
 		}
-		this.online.start();
-		Promise<Void> opened = Promise.promise();
-		this.loop.execute(() -> this.callers.start().onComplete(opened));
-		await(opened.future());
-		LOG.log(HostEvent.STARTED, this.settings.getHost(), getCallerPort(), 0, 0);
+		LOG.log(HostEvent.STARTED, this.settings.getHost(), getCallerPort(), getPeerPort(), getOperatorPort());
 	}
 
 	/**
-	 * Stops as planned: takes no new work, finishes the requests in progress within the
-	 * drain limit and closes all parts. Returns at once when the host was stopped before.
+	 * Stops as planned: fails readiness, takes no new work after the delay of the load
+	 * balancer, hands batch work over, finishes the requests in progress within the drain
+	 * limit and closes all parts. Returns at once when the host was stopped before.
 	 * @return the number of requests that were interrupted by the drain limit
 	 */
 	public int stop() {
 		if (!this.phase.compareAndSet(HostPhase.STARTED, HostPhase.STOPPING)) {
 			return 0;
 		}
-		LOG.log(HostEvent.STOPPING, this.settings.getHost(), this.callers.getInProgress());
+		HostAssembly parts = this.assembly;
+		LOG.log(HostEvent.STOPPING, this.settings.getHost(), parts.getInProgress());
+		parts.announceStop();
 		sleep(this.timing.getBalancerDelayMs());
-		this.callers.stopAccepting();
-		long limit = this.ticker.millis() + this.timing.getDrainLimitMs();
-		while (this.callers.getInProgress() > 0 && this.ticker.millis() < limit) {
-			sleep(5);
+		parts.stopAccepting();
+		parts.stopDispatch();
+		long limit = System.nanoTime() + Duration.ofMillis(this.timing.getDrainLimitMs()).toNanos();
+		while (parts.getInProgress() > 0 && System.nanoTime() - limit < 0) {
+			sleep(DRAIN_POLL_MILLIS);
 		}
-		int interrupted = this.callers.getInProgress();
-		close();
+		int interrupted = parts.getInProgress();
+		parts.stopBatch();
+		this.phase.set(HostPhase.STOPPED);
+		parts.close();
 		LOG.log(HostEvent.STOPPED, this.settings.getHost(), interrupted);
 		return interrupted;
 	}
@@ -148,9 +99,39 @@
 		if (this.phase.getAndSet(HostPhase.STOPPED) == HostPhase.STOPPED) {
 			return;
 		}
-		int interrupted = this.callers.getInProgress();
-		close();
-		LOG.log(HostEvent.KILLED, this.settings.getHost(), interrupted);
+		HostAssembly parts = this.assembly;
+		if (parts != null) {
+			int interrupted = parts.getInProgress();
+			parts.kill();
+			LOG.log(HostEvent.KILLED, this.settings.getHost(), interrupted);
+		}
+	}
+
+	/**
+	 * Returns whether the host takes new work.
+	 * @return false before it knows the configuration and from the start of a planned
+	 * stop
+	 */
+	public boolean isReady() {
+		HostAssembly parts = this.assembly;
+		return this.phase.get() == HostPhase.STARTED && parts != null && parts.isConfigured();
+	}
+
+	/**
+	 * Returns the number of callers' requests in progress.
+	 * @return a count, at least 0
+	 */
+	public int getInProgress() {
+		HostAssembly parts = this.assembly;
+		return (parts != null) ? parts.getInProgress() : 0;
+	}
+
+	/**
+	 * Returns the name of the host.
+	 * @return the name, never null
+	 */
+	public String getName() {
+		return this.settings.getHost();
 	}
 
 	/**
@@ -158,33 +139,34 @@
 	 * @return a port, 0 before the start
 	 */
 	public int getCallerPort() {
-		return this.callers.getPort();
+		HostAssembly parts = this.assembly;
+		return (parts != null) ? parts.getCallerPort() : 0;
 	}
 
-	private void close() {
-		this.phase.set(HostPhase.STOPPED);
-		await(this.vertx.close());
+	/**
+	 * Returns the port of the operators' listener.
+	 * @return a port, 0 before the start
+	 */
+	public int getOperatorPort() {
+		HostAssembly parts = this.assembly;
+		return (parts != null) ? parts.getOperatorPort() : 0;
 	}
 
-	private static void sleep(long millis) {
-		try {
-			Thread.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
+	/**
+	 * Returns the port of the listener for other hosts.
+	 * @return a port, 0 before the start and on a host that stands alone
+	 */
+	public int getPeerPort() {
+		HostAssembly parts = this.assembly;
+		return (parts != null) ? parts.getPeerPort() : 0;
 	}
 
-	private static <T> T await(Future<T> future) {
+	private static void sleep(long millis) {
 		try {
-			return future.toCompletionStage().toCompletableFuture().get(START_LIMIT.toSeconds(), TimeUnit.SECONDS);
+			Thread.sleep(millis);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
-			throw new PlatformException(ErrorCode.PLATFORM_UNAVAILABLE, "interrupted", ex);
-		}
-		catch (ExecutionException | TimeoutException ex) {
-			throw new PlatformException(ErrorCode.PLATFORM_UNAVAILABLE, "a part of the host failed", ex);
 		}
 	}
 
--- a/entry/src/main/java/org/wigeonglade/entry/host/EntryHostBuilder.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/EntryHostBuilder.java
@@ -1,15 +1,19 @@
 package org.wigeonglade.entry.host;
 
-import java.util.List;
+import java.time.Duration;
 import java.util.Objects;
 import java.util.function.Function;
 
-import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
+import org.wigeonglade.adapters.hosts.HttpHostDirectory;
+import org.wigeonglade.adapters.http.HttpClients;
+import org.wigeonglade.adapters.log.HttpLogService;
 import org.wigeonglade.core.config.VersionedConfiguration;
 import org.wigeonglade.core.member.FleetViewSource;
 import org.wigeonglade.core.platform.HostDirectory;
+import org.wigeonglade.core.platform.LogService;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.entry.batch.BatchRuntime;
 import org.wigeonglade.entry.online.UpstreamClients;
 import org.wigeonglade.schema.generated.settings.FleetConfiguration;
 import org.wigeonglade.schema.generated.settings.HostSettings;
@@ -32,7 +36,11 @@
 
 	private FleetViewSource fleet;
 
-	private Function<Vertx, HostDirectory> directory = (vertx) -> () -> Uni.createFrom().item(List.of());
+	private Function<Vertx, HostDirectory> directory = this::httpDirectory;
+
+	private Function<Vertx, LogService> log = this::httpLog;
+
+	private Function<HostParts, BatchRuntime> batch = (parts) -> null;
 
 	private Function<Vertx, UpstreamClients> clients = HttpUpstreamClients::new;
 
@@ -72,7 +80,8 @@
 	}
 
 	/**
-	 * Sets the source of the fleet view.
+	 * Sets the source of the fleet view. The host then stands alone: it has no platform,
+	 * no other hosts and no batch work.
 	 * @param fleet the source, not null
 	 * @return this builder
 	 */
@@ -91,6 +100,26 @@
 		return this;
 	}
 
+	/**
+	 * Sets the log service.
+	 * @param log creates the client, not null
+	 * @return this builder
+	 */
+	public EntryHostBuilder withLog(Function<Vertx, LogService> log) {
+		this.log = Objects.requireNonNull(log, "log");
+		return this;
+	}
+
+	/**
+	 * Sets the batch runtime.
+	 * @param batch creates the runtime, not null
+	 * @return this builder
+	 */
+	public EntryHostBuilder withBatch(Function<HostParts, BatchRuntime> batch) {
+		this.batch = Objects.requireNonNull(batch, "batch");
+		return this;
+	}
+
 	/**
 	 * Sets the clients of upstreams.
 	 * @param clients creates the clients, not null
@@ -133,8 +162,30 @@
 		return this.directory.apply(vertx);
 	}
 
+	LogService log(Vertx vertx) {
+		return this.log.apply(vertx);
+	}
+
+	BatchRuntime batch(HostParts parts) {
+		return this.batch.apply(parts);
+	}
+
 	UpstreamClients clients(Vertx vertx) {
 		return this.clients.apply(vertx);
 	}
 
+	private HostDirectory httpDirectory(Vertx vertx) {
+		return HttpHostDirectory.of(vertx, HttpClients.create(vertx, timeout()),
+				this.settings.getPlatform().getHostListUrl(), timeout());
+	}
+
+	private LogService httpLog(Vertx vertx) {
+		return HttpLogService.of(vertx, HttpClients.create(vertx, timeout()), this.settings.getPlatform().getLogUrl(),
+				timeout());
+	}
+
+	private Duration timeout() {
+		return Duration.ofMillis(this.settings.getPlatform().getTimeoutMs());
+	}
+
 }
--- a/entry/src/main/java/org/wigeonglade/entry/host/HostEvent.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/HostEvent.java
@@ -24,8 +24,8 @@
 	/** A part could not be stopped in time. */
 	STOP_FAILED(1105, Level.WARNING, "a part of the host did not stop cleanly", "host", "part"),
 
-	/** The host list could not be read. */
-	HOST_LIST_FAILED(1106, Level.WARNING, "host list could not be read", "host");
+	/** A second signal ended the process during a planned stop. */
+	ENDED_BY_SIGNAL(1106, Level.ERROR, "second signal ended the process at once", "host", "interrupted");
 
 	private final int number;
 
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
@@ -174,6 +174,14 @@
 		return this.serviceCalls;
 	}
 
+	/**
+	 * Counts the quarantined fingerprints that this host knows.
+	 * @return a count, at least 0
+	 */
+	public long countQuarantined() {
+		return this.suspects.countQuarantined();
+	}
+
 	List<RunnerState> getDispatchedHere() {
 		return this.runners.getStates().stream().filter(RunnerState::isDispatchedHere).toList();
 	}
