--- a/entry/src/main/java/org/wigeonglade/entry/operator/ConfigurationAdmin.java
+++ b/entry/src/main/java/org/wigeonglade/entry/operator/ConfigurationAdmin.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 import io.smallrye.mutiny.Uni;
-import org.wigeonglade.core.config.AcceptedChange;
+import org.wigeonglade.schema.generated.log.ConfigChange;
 
 /**
  * Publishes configurations and reads their history.
@@ -26,6 +26,6 @@
 	 * Reads the accepted changes.
 	 * @return the retained changes in order of version
 	 */
-	Uni<List<AcceptedChange>> history();
+	Uni<List<ConfigChange>> history();
 
 }
--- a/entry/src/main/java/org/wigeonglade/entry/operator/OperatorRoutes.java
+++ b/entry/src/main/java/org/wigeonglade/entry/operator/OperatorRoutes.java
@@ -15,7 +15,6 @@
 import io.vertx.ext.web.handler.BodyHandler;
 import org.wigeonglade.core.account.Account;
 import org.wigeonglade.core.account.AccountQuery;
-import org.wigeonglade.core.config.AcceptedChange;
 import org.wigeonglade.core.config.VersionedConfiguration;
 import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.InvalidRequestException;
@@ -23,6 +22,7 @@
 import org.wigeonglade.core.error.WigeongladeException;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.settings.SettingsReader;
+import org.wigeonglade.schema.generated.log.ConfigChange;
 
 /**
  * Handles the requests of operators.
@@ -111,13 +111,14 @@
 		}));
 	}
 
-	private static JsonObject describe(AcceptedChange change) {
-		JsonObject json = new JsonObject().put("version", change.version())
-			.put("author", change.author())
-			.put("reason", change.reason())
-			.put("time", Instant.ofEpochMilli(change.wallTimeMillis()).toString())
-			.put("bytes", change.bodyBytes());
-		return (change.rollbackOf() > 0) ? json.put("rollbackOf", change.rollbackOf()) : json;
+	private static JsonObject describe(ConfigChange change) {
+		JsonObject json = new JsonObject().put("version", change.getVersion())
+			.put("baseVersion", change.getBaseVersion())
+			.put("author", change.getAuthor())
+			.put("reason", change.getReason())
+			.put("time", Instant.ofEpochMilli(change.getWallTimeMs()).toString())
+			.put("bytes", change.getBody().size());
+		return (change.getRollbackOf() > 0) ? json.put("rollbackOf", change.getRollbackOf()) : json;
 	}
 
 	private void explain(RoutingContext request) {
--- a/entry/src/test/java/org/wigeonglade/entry/operator/OperatorServerTests.java
+++ b/entry/src/test/java/org/wigeonglade/entry/operator/OperatorServerTests.java
@@ -18,7 +18,6 @@
 import org.testng.annotations.Test;
 import org.wigeonglade.core.account.AccountCode;
 import org.wigeonglade.core.account.AccountRing;
-import org.wigeonglade.core.config.AcceptedChange;
 import org.wigeonglade.core.config.VersionedConfiguration;
 import org.wigeonglade.core.error.ConflictException;
 import org.wigeonglade.core.error.ErrorCode;
@@ -37,6 +36,7 @@
 import org.wigeonglade.core.platform.StoredRecord;
 import org.wigeonglade.core.time.ManualTicker;
 import org.wigeonglade.schema.generated.log.AccountRecord;
+import org.wigeonglade.schema.generated.log.ConfigChange;
 import org.wigeonglade.schema.generated.log.LogEntry;
 import org.wigeonglade.schema.generated.log.LogRecord;
 import org.wigeonglade.schema.generated.peer.LinkPurpose;
@@ -248,8 +248,8 @@
 	}
 
 	@Override
-	public Uni<List<AcceptedChange>> history() {
-		return Uni.createFrom().item(List.of(new AcceptedChange(5, "ana", "spring", 0, 0, 7, 100)));
+	public Uni<List<ConfigChange>> history() {
+		return Uni.createFrom().item(List.of(ConfigChange.newBuilder().setVersion(5).setAuthor("ana").build()));
 	}
 
 }
