Run the batch runtime on every host

Change: the host starts the batch runtime, tells it the owners of partitions from digests and lets the dispatcher pull from it.

--- a/entry/src/main/java/org/wigeonglade/entry/host/EntryHostBuilder.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/EntryHostBuilder.java
@@ -40,7 +40,7 @@
 
 	private Function<Vertx, LogService> log = this::httpLog;
 
-	private Function<HostParts, BatchRuntime> batch = (parts) -> null;
+	private Function<HostParts, BatchRuntime> batch = EntryHostBuilder::logBatch;
 
 	private Function<Vertx, UpstreamClients> clients = HttpUpstreamClients::new;
 
@@ -174,6 +174,18 @@
 		return this.clients.apply(vertx);
 	}
 
+	private static BatchRuntime logBatch(HostParts parts) {
+		return BatchRuntime.builder(parts.settings())
+			.withIncarnation(parts.identity().incarnation())
+			.withLog(parts.log())
+			.withPeers(parts.peers())
+			.withFleet(parts.fleet())
+			.withConfiguration(parts.configuration())
+			.withAccount(parts.account())
+			.withTicker(parts.ticker())
+			.build();
+	}
+
 	private HostDirectory httpDirectory(Vertx vertx) {
 		return HttpHostDirectory.of(vertx, HttpClients.create(vertx, timeout()),
 				this.settings.getPlatform().getHostListUrl(), timeout());
--- a/entry/src/main/java/org/wigeonglade/entry/host/HostAssembly.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/HostAssembly.java
@@ -56,6 +56,9 @@
 	/** Interval at which quarantines of other hosts are read from the log. */
 	private static final long QUARANTINE_POLL_MILLIS = 5000;
 
+	/** Interval at which owners of partitions are taken from digests. */
+	private static final long OWNERS_MILLIS = 50;
+
 	private final EntryHostBuilder builder;
 
 	private final HostSettings settings;
@@ -260,6 +263,8 @@
 		}
 		this.control.addDigestSource((digest) -> digest.addAllPartitions(this.batch.ownedPartitions()));
 		this.batch.start().await().atMost(PART_LIMIT);
+		OwnerObserver owners = new OwnerObserver(this.batch, this.fleet, this.load, this.configuration);
+		this.vertx.setPeriodic(OWNERS_MILLIS, (id) -> owners.observe());
 		EventLoop batchLoop = Waiting.await(EventLoop.create(this.vertx), PART_LIMIT);
 		this.dispatcher = new BatchDispatcher(batchLoop, this.ticker, this.online, this.batch.workSource());
 		this.dispatcher.start();
--- a/entry/src/test/java/org/wigeonglade/entry/operator/OperatorServerTests.java
+++ b/entry/src/test/java/org/wigeonglade/entry/operator/OperatorServerTests.java
@@ -249,7 +249,7 @@
 
 	@Override
 	public Uni<List<AcceptedChange>> history() {
-		return Uni.createFrom().item(List.of(new AcceptedChange(5, "ana", "spring", 0, 0, 7, 100)));
+		return Uni.createFrom().item(List.of(new AcceptedChange(5, "ana", "spring", 0, 0, 7, 100, "host-1/1/1")));
 	}
 
 }
