--- a/entry/src/main/java/org/wigeonglade/entry/control/ControlConfigurationAdmin.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/ControlConfigurationAdmin.java
@@ -2,16 +2,22 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.stream.IntStream;
 
+import com.google.protobuf.ByteString;
 import io.smallrye.mutiny.Uni;
 import org.wigeonglade.core.config.AcceptedChange;
 import org.wigeonglade.entry.operator.ConfigurationAdmin;
+import org.wigeonglade.schema.generated.log.ConfigChange;
 
 /**
  * Gives the operators' interface access to the control runtime.
  */
 public final class ControlConfigurationAdmin implements ConfigurationAdmin {
 
+	/** Bounds how many bodies one call reads from the log; older changes have none. */
+	private static final int MAX_BODIES = 20;
+
 	private final ControlRuntime control;
 
 	private ControlConfigurationAdmin(ControlRuntime control) {
@@ -34,8 +40,34 @@
 	}
 
 	@Override
-	public Uni<List<AcceptedChange>> history() {
-		return Uni.createFrom().item(this.control.getHistory());
+	public Uni<List<ConfigChange>> history() {
+		List<AcceptedChange> accepted = this.control.getHistory();
+		if (accepted.isEmpty()) {
+			return Uni.createFrom().item(List.of());
+		}
+		int firstWithBody = Math.max(0, accepted.size() - MAX_BODIES);
+		List<Uni<ConfigChange>> changes = IntStream.range(0, accepted.size())
+			.mapToObj((i) -> read(accepted.get(i), i >= firstWithBody))
+			.toList();
+		return Uni.join().all(changes).andFailFast();
+	}
+
+	private Uni<ConfigChange> read(AcceptedChange accepted, boolean withBody) {
+		ConfigChange change = ConfigChange.newBuilder()
+			.setVersion(accepted.version())
+			.setBaseVersion(accepted.version() - 1)
+			.setAuthor(accepted.author())
+			.setReason(accepted.reason())
+			.setWallTimeMs(accepted.wallTimeMillis())
+			.setRollbackOf(accepted.rollbackOf())
+			.build();
+		if (!withBody) {
+			return Uni.createFrom().item(change);
+		}
+		return this.control.readBody(accepted.version())
+			.map((body) -> change.toBuilder().setBody(ByteString.copyFrom(body)).build())
+			.onFailure()
+			.recoverWithItem(change);
 	}
 
 }
