--- a/bench/src/main/java/org/wigeonglade/bench/client/JobView.java
+++ b/bench/src/main/java/org/wigeonglade/bench/client/JobView.java
@@ -27,7 +27,7 @@
 	 */
 	public static boolean isEnded(JsonObject status) {
 		return switch (status.getString("status", "")) {
-			case "completed", "cancelled", "failed" -> true;
+			case "completed", "cancelled" -> true;
 			default -> false;
 		};
 	}
@@ -65,8 +65,7 @@
 	 * @return the text of the result, or {@value #FAILED} and the error code
 	 */
 	public static String text(JsonObject outcome) {
-		JsonObject response = outcome.getJsonObject("response");
-		JsonObject body = (response != null) ? response.getJsonObject("body", response) : null;
+		JsonObject body = outcome.getJsonObject("result");
 		JsonArray choices = (body != null) ? body.getJsonArray("choices") : null;
 		if (choices == null || choices.isEmpty()) {
 			JsonObject error = outcome.getJsonObject("error");
--- a/bench/src/main/java/org/wigeonglade/bench/demo/BatchRun.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/BatchRun.java
@@ -13,9 +13,9 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.DecodeException;
-import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.wigeonglade.adapters.http.HttpReply;
+import org.wigeonglade.bench.client.JobView;
 import org.wigeonglade.bench.client.ServingClient;
 import org.wigeonglade.standins.engine.CompletionText;
 
@@ -122,8 +122,8 @@
 			check.duplicates++;
 			return;
 		}
-		String text = text(outcome);
-		if (text == null) {
+		String text = JobView.text(outcome);
+		if (text.startsWith(JobView.FAILED)) {
 			check.failed++;
 			failures.put(customId, outcome.encode());
 			return;
@@ -136,18 +136,6 @@
 		}
 	}
 
-	private static String text(JsonObject outcome) {
-		JsonObject response = outcome.getJsonObject("response");
-		JsonObject body = (response != null) ? response.getJsonObject("body", response) : null;
-		JsonArray choices = (body != null) ? body.getJsonArray("choices") : null;
-		if (choices == null || choices.isEmpty()) {
-			return null;
-		}
-		JsonObject choice = choices.getJsonObject(0);
-		return choice.containsKey("message") ? choice.getJsonObject("message").getString("content")
-				: choice.getString("text");
-	}
-
 	private Future<Boolean> submit() {
 		FleetMember member = this.balancer.next();
 		Map<String, String> headers = Map.of("content-type", "application/jsonl", "idempotency-key", this.key);
@@ -196,10 +184,8 @@
 	}
 
 	private void accept(JsonObject status) {
-		JsonObject counts = status.getJsonObject("request_counts", new JsonObject());
-		this.completedSoFar = counts.getInteger("completed", 0);
-		String state = status.getString("status", "");
-		this.finished = state.equals("completed") || state.equals("cancelled") || state.equals("failed");
+		this.completedSoFar = status.getInteger("completed", 0);
+		this.finished = JobView.isEnded(status);
 	}
 
 	private Future<Void> download() {
--- a/bench/src/test/java/org/wigeonglade/bench/demo/BatchRunTests.java
+++ b/bench/src/test/java/org/wigeonglade/bench/demo/BatchRunTests.java
@@ -38,9 +38,8 @@
 		JsonObject source = JOB.body("row-" + answerOf);
 		String text = CompletionText.answer(BatchJob.prompt(source), source.getInteger("max_tokens"));
 		JsonObject body = new JsonObject().put("choices", new JsonArray().add(new JsonObject().put("text", text)));
-		return new JsonObject().put("custom_id", "row-" + id)
-			.put("response", new JsonObject().put("status_code", 200).put("body", body))
-			.encode() + "\n";
+		return new JsonObject().put("custom_id", "row-" + id).put("status", "completed").put("result", body).encode()
+				+ "\n";
 	}
 
 }
