--- a/entry/src/main/java/org/wigeonglade/entry/control/ControlConfigurationAdmin.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/ControlConfigurationAdmin.java
@@ -35,7 +35,11 @@
 
 	@Override
 	public Uni<List<AcceptedChange>> history() {
+<<<<<<< HEAD
 		return Uni.createFrom().item(this.control.getHistory());
+=======
+		return Uni.createFrom().item(this.control::getHistory);
+>>>>>>> main
 	}
 
 }
