Run the fixture on the whole entry host

The fixture gave its hosts a configuration of their own and no peers. It now publishes a checked configuration through the log, waits until every host is ready, and its load balancer follows readiness. A pause of a host blocks its event loops.

--- a/bench/src/main/java/org/wigeonglade/bench/demo/EntryHostStarter.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/EntryHostStarter.java
@@ -7,18 +7,10 @@
 import java.util.concurrent.locks.LockSupport;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
-import org.wigeonglade.adapters.engine.HttpEngineClient;
-import org.wigeonglade.adapters.hosts.HttpHostDirectory;
 import org.wigeonglade.adapters.http.HttpClients;
-import org.wigeonglade.adapters.service.HttpServiceClient;
-import org.wigeonglade.core.engine.EngineClient;
-import org.wigeonglade.core.engine.ServiceClient;
-import org.wigeonglade.core.member.UpstreamMember;
+import org.wigeonglade.adapters.log.HttpLogService;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.entry.host.EntryHost;
-import org.wigeonglade.entry.online.UpstreamClients;
-import org.wigeonglade.schema.generated.peer.LinkPurpose;
 import org.wigeonglade.schema.generated.settings.FleetConfiguration;
 import org.wigeonglade.schema.generated.settings.HostSettings;
 
@@ -27,8 +19,6 @@
  */
 public final class EntryHostStarter implements FleetHostStarter {
 
-	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-
 	private static final int EVENT_LOOPS = 2;
 
 	private final Ticker ticker;
@@ -53,12 +43,10 @@
 		EntryHost host = EntryHost.builder(settings)
 			.withTicker(this.ticker)
 			.withEventLoops(EVENT_LOOPS)
-			.withInitialConfiguration(configuration)
-			.withDirectory((vertx) -> HttpHostDirectory.of(vertx, HttpClients.create(vertx, CONNECT_TIMEOUT),
-					settings.getPlatform().getHostListUrl(), timeout))
-			.withClients((vertx) -> {
+			.withLog((vertx) -> {
 				loops.set(vertx);
-				return new HttpUpstreamClients(vertx);
+				return HttpLogService.of(vertx, HttpClients.create(vertx, timeout), settings.getPlatform().getLogUrl(),
+						timeout);
 			})
 			.build();
 		host.start();
@@ -67,6 +55,11 @@
 
 	private record RunningHost(EntryHost host, Vertx loops) implements FleetHost {
 
+		@Override
+		public boolean isReady() {
+			return this.host.isReady();
+		}
+
 		@Override
 		public int callerPort() {
 			return this.host.getCallerPort();
@@ -112,31 +105,4 @@
 
 	}
 
-	private static final class HttpUpstreamClients implements UpstreamClients {
-
-		private final Vertx vertx;
-
-		private final HttpClient online;
-
-		private final HttpClient batch;
-
-		private HttpUpstreamClients(Vertx vertx) {
-			this.vertx = vertx;
-			this.online = HttpClients.create(vertx, CONNECT_TIMEOUT);
-			this.batch = HttpClients.create(vertx, CONNECT_TIMEOUT);
-		}
-
-		@Override
-		public EngineClient engine(UpstreamMember runner, LinkPurpose purpose) {
-			HttpClient client = (purpose == LinkPurpose.BATCH) ? this.batch : this.online;
-			return HttpEngineClient.of(this.vertx, client, runner.address());
-		}
-
-		@Override
-		public ServiceClient service(UpstreamMember instance) {
-			return HttpServiceClient.of(this.vertx, this.online, instance.address());
-		}
-
-	}
-
 }
--- a/bench/src/main/java/org/wigeonglade/bench/demo/FleetConfigurations.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/FleetConfigurations.java
@@ -83,7 +83,7 @@
 
 	private static WorkspaceConfiguration workspace(String name, String key) {
 		String hash = Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
-		return new WorkspaceConfiguration().withName(name).withKeyHashes(List.of(hash)).withServices(List.of());
+		return new WorkspaceConfiguration().withName(name).withKeyHashes(List.of(hash)).withServices(null);
 	}
 
 }
--- a/bench/src/main/java/org/wigeonglade/bench/demo/FleetFixture.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/FleetFixture.java
@@ -1,18 +1,18 @@
 package org.wigeonglade.bench.demo;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.UnaryOperator;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.protobuf.ByteString;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.wigeonglade.core.platform.HostRole;
 import org.wigeonglade.core.platform.ListedHost;
+import org.wigeonglade.core.settings.SettingsReader;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.schema.generated.log.ConfigChange;
 import org.wigeonglade.schema.generated.log.LogEntry;
@@ -37,6 +37,10 @@
 
 	private static final int EVENT_LOOPS = 4;
 
+	private static final Duration READY_LIMIT = Duration.ofSeconds(15);
+
+	private static final long READY_POLL_NANOS = 5_000_000;
+
 	private final Deployment deployment;
 
 	private final Builder options;
@@ -263,9 +267,22 @@
 		for (int i = 0; i < this.deployment.hosts(); i++) {
 			addHost();
 		}
+		awaitReady();
 		return this;
 	}
 
+	private void awaitReady() {
+		long end = System.nanoTime() + READY_LIMIT.toNanos();
+		for (FleetMember member : this.members) {
+			while (!member.host().isReady() && System.nanoTime() - end < 0) {
+				LockSupport.parkNanos(READY_POLL_NANOS);
+			}
+			if (!member.host().isReady()) {
+				throw new IllegalStateException(member.name() + " did not become ready");
+			}
+		}
+	}
+
 	private void listEngine(int index) {
 		EngineStandIn engine = this.engines.get(index);
 		this.network.put(new ListedHost(engineName(index), HostRole.RUNNER, "", this.deployment.domainOf(index),
@@ -274,14 +291,8 @@
 	}
 
 	private void publishConfiguration() {
-		byte[] body;
-		try {
-			body = new ObjectMapper().setSerializationInclusion(JsonInclude.Include.NON_NULL)
-				.writeValueAsBytes(this.configuration);
-		}
-		catch (JsonProcessingException ex) {
-			throw new IllegalStateException("the configuration cannot be written", ex);
-		}
+		byte[] body = SettingsReader.create().write(this.configuration);
+		SettingsReader.create().readFleetConfiguration(body);
 		ConfigChange change = ConfigChange.newBuilder()
 			.setVersion(1)
 			.setAuthor("fixture")
--- a/bench/src/main/java/org/wigeonglade/bench/demo/FleetHost.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/FleetHost.java
@@ -23,6 +23,12 @@
 	 */
 	int peerPort();
 
+	/**
+	 * Returns what the readiness check of the host reports.
+	 * @return whether the load balancer may send requests
+	 */
+	boolean isReady();
+
 	/**
 	 * Blocks the event loops of the host, as a long pause of its process does.
 	 * @param millis the length of the pause
--- a/bench/src/main/java/org/wigeonglade/bench/demo/LoadBalancer.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/LoadBalancer.java
@@ -14,12 +14,17 @@
 
 	private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+	/** Interval of readiness checks. */
+	private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
 	private final FleetFixture fixture;
 
 	private final AtomicInteger turn = new AtomicInteger();
 
 	private final Map<String, Long> pausedUntil = new ConcurrentHashMap<>();
 
+	private final Map<String, Check> checks = new ConcurrentHashMap<>();
+
 	/**
 	 * Creates a balancer over all hosts of a fixture.
 	 * @param fixture the fixture, not null
@@ -39,13 +44,20 @@
 		for (int i = 0; i < members.size(); i++) {
 			chosen = members.get(Math.floorMod(this.turn.getAndIncrement(), members.size()));
 			Long until = this.pausedUntil.get(chosen.name());
-			if (until == null || until - now <= 0) {
+			if ((until == null || until - now <= 0) && isReady(chosen, now)) {
 				return chosen;
 			}
 		}
 		return chosen;
 	}
 
+	private boolean isReady(FleetMember member, long now) {
+		Check check = this.checks.compute(member.name(),
+				(name, last) -> (last == null || now - last.nanos > CHECK_NANOS)
+						? new Check(now, !member.isUp() || member.host().isReady()) : last);
+		return check.ready;
+	}
+
 	/**
 	 * Leaves out a host for a while.
 	 * @param member the host that could not be reached
@@ -54,4 +66,7 @@
 		this.pausedUntil.put(member.name(), System.nanoTime() + PAUSE_NANOS);
 	}
 
+	private record Check(long nanos, boolean ready) {
+	}
+
 }
--- a/bench/src/main/java/org/wigeonglade/bench/history/ConfigurationClient.java
+++ b/bench/src/main/java/org/wigeonglade/bench/history/ConfigurationClient.java
@@ -4,14 +4,11 @@
 import java.util.Map;
 import java.util.Optional;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import org.wigeonglade.adapters.http.HttpReply;
 import org.wigeonglade.bench.demo.FleetMember;
-import org.wigeonglade.schema.generated.settings.FleetConfiguration;
+import org.wigeonglade.core.settings.SettingsReader;
 
 /**
  * Publishes one configuration as an operator and reads the version of every host.
@@ -30,7 +27,7 @@
 
 	ConfigurationClient(Workload workload) {
 		this.workload = workload;
-		this.body = encode(workload.fixture().configuration());
+		this.body = SettingsReader.create().write(workload.fixture().configuration());
 	}
 
 	@Override
@@ -64,16 +61,6 @@
 		return true;
 	}
 
-	private static byte[] encode(FleetConfiguration configuration) {
-		try {
-			return new ObjectMapper().setSerializationInclusion(JsonInclude.Include.NON_NULL)
-				.writeValueAsBytes(configuration);
-		}
-		catch (JsonProcessingException ex) {
-			throw new IllegalStateException("the configuration cannot be written", ex);
-		}
-	}
-
 	private void readVersion(FleetMember member) {
 		Optional<HttpReply> reply = Blocking.tryAwait(this.workload.client()
 			.send(HttpMethod.GET, member.host().operatorPort(), PATH, null, Map.of(), TIMEOUT));
