--- a/core/src/main/java/org/wigeonglade/core/batch/CarriedRecords.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/CarriedRecords.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 
 import com.google.protobuf.ByteString;
@@ -23,18 +24,18 @@
 	}
 
 	// Returns the lowest offsets below a bound that the state still refers to.
-	static List<Long> findOffsets(PartitionState state, long below, int max) {
+	static List<Long> findOffsets(PartitionState state, long below, int max, Set<Long> lost) {
 		TreeSet<Long> offsets = new TreeSet<>();
 		for (JobState job : state.getJobs()) {
 			for (int i = 0; i < job.size(); i++) {
-				add(offsets, job.getOffset(i), below, max);
+				add(offsets, job.getOffset(i), below, max, lost);
 			}
 		}
 		state.keys()
 			.values()
 			.stream()
 			.filter((key) -> key.outcome() != null)
-			.forEach((key) -> add(offsets, key.outcomeOffset(), below, max));
+			.forEach((key) -> add(offsets, key.outcomeOffset(), below, max, lost));
 		return List.copyOf(offsets);
 	}
 
@@ -54,8 +55,9 @@
 		return entries;
 	}
 
-	private static void add(TreeSet<Long> offsets, long offset, long below, int max) {
-		if (offset >= 0 && offset < below && (offsets.size() < max || offset < offsets.last())) {
+	private static void add(TreeSet<Long> offsets, long offset, long below, int max, Set<Long> lost) {
+		if (offset >= 0 && offset < below && (offsets.size() < max || offset < offsets.last())
+				&& (lost.isEmpty() || !lost.contains(offset))) {
 			offsets.add(offset);
 			if (offsets.size() > max) {
 				offsets.pollLast();
--- a/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
@@ -55,7 +55,7 @@
 
 	private long ownerRecordMillis;
 
-	private long lastReadMillis = Long.MIN_VALUE;
+	private long lastReadMillis;
 
 	private long outrankedSinceMillis = -1;
 
@@ -88,6 +88,7 @@
 				context.ticker(), context.pacer(), context.options().writer(), context.random(),
 				this.follower::getAppliedOffset);
 		this.ownerRecordMillis = context.ticker().millis();
+		this.lastReadMillis = this.ownerRecordMillis - context.options().poll().toMillis();
 	}
 
 	/**
--- a/core/src/main/java/org/wigeonglade/core/batch/PartitionKeeper.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionKeeper.java
@@ -1,10 +1,14 @@
 package org.wigeonglade.core.batch;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 
 import io.smallrye.mutiny.Uni;
+import org.wigeonglade.core.error.ErrorCode;
+import org.wigeonglade.core.error.PlatformException;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.schema.generated.log.ExpiredKey;
 import org.wigeonglade.schema.generated.log.LogEntry;
@@ -20,7 +24,9 @@
 	private static final EventLogger LOG = EventLogger.of(PartitionKeeper.class);
 
 	/** Bounds one pass, so that outcomes and acceptances get their turn in between. */
-	private static final int RECORDS_PER_PASS = 16;
+	private static final int RECORDS_PER_PASS = 256;
+
+	private static final int BYTES_PER_PASS = 1024 * 1024;
 
 	private static final int BYTES_PER_APPEND = 128 * 1024;
 
@@ -36,6 +42,11 @@
 
 	private final BooleanSupplier active;
 
+	/**
+	 * Records that expired although they were needed; they cannot be carried any more.
+	 */
+	private final Set<Long> lost = new HashSet<>();
+
 	private boolean busy;
 
 	private long snapshots;
@@ -63,7 +74,7 @@
 			run("snapshot", snapshot());
 			return;
 		}
-		List<Long> offsets = CarriedRecords.findOffsets(this.state, below, RECORDS_PER_PASS);
+		List<Long> offsets = CarriedRecords.findOffsets(this.state, below, RECORDS_PER_PASS, this.lost);
 		if (!offsets.isEmpty()) {
 			run("carry", carry(offsets));
 		}
@@ -107,18 +118,35 @@
 		});
 	}
 
+	// Small records are merged, so that many results of small jobs cost one append.
 	private Uni<Void> carry(List<Long> offsets) {
-		Uni<Long> chain = Uni.createFrom().item(0L);
+		List<LogEntry> entries = new ArrayList<>();
+		Uni<Integer> chain = Uni.createFrom().item(0);
 		for (long offset : offsets) {
-			chain = chain.chain(() -> this.context.cache().get(this.context.stream(), offset))
-				.emitOn(this.context.lane())
-				.chain((found) -> appendAll(CarriedRecords.carry(this.state, offset, found)));
+			chain = chain.chain((bytes) -> (bytes >= BYTES_PER_PASS) ? Uni.createFrom().item(bytes)
+					: collect(offset, entries).map((more) -> bytes + more));
 		}
-		return chain.chain(this.follower::catchUp)
+		return chain.chain(() -> appendAll(entries))
+			.chain(this.follower::catchUp)
 			.invoke(() -> LOG.log(BatchEvent.RECORDS_CARRIED, this.context.partition(), offsets.size()))
 			.replaceWithVoid();
 	}
 
+	private Uni<Integer> collect(long offset, List<LogEntry> entries) {
+		return this.context.cache().get(this.context.stream(), offset).emitOn(this.context.lane()).map((found) -> {
+			List<LogEntry> carried = CarriedRecords.carry(this.state, offset, found);
+			entries.addAll(carried);
+			return carried.stream().mapToInt(LogEntry::getSerializedSize).sum();
+		})
+			.onFailure((failure) -> failure instanceof PlatformException platform
+					&& platform.getCode() == ErrorCode.OFFSET_EXPIRED)
+			.recoverWithItem(() -> {
+				LOG.log(BatchEvent.RECORD_EXPIRED, this.context.partition(), offset);
+				this.lost.add(offset);
+				return 0;
+			});
+	}
+
 	private Uni<Long> appendAll(List<LogEntry> entries) {
 		Uni<Long> chain = Uni.createFrom().item(0L);
 		for (List<LogEntry> group : group(entries)) {
