Claim partitions when the monotonic clock is positive

Cause: an agent that had never read took Long.MIN_VALUE as the time of its last read; the difference to a positive clock overflowed, so no agent ever read its stream, no partition was claimed and no item was granted. Change: the start value leaves room for the difference. The status of a host shows the slots, streams and preemptions of the runners that it dispatches to.

--- a/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
@@ -55,7 +55,7 @@
 
 	private long ownerRecordMillis;
 
-	private long lastReadMillis = Long.MIN_VALUE;
+	private long lastReadMillis = Long.MIN_VALUE / 2;
 
 	private long outrankedSinceMillis = -1;
 
--- a/entry/src/main/java/org/wigeonglade/entry/caller/CallerAccess.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CallerAccess.java
@@ -99,7 +99,8 @@
 		}
 
 		private ServiceConfiguration requireAllowed(ServiceConfiguration service) {
-			if (!this.workspace.getServices().isEmpty() && !this.workspace.getServices().contains(service.getName())) {
+			if (this.workspace.getServices() != null && !this.workspace.getServices().isEmpty()
+					&& !this.workspace.getServices().contains(service.getName())) {
 				throw new InvalidRequestException(ErrorCode.FORBIDDEN,
 						"workspace " + this.workspace.getName() + " may not use service " + service.getName());
 			}
--- a/entry/src/main/java/org/wigeonglade/entry/host/HostAssembly.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/HostAssembly.java
@@ -282,7 +282,12 @@
 		Map<String, Object> online = new LinkedHashMap<>();
 		online.put("requests_in_progress", getInProgress());
 		online.put("quarantined", this.online.countQuarantined());
-		return Map.of("online", online);
+		Map<String, Object> figures = new LinkedHashMap<>();
+		figures.put("online", online);
+		if (this.dispatcher != null) {
+			figures.put("dispatch", this.dispatcher.getFigures());
+		}
+		return figures;
 	}
 
 	private void closeRest() {
--- a/entry/src/main/java/org/wigeonglade/entry/online/BatchDispatcher.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/BatchDispatcher.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.wigeonglade.core.batch.WorkSource;
@@ -61,6 +62,8 @@
 
 	private boolean stopped;
 
+	private volatile Map<String, Object> figures = Map.of();
+
 	private long timer = -1;
 
 	/**
@@ -101,6 +104,15 @@
 		});
 	}
 
+	/**
+	 * Returns the figures of the runners that this host dispatches to. May be called from
+	 * any thread.
+	 * @return the figures by runner, of the last look at the slots
+	 */
+	public Map<String, Object> getFigures() {
+		return this.figures;
+	}
+
 	private void drain(int rounds, Runnable done) {
 		if (this.reporter.getPending() == 0 || rounds == 0) {
 			this.loop.cancel(this.timer);
@@ -131,6 +143,10 @@
 			List<Long> grants = new ArrayList<>();
 			this.dispatchers.values().forEach((d) -> d.addGrants(grants));
 			this.reporter.flush(grants);
+			Map<String, Object> seen = new TreeMap<>();
+			this.dispatchers.forEach((id, dispatcher) -> seen.put(id.value(), dispatcher.getFigures()));
+			seen.put("unreported", this.reporter.getPending());
+			this.figures = seen;
 		}
 		catch (RuntimeException ex) {
 			LOG.log(OnlineEvent.TASK_FAILED, ex, "batch dispatch");
--- a/entry/src/main/java/org/wigeonglade/entry/online/RunnerDispatcher.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/RunnerDispatcher.java
@@ -3,7 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 
 import org.wigeonglade.core.engine.EngineEvent;
@@ -83,13 +85,16 @@
 		return this.runner;
 	}
 
-	long getPreemptions() {
-		return this.preemptions;
-	}
-
-	int getHeld() {
-		return this.running.size() + this.parked.size() + this.ready.size() + this.alone.size()
-				+ ((this.isolated != null) ? 1 : 0);
+	Map<String, Object> getFigures() {
+		Map<String, Object> figures = new LinkedHashMap<>();
+		figures.put("slots", slots());
+		figures.put("online", online());
+		figures.put("running", this.running.size());
+		figures.put("preempted_waiting", this.parked.size());
+		figures.put("ready", this.ready.size());
+		figures.put("suspects", this.alone.size() + ((this.isolated != null) ? 1 : 0));
+		figures.put("preemptions", this.preemptions);
+		return figures;
 	}
 
 	boolean isIdleOfOnline() {
