--- a/core/src/main/java/org/wigeonglade/core/member/FleetLoad.java
+++ b/core/src/main/java/org/wigeonglade/core/member/FleetLoad.java
@@ -6,13 +6,9 @@
 import java.util.Optional;
 
 import org.wigeonglade.core.id.FailureDomain;
-import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.id.UpstreamId;
-import org.wigeonglade.schema.generated.peer.Digest;
 import org.wigeonglade.schema.generated.peer.PartitionView;
-import org.wigeonglade.schema.generated.peer.ServiceView;
-import org.wigeonglade.schema.generated.peer.UpstreamView;
 
 /**
  * Immutable snapshot of the load that other hosts told in their last digests. Digests of
@@ -37,30 +33,27 @@
 	}
 
 	/**
-	 * Sums up digests.
-	 * @param digests the last digest of each other live host, not null
+	 * Sums up what hosts told.
+	 * @param hosts the load of each other live host, not null
 	 * @return the snapshot
 	 */
-	public static FleetLoad of(Collection<ReceivedDigest> digests) {
+	public static FleetLoad of(Collection<ReceivedLoad> hosts) {
 		Map<UpstreamId, UpstreamLoad> upstreams = new HashMap<>();
 		Map<FailureDomain, Map<ServiceName, ServiceDemand>> services = new HashMap<>();
 		Map<Integer, PartitionOwner> partitions = new HashMap<>();
-		for (ReceivedDigest received : digests) {
-			Digest digest = received.digest();
-			for (UpstreamView view : digest.getUpstreamsList()) {
-				upstreams.merge(UpstreamId.of(view.getUpstream()), UpstreamLoad.NONE.plus(view.getInFlightOnline(),
-						view.getInFlightBatch(), view.getLimit(), view.getOpenBreaker()), FleetLoad::add);
-			}
-			FailureDomain domain = FailureDomain.of(digest.getSelf().getFailureDomain());
-			for (ServiceView view : digest.getServicesList()) {
-				services.computeIfAbsent(domain, (d) -> new HashMap<>())
-					.compute(ServiceName.of(view.getService()), (s, old) -> ((old != null) ? old : ServiceDemand.NONE)
-						.plus(view.getOnlineArrivalsPerS(), view.getSpareSlots(), view.getPendingBatchItems()));
-			}
-			for (PartitionView view : digest.getPartitionsList()) {
-				partitions.merge(view.getPartition(),
-						new PartitionOwner(HostId.of(digest.getSelf().getHost()), view.getTerm(),
-								view.getPendingItems(), view.getHeadOffset(), received.receivedMillis()),
+		for (ReceivedLoad host : hosts) {
+			host.getUpstreams()
+				.forEach((id, view) -> upstreams.merge(id, UpstreamLoad.NONE.plus(view.getInFlightOnline(),
+						view.getInFlightBatch(), view.getLimit(), view.getOpenBreaker()), FleetLoad::add));
+			Map<ServiceName, ServiceDemand> ofDomain = services.computeIfAbsent(host.getDomain(),
+					(d) -> new HashMap<>());
+			host.getServices()
+				.forEach((name, view) -> ofDomain.put(name, ofDomain.getOrDefault(name, ServiceDemand.NONE)
+					.plus(view.getOnlineArrivalsPerS(), view.getSpareSlots(), view.getPendingBatchItems())));
+			for (PartitionView view : host.getPartitions()) {
+				partitions.merge(
+						view.getPartition(), new PartitionOwner(host.getHost(), view.getTerm(), view.getPendingItems(),
+								view.getHeadOffset(), host.getReceivedMillis()),
 						(a, b) -> (a.term() >= b.term()) ? a : b);
 			}
 		}
@@ -101,14 +94,4 @@
 				a.openBreakers() + b.openBreakers());
 	}
 
-	/**
-	 * Holds a digest and when it came.
-	 *
-	 * @param digest the digest; its names must be valid
-	 * @param receivedMillis the local monotonic time
-	 */
-	public record ReceivedDigest(Digest digest, long receivedMillis) {
-
-	}
-
 }
--- a/core/src/main/java/org/wigeonglade/core/member/HostRecord.java
+++ b/core/src/main/java/org/wigeonglade/core/member/HostRecord.java
@@ -95,8 +95,10 @@
 				this.stopping || this.listedLeaving, this.configVersion, this.lastSeenMillis);
 	}
 
-	HostView toView() {
-		return HostView.newBuilder()
+	// A compact view leaves out what seldom changes; it only tells that a known host
+	// lives.
+	HostView toView(boolean compact) {
+		HostView view = HostView.newBuilder()
 			.setHost(this.id.value())
 			.setIncarnation(this.incarnation)
 			.setFailureDomain(this.domain.value())
@@ -106,6 +108,15 @@
 			.setStopping(this.stopping)
 			.setConfigVersion(this.configVersion)
 			.build();
+		return (compact) ? toCompact(view) : view;
+	}
+
+	static HostView toCompact(HostView view) {
+		return view.toBuilder().clearFailureDomain().clearRegion().clearPeerAddress().build();
+	}
+
+	static boolean isCompact(HostView view) {
+		return view.getFailureDomain().isEmpty();
 	}
 
 	// The list lags behind and counts incarnations in its own way, so digests decide once
@@ -133,18 +144,20 @@
 		boolean newStart = !this.heard || view.getIncarnation() > this.incarnation
 				|| (silent && view.getIncarnation() < this.incarnation);
 		if (newStart) {
-			begin(view, nowMillis);
-			return true;
+			if (!isCompact(view)) {
+				begin(view, nowMillis);
+			}
+			return !isCompact(view);
 		}
 		if (view.getIncarnation() < this.incarnation || view.getHeartbeat() <= this.heartbeat) {
 			return false;
 		}
 		boolean changed = view.getConfigVersion() > this.configVersion || (view.getStopping() && !this.stopping)
-				|| !view.getPeerAddress().equals(this.address);
+				|| (!isCompact(view) && !view.getPeerAddress().equals(this.address));
 		this.heartbeat = view.getHeartbeat();
 		this.stopping |= view.getStopping();
 		this.configVersion = Math.max(this.configVersion, view.getConfigVersion());
-		this.address = view.getPeerAddress();
+		this.address = (isCompact(view)) ? this.address : view.getPeerAddress();
 		this.lastSeenMillis = nowMillis;
 		if (changed) {
 			this.changedMillis = nowMillis;
--- a/core/src/main/java/org/wigeonglade/core/member/MemberTable.java
+++ b/core/src/main/java/org/wigeonglade/core/member/MemberTable.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -92,6 +93,9 @@
 	public boolean applyHost(HostView view, long nowMillis) {
 		HostId id = HostId.of(view.getHost());
 		HostRecord known = this.hosts.get(id);
+		if (known == null && HostRecord.isCompact(view)) {
+			return false;
+		}
 		if (known == null) {
 			this.hosts.put(id, new HostRecord(view, nowMillis));
 			return true;
@@ -206,15 +210,17 @@
 	 * Returns views of other live hosts to relay: first the recently changed ones, then
 	 * all in turn. They tell receivers of hosts that they cannot hear themselves.
 	 * @param count the largest number
+	 * @param full whether to include what seldom changes also of hosts that did not
+	 * change
 	 * @param nowMillis the local monotonic time
 	 * @return the views
 	 */
-	public List<HostView> nextRelayed(int count, long nowMillis) {
+	public List<HostView> nextRelayed(int count, boolean full, long nowMillis) {
 		List<HostRecord> live = getLive(nowMillis).stream()
 			.filter((h) -> !h.getId().equals(this.self) && h.isHeard())
 			.toList();
 		if (live.size() <= count) {
-			return live.stream().map(HostRecord::toView).toList();
+			return live.stream().map((h) -> toRelayed(h, full, nowMillis)).toList();
 		}
 		Set<HostRecord> chosen = new HashSet<>();
 		live.stream()
@@ -225,7 +231,25 @@
 		while (chosen.size() < count) {
 			chosen.add(live.get(Math.floorMod(this.relayPosition++, live.size())));
 		}
-		return chosen.stream().map(HostRecord::toView).toList();
+		return chosen.stream().map((h) -> toRelayed(h, full, nowMillis)).toList();
+	}
+
+	/**
+	 * Shortens the view of this host to what a receiver that knows it needs.
+	 * @param view the view, not null
+	 * @return the view without domain, region and address
+	 */
+	public static HostView toCompact(HostView view) {
+		return HostRecord.toCompact(view);
+	}
+
+	/**
+	 * Finds a host, also a lost one.
+	 * @param host the host, not null
+	 * @return the host, empty if unknown
+	 */
+	public Optional<HostMember> find(HostId host) {
+		return Optional.ofNullable(this.hosts.get(host)).map(HostRecord::toMember);
 	}
 
 	/**
@@ -246,6 +270,11 @@
 		return views;
 	}
 
+	private HostView toRelayed(HostRecord host, boolean full, long nowMillis) {
+		boolean changed = nowMillis - host.getChangedMillis() < this.timing.hostSilentMillis();
+		return host.toView(!full && !changed);
+	}
+
 	private List<HostRecord> getLive(long nowMillis) {
 		return this.hosts.values().stream().filter((h) -> !isSilent(h, nowMillis)).toList();
 	}
--- a/core/src/test/java/org/wigeonglade/core/member/MemberTableTests.java
+++ b/core/src/test/java/org/wigeonglade/core/member/MemberTableTests.java
@@ -132,13 +132,25 @@
 		IntStream.range(0, 20).forEach((i) -> members.applyHost(view("a" + i, 1, 1), 0));
 		long seen = IntStream.range(0, 12)
 			.boxed()
-			.flatMap((i) -> members.nextRelayed(2, 2500).stream())
+			.flatMap((i) -> members.nextRelayed(2, true, 2500).stream())
 			.map(HostView::getHost)
 			.distinct()
 			.count();
 		Assert.assertTrue(seen >= 12, "relayed only " + seen);
 	}
 
+	@Test
+	void compactViewTellsOnlyThatAKnownHostLives() {
+		MemberTable members = newTable();
+		HostView full = view("other", 1, 1);
+		Assert.assertFalse(members.applyHost(MemberTable.toCompact(full), 0));
+		members.applyHost(full, 0);
+		Assert.assertTrue(members.applyHost(MemberTable.toCompact(view("other", 1, 2)), SILENT - 1));
+		Assert.assertTrue(isLive(members, SILENT));
+		Assert.assertFalse(members.applyHost(MemberTable.toCompact(view("other", 2, 1)), SILENT));
+		Assert.assertEquals(members.find(OTHER).orElseThrow().peerAddress(), "10.0.0.1:7300");
+	}
+
 	@Test
 	void subsetChangesByTheLostMemberOnly() {
 		List<String> all = IntStream.range(0, 40).mapToObj((i) -> "runner-" + i).toList();
--- a/entry/src/main/java/org/wigeonglade/entry/control/MemberRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/MemberRuntime.java
@@ -19,12 +19,14 @@
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.UpstreamId;
+import org.wigeonglade.core.member.DigestComposer;
 import org.wigeonglade.core.member.DigestSource;
 import org.wigeonglade.core.member.FleetLoad;
 import org.wigeonglade.core.member.FleetView;
 import org.wigeonglade.core.member.HostMember;
 import org.wigeonglade.core.member.MemberTable;
 import org.wigeonglade.core.member.MemberTiming;
+import org.wigeonglade.core.member.ReceivedLoad;
 import org.wigeonglade.core.peer.PeerHandler;
 import org.wigeonglade.core.platform.ListedHost;
 import org.wigeonglade.schema.generated.peer.Digest;
@@ -45,6 +47,15 @@
 
 	private static final String HOST_LIST = "host list";
 
+	/**
+	 * Two fifths of the budget of 25 KB/s; as much is received, and the rest is left for
+	 * probes and notices.
+	 */
+	private static final double DIGEST_BYTES_PER_SECOND = 10_000;
+
+	/** A receiver that missed the static fields gets them after this many digests. */
+	private static final int FULL_ROUNDS = 10;
+
 	private final ControlContext context;
 
 	private final PlatformHealth health;
@@ -55,7 +66,15 @@
 
 	private final List<Consumer<Digest>> listeners = new CopyOnWriteArrayList<>();
 
-	private final Map<HostId, FleetLoad.ReceivedDigest> digests = new HashMap<>();
+	private final Map<HostId, ReceivedLoad> loads = new HashMap<>();
+
+	private final DigestComposer composer = new DigestComposer();
+
+	private Set<HostId> lastReceivers = Set.of();
+
+	private long receiversChanged;
+
+	private long round;
 
 	private final Map<HostId, String> learned = new HashMap<>();
 
@@ -151,8 +170,13 @@
 		long now = this.context.now();
 		applySelf(now);
 		learnAddresses();
-		PeerFrame frame = PeerFrame.newBuilder().setDigest(buildDigest(now)).build();
-		getReceivers().forEach((host) -> this.context.exchange().send(host, LinkPurpose.CONTROL, frame));
+		Set<HostId> receivers = getReceivers();
+		if (!receivers.equals(this.lastReceivers)) {
+			this.lastReceivers = receivers;
+			this.receiversChanged = now;
+		}
+		PeerFrame frame = PeerFrame.newBuilder().setDigest(buildDigest(now, receivers.size())).build();
+		receivers.forEach((host) -> this.context.exchange().send(host, LinkPurpose.CONTROL, frame));
 	}
 
 	// Marks an upstream as leaving and tells every host that can be reached.
@@ -291,16 +315,24 @@
 			.build();
 	}
 
-	private Digest buildDigest(long now) {
+	// Static fields are left out of most digests, and load entries are chosen so that the
+	// traffic of a host does not grow with the number of its peers.
+	private Digest buildDigest(long now, int receivers) {
+		boolean full = this.round++ % FULL_ROUNDS == 0
+				|| now - this.receiversChanged < this.context.options().hostSilent().toMillis();
 		Digest.Builder digest = Digest.newBuilder()
-			.setSelf(buildSelf())
+			.setSelf((full) ? buildSelf() : MemberTable.toCompact(buildSelf()))
 			.setConfigVersion(this.configVersion.getAsLong())
 			.setPlatformReachable(this.health.isReachable())
-			.addAllKnownHosts(this.table.nextRelayed(this.context.options().relayedViews(), now))
+			.addAllKnownHosts(this.table.nextRelayed(this.context.options().relayedViews(), full, now))
 			.addAllUpstreams(this.table.getLeavingViews(now));
+		Digest.Builder load = Digest.newBuilder();
 		for (DigestSource source : this.sources) {
-			source.contribute(digest);
+			source.contribute(load);
 		}
+		double seconds = this.context.options().digestInterval().toMillis() / 1000.0;
+		int budget = (int) (DIGEST_BYTES_PER_SECOND * seconds / Math.max(1, receivers));
+		this.composer.compose(digest, load.build(), budget);
 		return digest.build();
 	}
 
@@ -311,11 +343,8 @@
 					"a digest must be of its sender " + from + " but is of '" + digest.getSelf().getHost() + "'");
 		}
 		long now = this.context.now();
-		FleetLoad.ReceivedDigest received = new FleetLoad.ReceivedDigest(digest, now);
-		// Fails on malformed names before anything of the digest is kept.
-		FleetLoad.of(List.of(received));
 		if (this.table.applyHost(digest.getSelf(), now)) {
-			this.digests.put(from, received);
+			applyLoad(from, digest, now);
 		}
 		digest.getKnownHostsList()
 			.stream()
@@ -331,6 +360,16 @@
 		this.listeners.forEach((listener) -> listener.accept(digest));
 	}
 
+	private void applyLoad(HostId from, Digest digest, long now) {
+		HostMember member = this.table.find(from).orElseThrow();
+		ReceivedLoad known = this.loads.get(from);
+		if (known == null || known.getIncarnation() != member.incarnation()) {
+			known = new ReceivedLoad(from, member.domain(), member.incarnation());
+			this.loads.put(from, known);
+		}
+		known.apply(digest, now);
+	}
+
 	private void onLeavingNotice(HostId from, PeerFrame frame) {
 		LeavingNotice notice = frame.getLeavingNotice();
 		// Passing news on reaches hosts that the sender cannot reach.
@@ -347,9 +386,9 @@
 		FleetView next = this.table.toView(now, this.health.isReachable());
 		reportChanges(this.view, next, now);
 		Set<HostId> live = next.hosts().stream().map(HostMember::id).collect(Collectors.toSet());
-		this.digests.keySet().retainAll(live);
+		this.loads.keySet().retainAll(live);
 		this.view = next;
-		this.load = FleetLoad.of(this.digests.values());
+		this.load = FleetLoad.of(this.loads.values());
 		this.lost = this.table.getLost(now);
 	}
 
