--- a/bench/src/main/java/org/wigeonglade/bench/capacity/DigestSlopes.java
+++ b/bench/src/main/java/org/wigeonglade/bench/capacity/DigestSlopes.java
@@ -9,6 +9,7 @@
 import org.wigeonglade.core.member.FleetLoad;
 import org.wigeonglade.core.member.MemberTable;
 import org.wigeonglade.core.member.MemberTiming;
+import org.wigeonglade.core.member.ReceivedLoad;
 import org.wigeonglade.schema.generated.peer.Digest;
 import org.wigeonglade.schema.generated.peer.HostView;
 import org.wigeonglade.schema.generated.peer.PartitionView;
@@ -79,13 +80,16 @@
 	private static Object receive(List<byte[]> frames) {
 		MemberTable table = MemberTable.of(HostId.of("entry-self"), FailureDomain.of("ar-centro-a"),
 				new MemberTiming(3000, MemberTiming.DEFAULT_MESH_LIMIT));
-		List<FleetLoad.ReceivedDigest> received = new ArrayList<>();
+		List<ReceivedLoad> received = new ArrayList<>();
 		try {
 			for (byte[] frame : frames) {
 				Digest digest = PeerFrame.parseFrom(frame).getDigest();
 				table.applyHost(digest.getSelf(), 1);
 				digest.getKnownHostsList().forEach((view) -> table.applyHost(view, 1));
-				received.add(new FleetLoad.ReceivedDigest(digest, 1));
+				ReceivedLoad load = new ReceivedLoad(HostId.of(digest.getSelf().getHost()),
+						FailureDomain.of(digest.getSelf().getFailureDomain()), digest.getSelf().getIncarnation());
+				load.apply(digest, 1);
+				received.add(load);
 			}
 		}
 		catch (InvalidProtocolBufferException ex) {
--- a/entry/src/main/java/org/wigeonglade/entry/control/ControlRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/ControlRuntime.java
@@ -10,9 +10,7 @@
 import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
-import org.wigeonglade.core.account.AccountRecorder;
 import org.wigeonglade.core.config.AcceptedChange;
-import org.wigeonglade.core.config.ConfigurationBody;
 import org.wigeonglade.core.config.ConfigurationSource;
 import org.wigeonglade.core.config.VersionedConfiguration;
 import org.wigeonglade.core.event.EventLogger;
@@ -20,14 +18,6 @@
 import org.wigeonglade.core.member.DigestSource;
 import org.wigeonglade.core.member.FleetLoadSource;
 import org.wigeonglade.core.member.FleetViewSource;
-import org.wigeonglade.core.peer.PeerDirectory;
-import org.wigeonglade.core.peer.PeerExchange;
-import org.wigeonglade.core.place.PlacementLease;
-import org.wigeonglade.core.platform.HostDirectory;
-import org.wigeonglade.core.platform.LogService;
-import org.wigeonglade.core.settings.SettingsReader;
-import org.wigeonglade.core.time.Ticker;
-import org.wigeonglade.peer.PeerIdentity;
 import org.wigeonglade.schema.generated.log.LogEntry;
 
 /**
@@ -61,34 +51,35 @@
 
 	private final PlacementRuntime placement;
 
-	private ControlRuntime(Builder builder) {
-		this.scheduler = (builder.loop != null) ? null : newScheduler(builder.identity.host().value());
-		Executor loop = (builder.loop != null) ? builder.loop : this.scheduler;
-		this.context = new ControlContext(Objects.requireNonNull(builder.identity, "identity"),
-				Objects.requireNonNull(builder.peerAddress, "peerAddress"),
-				Objects.requireNonNull(builder.options, "options"), builder.ticker,
-				Objects.requireNonNull(builder.exchange, "exchange"),
-				Objects.requireNonNull(builder.directory, "directory"),
-				Objects.requireNonNull(builder.hostDirectory, "hostDirectory"),
-				Objects.requireNonNull(builder.log, "log"), builder.account, loop);
+	ControlRuntime(ControlRuntimeBuilder builder) {
+		this.scheduler = (builder.getLoop() != null) ? null : newScheduler(builder.getIdentity().host().value());
+		Executor loop = (builder.getLoop() != null) ? builder.getLoop() : this.scheduler;
+		this.context = new ControlContext(Objects.requireNonNull(builder.getIdentity(), "identity"),
+				Objects.requireNonNull(builder.getPeerAddress(), "peerAddress"),
+				Objects.requireNonNull(builder.getOptions(), "options"), builder.getTicker(),
+				Objects.requireNonNull(builder.getExchange(), "exchange"),
+				Objects.requireNonNull(builder.getDirectory(), "directory"),
+				Objects.requireNonNull(builder.getHostDirectory(), "hostDirectory"),
+				Objects.requireNonNull(builder.getLog(), "log"), builder.getAccount(), loop);
 		PlatformHealth health = new PlatformHealth(this.context);
 		StreamAppender configAppender = new StreamAppender(this.context, health, ControlStreams.CONFIG);
 		this.members = new MemberRuntime(this.context, health);
-		this.configuration = new ConfigurationRuntime(this.context, health, builder.bodies, this.members);
-		this.publisher = new ConfigurationPublisher(this.context, builder.bodies, this.configuration, configAppender);
+		this.configuration = new ConfigurationRuntime(this.context, health, builder.getBodies(), this.members);
+		this.publisher = new ConfigurationPublisher(this.context, builder.getBodies(), this.configuration,
+				configAppender);
 		this.carrier = new ConfigurationCarrier(this.context, this.members, this.configuration, configAppender);
 		this.configuration.addSliceListener(this.carrier::onSlice);
 		this.stream = new ControlStream(this.context, health);
-		this.placement = (builder.targets == null) ? null : new PlacementRuntime(this.context, this.members,
-				this.configuration, this.stream, builder.targets, builder.lease);
+		this.placement = (builder.getTargets() == null) ? null : new PlacementRuntime(this.context, this.members,
+				this.configuration, this.stream, builder.getTargets(), builder.getLease());
 	}
 
 	/**
 	 * Returns a builder.
 	 * @return a builder with the system clocks
 	 */
-	public static Builder builder() {
-		return new Builder();
+	public static ControlRuntimeBuilder builder() {
+		return new ControlRuntimeBuilder();
 	}
 
 	/**
@@ -286,143 +277,4 @@
 			.newSingleThreadScheduledExecutor(Thread.ofPlatform().name("control-" + host).daemon(true).factory());
 	}
 
-	/**
-	 * Collects what the runtime needs.
-	 */
-	public static final class Builder {
-
-		private PeerIdentity identity;
-
-		private String peerAddress;
-
-		private ControlOptions options;
-
-		private Ticker ticker = Ticker.system();
-
-		private PeerExchange exchange;
-
-		private PeerDirectory directory;
-
-		private HostDirectory hostDirectory;
-
-		private LogService log;
-
-		private AccountRecorder account;
-
-		private ConfigurationBody bodies = SettingsReader.create()::readFleetConfiguration;
-
-		private Executor loop;
-
-		private PlacementTargets targets;
-
-		private PlacementLease lease = PlacementLease.defaults();
-
-		private Builder() {
-		}
-
-		/**
-		 * Sets who this host is.
-		 * @param value the identity, not null
-		 * @param address the peer listener as other hosts reach it
-		 * @return this builder
-		 */
-		public Builder identity(PeerIdentity value, String address) {
-			this.identity = value;
-			this.peerAddress = address;
-			return this;
-		}
-
-		/**
-		 * Sets the times and sizes.
-		 * @param value the options, not null
-		 * @return this builder
-		 */
-		public Builder options(ControlOptions value) {
-			this.options = value;
-			return this;
-		}
-
-		/**
-		 * Sets the clocks.
-		 * @param value the clocks, not null
-		 * @return this builder
-		 */
-		public Builder ticker(Ticker value) {
-			this.ticker = value;
-			return this;
-		}
-
-		/**
-		 * Sets the exchange with other hosts.
-		 * @param value the exchange, not null
-		 * @param addresses its addresses, usually the same object
-		 * @return this builder
-		 */
-		public Builder exchange(PeerExchange value, PeerDirectory addresses) {
-			this.exchange = value;
-			this.directory = addresses;
-			return this;
-		}
-
-		/**
-		 * Sets the services of the platform.
-		 * @param hosts the host list, not null
-		 * @param streams the log service, not null
-		 * @return this builder
-		 */
-		public Builder platform(HostDirectory hosts, LogService streams) {
-			this.hostDirectory = hosts;
-			this.log = streams;
-			return this;
-		}
-
-		/**
-		 * Sets the account.
-		 * @param value the account, or null for none
-		 * @return this builder
-		 */
-		public Builder account(AccountRecorder value) {
-			this.account = value;
-			return this;
-		}
-
-		/**
-		 * Sets the reader of configuration bodies instead of the settings reader.
-		 * @param value the reader, not null
-		 * @return this builder
-		 */
-		public Builder bodies(ConfigurationBody value) {
-			this.bodies = value;
-			return this;
-		}
-
-		/**
-		 * Turns placement on.
-		 * @param value gives access to the runners; null turns placement off
-		 * @param times the lease of a placement, not null
-		 * @return this builder
-		 */
-		public Builder placement(PlacementTargets value, PlacementLease times) {
-			this.targets = value;
-			this.lease = times;
-			return this;
-		}
-
-		/**
-		 * Creates the runtime; {@link ControlRuntime#start()} starts it. Handlers of peer
-		 * messages are registered at once.
-		 * @return the runtime
-		 */
-		public ControlRuntime build() {
-			return new ControlRuntime(this);
-		}
-
-		// Runs all state changes on another executor and leaves the ticks to the caller.
-		Builder loop(Executor value) {
-			this.loop = value;
-			return this;
-		}
-
-	}
-
 }
--- a/entry/src/main/java/org/wigeonglade/entry/control/MemberRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/MemberRuntime.java
@@ -19,7 +19,6 @@
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.UpstreamId;
-import org.wigeonglade.core.member.DigestComposer;
 import org.wigeonglade.core.member.DigestSource;
 import org.wigeonglade.core.member.FleetLoad;
 import org.wigeonglade.core.member.FleetView;
@@ -47,41 +46,22 @@
 
 	private static final String HOST_LIST = "host list";
 
-	/**
-	 * Two fifths of the budget of 25 KB/s; as much is received, and the rest is left for
-	 * probes and notices.
-	 */
-	private static final double DIGEST_BYTES_PER_SECOND = 10_000;
-
-	/** A receiver that missed the static fields gets them after this many digests. */
-	private static final int FULL_ROUNDS = 10;
-
 	private final ControlContext context;
 
 	private final PlatformHealth health;
 
 	private final MemberTable table;
 
-	private final List<DigestSource> sources = new CopyOnWriteArrayList<>();
-
 	private final List<Consumer<Digest>> listeners = new CopyOnWriteArrayList<>();
 
 	private final Map<HostId, ReceivedLoad> loads = new HashMap<>();
 
-	private final DigestComposer composer = new DigestComposer();
-
-	private Set<HostId> lastReceivers = Set.of();
-
-	private long receiversChanged;
-
-	private long round;
+	private final DigestWriter writer;
 
 	private final Map<HostId, String> learned = new HashMap<>();
 
 	private final Set<HostId> greeted = new HashSet<>();
 
-	private LongSupplier configVersion = () -> 0;
-
 	private long heartbeat;
 
 	private boolean stopping;
@@ -109,6 +89,7 @@
 		this.health = health;
 		this.table = MemberTable.of(context.identity().host(), context.identity().domain(),
 				new MemberTiming(context.options().hostSilent().toMillis(), context.options().meshLimit()));
+		this.writer = new DigestWriter(context, health, this.table);
 		context.exchange().handle(PeerFrame.BodyCase.DIGEST, onLoop(this::onDigest));
 		context.exchange().handle(PeerFrame.BodyCase.LEAVING_NOTICE, onLoop(this::onLeavingNotice));
 		context.exchange().handle(PeerFrame.BodyCase.STOP_NOTICE, onLoop(this::onStopNotice));
@@ -137,7 +118,7 @@
 	}
 
 	void addSource(DigestSource source) {
-		this.sources.add(source);
+		this.writer.addSource(source);
 	}
 
 	void addListener(Consumer<Digest> listener) {
@@ -145,7 +126,7 @@
 	}
 
 	void setConfigVersion(LongSupplier source) {
-		this.configVersion = source;
+		this.writer.setConfigVersion(source);
 	}
 
 	void tick() {
@@ -171,11 +152,8 @@
 		applySelf(now);
 		learnAddresses();
 		Set<HostId> receivers = getReceivers();
-		if (!receivers.equals(this.lastReceivers)) {
-			this.lastReceivers = receivers;
-			this.receiversChanged = now;
-		}
-		PeerFrame frame = PeerFrame.newBuilder().setDigest(buildDigest(now, receivers.size())).build();
+		HostView self = this.writer.buildSelf(this.heartbeat, this.stopping);
+		PeerFrame frame = PeerFrame.newBuilder().setDigest(this.writer.build(self, receivers, now)).build();
 		receivers.forEach((host) -> this.context.exchange().send(host, LinkPurpose.CONTROL, frame));
 	}
 
@@ -299,41 +277,7 @@
 
 	private void applySelf(long now) {
 		this.heartbeat++;
-		this.table.applyHost(buildSelf(), now);
-	}
-
-	private HostView buildSelf() {
-		return HostView.newBuilder()
-			.setHost(this.context.identity().host().value())
-			.setIncarnation(this.context.identity().incarnation())
-			.setFailureDomain(this.context.identity().domain().value())
-			.setRegion(this.context.identity().region().value())
-			.setPeerAddress(this.context.peerAddress())
-			.setHeartbeat(this.heartbeat)
-			.setStopping(this.stopping)
-			.setConfigVersion(this.configVersion.getAsLong())
-			.build();
-	}
-
-	// Static fields are left out of most digests, and load entries are chosen so that the
-	// traffic of a host does not grow with the number of its peers.
-	private Digest buildDigest(long now, int receivers) {
-		boolean full = this.round++ % FULL_ROUNDS == 0
-				|| now - this.receiversChanged < this.context.options().hostSilent().toMillis();
-		Digest.Builder digest = Digest.newBuilder()
-			.setSelf((full) ? buildSelf() : MemberTable.toCompact(buildSelf()))
-			.setConfigVersion(this.configVersion.getAsLong())
-			.setPlatformReachable(this.health.isReachable())
-			.addAllKnownHosts(this.table.nextRelayed(this.context.options().relayedViews(), full, now))
-			.addAllUpstreams(this.table.getLeavingViews(now));
-		Digest.Builder load = Digest.newBuilder();
-		for (DigestSource source : this.sources) {
-			source.contribute(load);
-		}
-		double seconds = this.context.options().digestInterval().toMillis() / 1000.0;
-		int budget = (int) (DIGEST_BYTES_PER_SECOND * seconds / Math.max(1, receivers));
-		this.composer.compose(digest, load.build(), budget);
-		return digest.build();
+		this.table.applyHost(this.writer.buildSelf(this.heartbeat, this.stopping), now);
 	}
 
 	private void onDigest(HostId from, PeerFrame frame) {
