--- a/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
@@ -1,5 +1,6 @@
 package org.wigeonglade.cli;
 
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
 
@@ -8,16 +9,19 @@
 import me.tongfei.progressbar.ProgressBar;
 import org.wigeonglade.bench.capacity.CapacityBench;
 import org.wigeonglade.bench.capacity.Slope;
+import org.wigeonglade.bench.load.LoadComparison;
+import org.wigeonglade.bench.load.LoadReportFiles;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Parameters;
 
 /**
  * Measures the system on this machine.
  */
 @Command(name = "bench", mixinStandardHelpOptions = true,
 		description = "Measures the system against its stand-ins on this machine, on loopback.",
-		subcommands = BenchCommand.Capacity.class)
+		subcommands = { BenchCommand.Capacity.class, BenchCommand.Compare.class })
 final class BenchCommand implements Runnable {
 
 	@CommandLine.Spec
@@ -72,4 +76,40 @@
 
 	}
 
+	/**
+	 * Compares two reports.
+	 */
+	@Command(name = "compare", mixinStandardHelpOptions = true,
+			description = "Compares the figures of two reports and marks what lies outside their spread.")
+	static final class Compare implements Callable<Integer> {
+
+		@Parameters(index = "0", paramLabel = "BEFORE", description = "JSON report of the earlier runs.")
+		private Path before;
+
+		@Parameters(index = "1", paramLabel = "AFTER", description = "JSON report of the later runs.")
+		private Path after;
+
+		@Mixin
+		private Console console;
+
+		@Override
+		public Integer call() {
+			List<LoadComparison.Row> rows = LoadComparison.compare(LoadReportFiles.read(this.before),
+					LoadReportFiles.read(this.after));
+			if (!this.console.isJson()) {
+				this.console.println(LoadComparison.format(rows).stripTrailing());
+				return ExitCode.SUCCESS;
+			}
+			JsonArray list = new JsonArray();
+			rows.forEach((row) -> list.add(new JsonObject().put("figure", row.name())
+				.put("before", row.before().median())
+				.put("after", row.after().median())
+				.put("changePercent", row.changePercent())
+				.put("outsideSpread", row.isOutsideSpread())));
+			this.console.printJson(new JsonObject().put("figures", list));
+			return ExitCode.SUCCESS;
+		}
+
+	}
+
 }
