Drop answers that reach a stopped control loop

Cause: the executor of the control loop rejected answers after the stop of a host; each one printed a stack trace in the middle of the demo's output. Change: the executor discards tasks after its shutdown. Conclusion: a lost or stopped host ends quietly.

--- a/entry/src/main/java/org/wigeonglade/entry/control/ControlRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/ControlRuntime.java
@@ -4,8 +4,9 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.Executor;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -273,8 +274,10 @@
 	}
 
 	private static ScheduledExecutorService newScheduler(String host) {
-		return Executors
-			.newSingleThreadScheduledExecutor(Thread.ofPlatform().name("control-" + host).daemon(true).factory());
+		// Answers that arrive after the stop are dropped, since nothing may change the
+		// state of a stopped host.
+		return new ScheduledThreadPoolExecutor(1, Thread.ofPlatform().name("control-" + host).daemon(true).factory(),
+				new ThreadPoolExecutor.DiscardPolicy());
 	}
 
 }
