--- a/adapters/src/main/java/org/wigeonglade/adapters/engine/CompletionStream.java
+++ b/adapters/src/main/java/org/wigeonglade/adapters/engine/CompletionStream.java
@@ -76,6 +76,9 @@
 			return;
 		}
 		this.http = opened;
+		// Failures arrive through the response; without a handler Vert.x logs them.
+		opened.exceptionHandler((ignored) -> {
+		});
 		opened.response().onSuccess(this::read).onFailure(this::failLost);
 		opened.end(body);
 	}
--- a/adapters/src/main/java/org/wigeonglade/adapters/http/HttpExchange.java
+++ b/adapters/src/main/java/org/wigeonglade/adapters/http/HttpExchange.java
@@ -72,6 +72,9 @@
 				return;
 			}
 			this.request = opened;
+			// Failures arrive through the response; without a handler Vert.x logs them.
+			opened.exceptionHandler((ignored) -> {
+			});
 			opened.response().onComplete((response) -> {
 				if (response.succeeded()) {
 					readBody(response.result(), timer);
--- a/bench/src/main/java/org/wigeonglade/bench/client/AnswerStream.java
+++ b/bench/src/main/java/org/wigeonglade/bench/client/AnswerStream.java
@@ -88,6 +88,9 @@
 			return;
 		}
 		this.request = opened;
+		// Failures arrive through the response; without a handler Vert.x logs them.
+		opened.exceptionHandler((ignored) -> {
+		});
 		opened.response().onSuccess(this::read).onFailure((cause) -> fail("connection_lost", ""));
 		opened.end(body);
 	}
--- a/bench/src/main/java/org/wigeonglade/bench/faults/CellRun.java
+++ b/bench/src/main/java/org/wigeonglade/bench/faults/CellRun.java
@@ -66,8 +66,9 @@
 			}
 			PromiseCheckers.checkAll(history).forEach((violation) -> failures.add(violation.toString()));
 			if (!failures.isEmpty()) {
-				history.write(this.histories.resolve(
-						"cell-" + this.cell.getText().replaceAll("[^a-z]+", "-") + "-" + this.cell.seed() + ".jsonl"));
+				String name = "cell-" + this.cell.getText().replaceAll("[^a-z]+", "-") + "-" + this.cell.seed();
+				history.write(this.histories.resolve(name + ".jsonl"));
+				LogDump.write(fixture.log(), this.histories.resolve(name + "-log.txt"));
 			}
 		}
 		catch (RuntimeException ex) {
