Judge head-of-line blocking by waiting time and overtaking

The checker of P3 reported each batch start while an online request waited at the engine. That included an item that got a slot for 0.03 ms because its cancellation arrived just after that of the stream before it, while the online request got its slot 0.3 ms after it arrived. It missed requests that wait behind batch streams that already run. The new checker reports both a wait of more than 50 ms at an engine with batch work and any batch item that gets a slot first and keeps it until the online request starts. Three planted histories, one of them one that must pass.

--- a/bench/src/main/java/org/wigeonglade/bench/history/PromiseCheckers.java
+++ b/bench/src/main/java/org/wigeonglade/bench/history/PromiseCheckers.java
@@ -54,7 +54,7 @@
 		Map<String, Function<History, List<String>>> checkers = new LinkedHashMap<>();
 		checkers.put("P1", JobChecker::check);
 		checkers.put("P2", PromiseCheckers::checkCancelledJobsStop);
-		checkers.put("P3", PromiseCheckers::checkNoBlockingBehindBatch);
+		checkers.put("P3", BlockingChecker::check);
 		checkers.put("P4", PromiseCheckers::checkWholeAnswers);
 		checkers.put("P5", PromiseCheckers::checkNotRunRefusals);
 		checkers.put("P6", PromiseCheckers::checkAtMostOnce);
@@ -83,33 +83,6 @@
 		return evidence;
 	}
 
-	static List<String> checkNoBlockingBehindBatch(History history) {
-		Set<String> batchPrompts = new HashSet<>();
-		history.of(JobAccepted.class).forEach((job) -> batchPrompts.addAll(job.prompts().values()));
-		Map<String, String> waiting = new HashMap<>();
-		List<String> evidence = new ArrayList<>();
-		history.of(EngineWork.class).forEach((work) -> {
-			String waitingKey = work.engine() + " " + work.requestId();
-			if (batchPrompts.contains(work.prompt())) {
-				if (work.kind().equals(STARTED)) {
-					waiting.forEach((key, prompt) -> {
-						if (key.startsWith(work.engine() + " ")) {
-							evidence.add("batch work started at " + work.engine() + " while an online request waited: "
-									+ prompt);
-						}
-					});
-				}
-			}
-			else if (work.kind().equals("QUEUED")) {
-				waiting.put(waitingKey, work.prompt());
-			}
-			else {
-				waiting.remove(waitingKey);
-			}
-		});
-		return evidence;
-	}
-
 	static List<String> checkWholeAnswers(History history) {
 		List<String> evidence = new ArrayList<>();
 		history.of(OnlineCall.class).filter(OnlineCall::whole).forEach((call) -> {
--- a/bench/src/test/java/org/wigeonglade/bench/history/PromiseCheckersTests.java
+++ b/bench/src/test/java/org/wigeonglade/bench/history/PromiseCheckersTests.java
@@ -40,8 +40,10 @@
 			online("h2", "p3", 8000, 8100, false, "", "unreachable", "not_run"), work("r1", "QUEUED", "p1", 1),
 			work("r1", "STARTED", "p1", 2), work("r1", "COMPLETED", "p1", 40), work("r1", "STARTED", "batch one", 60),
 			new ServiceCall("h1", "s1", ms(0), ms(9), 0, ""),
-			new ServiceCall("h2", "s1", ms(10), ms(19), 503, "not_run"), new ServiceRun("svc", "s1", ms(5)),
-			new UpstreamLeaving("r1", ms(100)), work("r1", "QUEUED", "p9", 3000),
+			new ServiceCall("h2", "s1", ms(10), ms(19), 503, "not_run"), work("r5", "STARTED", "batch two", 5),
+			work("r6", "QUEUED", "p6", 10), work("r6", "STARTED", "batch two", 11),
+			work("r6", "CANCELLED", "batch two", 12), work("r6", "STARTED", "p6", 13),
+			new ServiceRun("svc", "s1", ms(5)), new UpstreamLeaving("r1", ms(100)), work("r1", "QUEUED", "p9", 3000),
 			new HostStop("h2", ms(7000), ms(7500)), new ConfigAccepted(2, ms(100)), new ConfigSeen("h1", 1, ms(7000)),
 			new ConfigSeen("h1", 2, ms(7200)), new HistoryEntry.Fault("none", ms(1)));
 
@@ -55,7 +57,9 @@
 				{ "P1", new JobResults("b1", Map.of("i1", List.of("r1"), "i2", List.of("r1")), true, ms(50)), 3 },
 				{ "P1", new JobAccepted("b2", "k1", JOB.prompts(), JOB.expected(), ms(30)), 1 },
 				{ "P2", new JobCancelled("b1", ms(20)), 1, work("r2", "STARTED", "batch two", 3100) },
-				{ "P3", work("r1", "QUEUED", "p4", 55), 1 },
+				{ "P3", work("r1", "QUEUED", "p4", 55), 1, work("r1", "STARTED", "p4", 65) },
+				{ "P3", work("r5", "QUEUED", "p5", 10), 1, work("r5", "STARTED", "p5", 61) },
+				{ "P3", work("r5", "QUEUED", "p5", 10), 0, work("r5", "STARTED", "p5", 59) },
 				{ "P4", online("h1", "p5", 0, 50, true, "other", "", ""), 1 },
 				{ "P4", online("h1", "p5", 0, 50, false, "", "", ""), 1 }, { "P5", work("r3", "STARTED", "p2", 20), 1 },
 				{ "P5", new ServiceCall("h1", "s1", ms(4), ms(9), 503, "not_run"), 1 },
