--- a/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
@@ -17,7 +17,7 @@
  */
 @Command(name = "bench", mixinStandardHelpOptions = true,
 		description = "Measures the system against its stand-ins on this machine, on loopback.",
-		subcommands = BenchCommand.Capacity.class)
+		subcommands = { BenchCommand.Capacity.class, BenchBatchCommand.class })
 final class BenchCommand implements Runnable {
 
 	@CommandLine.Spec
--- a/core/src/main/java/org/wigeonglade/core/batch/CarriedRecords.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/CarriedRecords.java
@@ -1,6 +1,7 @@
 package org.wigeonglade.core.batch;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -42,16 +43,18 @@
 	// Returns the entries that replace the parts of a record that are still needed.
 	static List<LogEntry> carry(PartitionState state, long offset, LogRecord found) {
 		List<LogEntry> entries = new ArrayList<>();
+		Set<JobState> jobs = new LinkedHashSet<>();
 		for (LogEntry entry : found.getEntriesList()) {
 			switch (entry.getKindCase()) {
 				case ITEM_CHUNK -> carryChunk(state, offset, entry.getItemChunk()).ifPresent(entries::add);
-				case ITEM_OUTCOMES -> carryOutcomes(state, offset, entry.getItemOutcomes()).ifPresent(entries::add);
+				case ITEM_OUTCOMES -> state.findJob(entry.getItemOutcomes().getBatchId()).ifPresent(jobs::add);
 				case KEYED_OUTCOME -> carryKeyed(state, offset, entry.getKeyedOutcome()).ifPresent(entries::add);
 				default -> {
 					// Everything else is in the snapshot.
 				}
 			}
 		}
+		jobs.forEach((job) -> carryOutcomes(state, offset, job, found).ifPresent(entries::add));
 		return entries;
 	}
 
@@ -90,23 +93,16 @@
 				: Optional.empty();
 	}
 
-	private static Optional<LogEntry> carryOutcomes(PartitionState state, long offset, ItemOutcomes outcomes) {
-		JobState job = state.jobs().get(outcomes.getBatchId());
-		if (job == null) {
-			return Optional.empty();
-		}
-		ItemOutcomes.Builder carried = ItemOutcomes.newBuilder()
-			.setBatchId(outcomes.getBatchId())
-			.setCarried(true)
-			.setTerm(state.getTerm());
-		for (ItemOutcome outcome : outcomes.getOutcomesList()) {
-			if (outcome.getIndex() < job.size() && job.getOffset(outcome.getIndex()) == offset
-					&& job.getState(outcome.getIndex()) == ItemState.fromOutcome(outcome.getStatus())) {
-				carried.addOutcomes(outcome);
-			}
-		}
-		return (carried.getOutcomesCount() > 0) ? Optional.of(LogEntry.newBuilder().setItemOutcomes(carried).build())
-				: Optional.empty();
+	private static Optional<LogEntry> carryOutcomes(PartitionState state, long offset, JobState job, LogRecord found) {
+		List<ItemOutcome> outcomes = ItemRecords.currentOutcomes(job, offset, found);
+		return outcomes.isEmpty() ? Optional.empty()
+				: Optional.of(LogEntry.newBuilder()
+					.setItemOutcomes(ItemOutcomes.newBuilder()
+						.setBatchId(job.getId())
+						.setCarried(true)
+						.setTerm(state.getTerm())
+						.addAllOutcomes(outcomes))
+					.build());
 	}
 
 	private static Optional<LogEntry> carryKeyed(PartitionState state, long offset, KeyedOutcome outcome) {
--- a/core/src/main/java/org/wigeonglade/core/batch/ItemRecords.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/ItemRecords.java
@@ -1,8 +1,12 @@
 package org.wigeonglade.core.batch;
 
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.wigeonglade.schema.generated.log.BatchItem;
+import org.wigeonglade.schema.generated.log.ItemOutcome;
 import org.wigeonglade.schema.generated.log.LogEntry;
 import org.wigeonglade.schema.generated.log.LogRecord;
 
@@ -40,4 +44,36 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Returns the outcomes in a record that the replay of a job took. One record may hold
+	 * a second outcome of an item, or one of an older term; both are void.
+	 * @param job the job
+	 * @param offset the offset of the record
+	 * @param found the record
+	 * @return the outcomes whose item refers to this record, one an item
+	 */
+	public static List<ItemOutcome> currentOutcomes(JobState job, long offset, LogRecord found) {
+		long term = found.getEntriesList()
+			.stream()
+			.filter(LogEntry::hasItemOutcomes)
+			.mapToLong((entry) -> entry.getItemOutcomes().getTerm())
+			.max()
+			.orElse(0);
+		Map<Integer, ItemOutcome> current = new LinkedHashMap<>();
+		for (LogEntry entry : found.getEntriesList()) {
+			if (!entry.hasItemOutcomes() || entry.getItemOutcomes().getTerm() != term
+					|| !entry.getItemOutcomes().getBatchId().equals(job.getId())) {
+				continue;
+			}
+			for (ItemOutcome outcome : entry.getItemOutcomes().getOutcomesList()) {
+				int index = outcome.getIndex();
+				if (index >= 0 && index < job.size() && job.getOffset(index) == offset
+						&& job.getState(index) == ItemState.fromOutcome(outcome.getStatus())) {
+					current.putIfAbsent(index, outcome);
+				}
+			}
+		}
+		return List.copyOf(current.values());
+	}
+
 }
--- a/core/src/main/java/org/wigeonglade/core/batch/JobQueue.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/JobQueue.java
@@ -21,6 +21,8 @@
 
 	private final BitSet taken;
 
+	private final BitSet settled = new BitSet();
+
 	private final Deque<Integer> returned = new ArrayDeque<>();
 
 	private final Map<Integer, Integer> attempts = new HashMap<>();
@@ -80,6 +82,16 @@
 		return !this.taken.get(index) && ItemState.isOpen(this.job.getState(index)) && getCrashes(index) == 0;
 	}
 
+	boolean isSettled(int index) {
+		return this.settled.get(index);
+	}
+
+	// The item stays taken until its outcome was read back.
+	void settle(int index) {
+		take(index);
+		this.settled.set(index);
+	}
+
 	boolean isTaken(int index) {
 		return this.taken.get(index);
 	}
@@ -104,6 +116,7 @@
 	}
 
 	void finish(int index) {
+		this.settled.clear(index);
 		release(index);
 		this.attempts.remove(index);
 		this.crashes.remove(index);
--- a/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
@@ -75,6 +75,8 @@
 
 	private volatile Set<String> waiting = Set.of();
 
+	private volatile HostId knownOwner;
+
 	/**
 	 * Creates an agent that has read nothing.
 	 * @param context what its parts share, not null
@@ -119,6 +121,14 @@
 		return Optional.ofNullable(this.published);
 	}
 
+	/**
+	 * Returns the owner as far as the stream was read; may be called by any thread.
+	 * @return the host of the last valid claim, empty after a release or without a claim
+	 */
+	public Optional<HostId> getKnownOwner() {
+		return Optional.ofNullable(this.knownOwner);
+	}
+
 	/**
 	 * Returns the number of append calls; may be called by any thread.
 	 * @return at least 0
@@ -375,6 +385,8 @@
 		@Override
 		public void stateReplaced(PartitionState replaced) {
 			PartitionAgent.this.state = replaced;
+			PartitionAgent.this.knownOwner = (replaced.isReleased() || replaced.getOwnerHost().isEmpty()) ? null
+					: HostId.of(replaced.getOwnerHost());
 			dropOwner();
 			if (PartitionAgent.this.follower.isLossy()) {
 				LOG.log(BatchEvent.HISTORY_LOST, PartitionAgent.this.context.partition(),
@@ -393,6 +405,7 @@
 		@Override
 		public void ownerChanged() {
 			PartitionState now = PartitionAgent.this.state;
+			PartitionAgent.this.knownOwner = now.isReleased() ? null : HostId.of(now.getOwnerHost());
 			PartitionOwner before = PartitionAgent.this.owner;
 			PartitionAgent.this.ownerRecordMillis = PartitionAgent.this.context.ticker().millis();
 			if (before == null || before.isActive()) {
--- a/core/src/main/java/org/wigeonglade/core/batch/WorkLedger.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/WorkLedger.java
@@ -140,7 +140,7 @@
 		}
 		int index = report.getIndex();
 		boolean held = grant != null && grant.getQueue() == queue && grant.getIndex() == index;
-		if (!ItemState.isOpen(queue.getJob().getState(index))) {
+		if (!ItemState.isOpen(queue.getJob().getState(index)) || queue.isSettled(index)) {
 			return Verdict.NOTHING;
 		}
 		if (!held && report.getStatus() != WorkStatus.WORK_COMPLETED) {
@@ -174,6 +174,9 @@
 		for (Grant grant : lapsed) {
 			this.grants.remove(grant.getId());
 			JobQueue queue = grant.getQueue();
+			if (queue.isSettled(grant.getIndex()) || !ItemState.isOpen(grant.getJob().getState(grant.getIndex()))) {
+				continue;
+			}
 			ItemOutcome.Builder lost = ItemOutcome.newBuilder()
 				.setIndex(grant.getIndex())
 				.setCustomId(grant.getCustomId())
@@ -204,7 +207,8 @@
 		List<Verdict> verdicts = new ArrayList<>();
 		for (FairQueue.Item item : this.inherited) {
 			JobState job = item.queue().getJob();
-			if (ItemState.isOpen(job.getState(item.index()))) {
+			if (ItemState.isOpen(job.getState(item.index())) && !item.queue().isSettled(item.index())) {
+				item.queue().settle(item.index());
 				verdicts.add(new Verdict(job,
 						ItemOutcome.newBuilder()
 							.setIndex(item.index())
@@ -275,8 +279,7 @@
 	}
 
 	private Verdict finish(JobQueue queue, int index, ItemOutcome outcome) {
-		// The item stays taken until the outcome was read back.
-		queue.take(index);
+		queue.settle(index);
 		return new Verdict(queue.getJob(), outcome, false);
 	}
 
@@ -295,6 +298,9 @@
 	}
 
 	private void requeue(JobQueue queue, int index) {
+		if (queue.isSettled(index) || !ItemState.isOpen(queue.getJob().getState(index))) {
+			return;
+		}
 		FairQueue service = service(queue.getJob().getAccepted().getService());
 		if (queue.getCrashes(index) > 0) {
 			queue.release(index);
--- a/entry/src/main/java/org/wigeonglade/entry/batch/LogBatchRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/LogBatchRuntime.java
@@ -75,7 +75,7 @@
 		RankTable ranks = new RankTable();
 		this.partitions = new PartitionSet(settings, this.policy, ranks);
 		this.router = new PartitionRouter(this.self, settings.getPeers(), settings.getFleet(), this.policy, ranks,
-				this.partitions::agent, this.partitions::isOwned);
+				this.partitions::agent, this.partitions::isOwned, this.partitions::readOwner);
 		this.local = new LocalWork(this.partitions::getAgents, this.partitions::lane,
 				settings.getOptions().workLease().toMillis());
 		this.work = new PeerWorkSource(this.self, this.local, settings.getPeers(), this.router, settings.getTicker());
--- a/entry/src/main/java/org/wigeonglade/entry/batch/PartitionRouter.java
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/PartitionRouter.java
@@ -5,10 +5,12 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
+import java.util.function.IntFunction;
 import java.util.function.IntPredicate;
 import java.util.stream.IntStream;
 
@@ -51,10 +53,12 @@
 
 	private final IntPredicate ownedHere;
 
+	private final IntFunction<Optional<HostId>> readOwner;
+
 	private final Map<Integer, HostId> owners = new ConcurrentHashMap<>();
 
 	PartitionRouter(HostId self, PeerExchange peers, FleetViewSource fleet, BatchPolicy policy, RankTable ranks,
-			Function<Integer, PartitionAgent> agents, IntPredicate ownedHere) {
+			Function<Integer, PartitionAgent> agents, IntPredicate ownedHere, IntFunction<Optional<HostId>> readOwner) {
 		this.self = self;
 		this.peers = peers;
 		this.fleet = fleet;
@@ -62,6 +66,7 @@
 		this.ranks = ranks;
 		this.agents = agents;
 		this.ownedHere = ownedHere;
+		this.readOwner = readOwner;
 	}
 
 	static String streamOf(int partition) {
@@ -87,9 +92,11 @@
 		if (this.ownedHere.test(partition)) {
 			return this.self;
 		}
-		HostId learned = this.owners.get(partition);
-		if (learned != null && this.fleet.current().findHost(learned).isPresent()) {
-			return learned;
+		Optional<HostId> learned = Optional.ofNullable(this.owners.get(partition))
+			.or(() -> this.readOwner.apply(partition))
+			.filter((host) -> !host.equals(this.self) && this.fleet.current().findHost(host).isPresent());
+		if (learned.isPresent()) {
+			return learned.get();
 		}
 		List<HostId> ranked = this.ranks.rank(partition, this.fleet.current());
 		return ranked.isEmpty() ? this.self : ranked.get(0);
--- a/entry/src/main/java/org/wigeonglade/entry/batch/PartitionSet.java
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/PartitionSet.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -119,6 +120,10 @@
 		return this.agents.computeIfAbsent(partition, this::create);
 	}
 
+	Optional<HostId> readOwner(int partition) {
+		return Optional.ofNullable(this.agents.get(partition)).flatMap(PartitionAgent::getKnownOwner);
+	}
+
 	boolean isOwned(int partition) {
 		PartitionAgent agent = this.agents.get(partition);
 		return agent != null && agent.getPublished().isPresent();
--- a/entry/src/main/java/org/wigeonglade/entry/batch/PeerWorkSource.java
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/PeerWorkSource.java
@@ -38,7 +38,7 @@
 
 	private static final long EMPTY_MILLIS = 100;
 
-	private static final long LOST_MILLIS = 500;
+	private static final long LOST_MILLIS = 200;
 
 	private final HostId self;
 
--- a/entry/src/main/java/org/wigeonglade/entry/batch/ResultLines.java
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/ResultLines.java
@@ -3,10 +3,13 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.HashSet;
+import java.util.Set;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.protobuf.ByteString;
+import org.wigeonglade.core.batch.ItemRecords;
 import org.wigeonglade.core.batch.ItemState;
 import org.wigeonglade.core.batch.JobState;
 import org.wigeonglade.core.error.ErrorCode;
@@ -29,20 +32,17 @@
 	static byte[] write(JobState job, long offset, LogRecord found) {
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 		try {
+			for (ItemOutcome outcome : ItemRecords.currentOutcomes(job, offset, found)) {
+				writeOutcome(bytes, outcome);
+			}
+			Set<Integer> written = new HashSet<>();
 			for (LogEntry entry : found.getEntriesList()) {
-				if (entry.hasItemOutcomes() && entry.getItemOutcomes().getBatchId().equals(job.getId())) {
-					for (ItemOutcome outcome : entry.getItemOutcomes().getOutcomesList()) {
-						if (isCurrent(job, outcome, offset)) {
-							writeOutcome(bytes, outcome);
-						}
-					}
+				if (!entry.hasItemChunk() || !entry.getItemChunk().getBatchId().equals(job.getId())) {
+					continue;
 				}
-				else if (entry.hasItemChunk() && entry.getItemChunk().getBatchId().equals(job.getId())) {
-					for (BatchItem item : entry.getItemChunk().getItemsList()) {
-						if (item.getIndex() < job.size() && job.getState(item.getIndex()) == ItemState.CANCELLED
-								&& job.getOffset(item.getIndex()) == offset) {
-							writeCancelled(bytes, item);
-						}
+				for (BatchItem item : entry.getItemChunk().getItemsList()) {
+					if (isCancelledHere(job, offset, item) && written.add(item.getIndex())) {
+						writeCancelled(bytes, item);
 					}
 				}
 			}
@@ -53,15 +53,9 @@
 		return bytes.toByteArray();
 	}
 
-	private static boolean isCurrent(JobState job, ItemOutcome outcome, long offset) {
-		int expected = switch (outcome.getStatus()) {
-			case COMPLETED -> ItemState.COMPLETED;
-			case FAILED -> ItemState.FAILED;
-			case UNKNOWN -> ItemState.UNKNOWN;
-			default -> -1;
-		};
-		return outcome.getIndex() < job.size() && job.getOffset(outcome.getIndex()) == offset
-				&& job.getState(outcome.getIndex()) == expected;
+	private static boolean isCancelledHere(JobState job, long offset, BatchItem item) {
+		return item.getIndex() < job.size() && job.getState(item.getIndex()) == ItemState.CANCELLED
+				&& job.getOffset(item.getIndex()) == offset;
 	}
 
 	private static void writeOutcome(ByteArrayOutputStream bytes, ItemOutcome outcome) throws IOException {
