--- a/entry/src/main/java/org/wigeonglade/entry/control/MemberRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/MemberRuntime.java
@@ -25,6 +25,7 @@
 import org.wigeonglade.core.member.HostMember;
 import org.wigeonglade.core.member.MemberTable;
 import org.wigeonglade.core.member.MemberTiming;
+import org.wigeonglade.core.member.ReceivedLoad;
 import org.wigeonglade.core.peer.PeerHandler;
 import org.wigeonglade.core.platform.ListedHost;
 import org.wigeonglade.schema.generated.peer.Digest;
@@ -51,18 +52,16 @@
 
 	private final MemberTable table;
 
-	private final List<DigestSource> sources = new CopyOnWriteArrayList<>();
-
 	private final List<Consumer<Digest>> listeners = new CopyOnWriteArrayList<>();
 
-	private final Map<HostId, FleetLoad.ReceivedDigest> digests = new HashMap<>();
+	private final Map<HostId, ReceivedLoad> loads = new HashMap<>();
+
+	private final DigestWriter writer;
 
 	private final Map<HostId, String> learned = new HashMap<>();
 
 	private final Set<HostId> greeted = new HashSet<>();
 
-	private LongSupplier configVersion = () -> 0;
-
 	private long heartbeat;
 
 	private boolean stopping;
@@ -90,6 +89,7 @@
 		this.health = health;
 		this.table = MemberTable.of(context.identity().host(), context.identity().domain(),
 				new MemberTiming(context.options().hostSilent().toMillis(), context.options().meshLimit()));
+		this.writer = new DigestWriter(context, health, this.table);
 		context.exchange().handle(PeerFrame.BodyCase.DIGEST, onLoop(this::onDigest));
 		context.exchange().handle(PeerFrame.BodyCase.LEAVING_NOTICE, onLoop(this::onLeavingNotice));
 		context.exchange().handle(PeerFrame.BodyCase.STOP_NOTICE, onLoop(this::onStopNotice));
@@ -118,7 +118,7 @@
 	}
 
 	void addSource(DigestSource source) {
-		this.sources.add(source);
+		this.writer.addSource(source);
 	}
 
 	void addListener(Consumer<Digest> listener) {
@@ -126,7 +126,7 @@
 	}
 
 	void setConfigVersion(LongSupplier source) {
-		this.configVersion = source;
+		this.writer.setConfigVersion(source);
 	}
 
 	void tick() {
@@ -151,8 +151,10 @@
 		long now = this.context.now();
 		applySelf(now);
 		learnAddresses();
-		PeerFrame frame = PeerFrame.newBuilder().setDigest(buildDigest(now)).build();
-		getReceivers().forEach((host) -> this.context.exchange().send(host, LinkPurpose.CONTROL, frame));
+		Set<HostId> receivers = getReceivers();
+		HostView self = this.writer.buildSelf(this.heartbeat, this.stopping);
+		PeerFrame frame = PeerFrame.newBuilder().setDigest(this.writer.build(self, receivers, now)).build();
+		receivers.forEach((host) -> this.context.exchange().send(host, LinkPurpose.CONTROL, frame));
 	}
 
 	// Marks an upstream as leaving and tells every host that can be reached.
@@ -275,33 +277,7 @@
 
 	private void applySelf(long now) {
 		this.heartbeat++;
-		this.table.applyHost(buildSelf(), now);
-	}
-
-	private HostView buildSelf() {
-		return HostView.newBuilder()
-			.setHost(this.context.identity().host().value())
-			.setIncarnation(this.context.identity().incarnation())
-			.setFailureDomain(this.context.identity().domain().value())
-			.setRegion(this.context.identity().region().value())
-			.setPeerAddress(this.context.peerAddress())
-			.setHeartbeat(this.heartbeat)
-			.setStopping(this.stopping)
-			.setConfigVersion(this.configVersion.getAsLong())
-			.build();
-	}
-
-	private Digest buildDigest(long now) {
-		Digest.Builder digest = Digest.newBuilder()
-			.setSelf(buildSelf())
-			.setConfigVersion(this.configVersion.getAsLong())
-			.setPlatformReachable(this.health.isReachable())
-			.addAllKnownHosts(this.table.nextRelayed(this.context.options().relayedViews(), now))
-			.addAllUpstreams(this.table.getLeavingViews(now));
-		for (DigestSource source : this.sources) {
-			source.contribute(digest);
-		}
-		return digest.build();
+		this.table.applyHost(this.writer.buildSelf(this.heartbeat, this.stopping), now);
 	}
 
 	private void onDigest(HostId from, PeerFrame frame) {
@@ -311,11 +287,8 @@
 					"a digest must be of its sender " + from + " but is of '" + digest.getSelf().getHost() + "'");
 		}
 		long now = this.context.now();
-		FleetLoad.ReceivedDigest received = new FleetLoad.ReceivedDigest(digest, now);
-		// Fails on malformed names before anything of the digest is kept.
-		FleetLoad.of(List.of(received));
 		if (this.table.applyHost(digest.getSelf(), now)) {
-			this.digests.put(from, received);
+			applyLoad(from, digest, now);
 		}
 		digest.getKnownHostsList()
 			.stream()
@@ -331,6 +304,16 @@
 		this.listeners.forEach((listener) -> listener.accept(digest));
 	}
 
+	private void applyLoad(HostId from, Digest digest, long now) {
+		HostMember member = this.table.find(from).orElseThrow();
+		ReceivedLoad known = this.loads.get(from);
+		if (known == null || known.getIncarnation() != member.incarnation()) {
+			known = new ReceivedLoad(from, member.domain(), member.incarnation());
+			this.loads.put(from, known);
+		}
+		known.apply(digest, now);
+	}
+
 	private void onLeavingNotice(HostId from, PeerFrame frame) {
 		LeavingNotice notice = frame.getLeavingNotice();
 		// Passing news on reaches hosts that the sender cannot reach.
@@ -347,9 +330,9 @@
 		FleetView next = this.table.toView(now, this.health.isReachable());
 		reportChanges(this.view, next, now);
 		Set<HostId> live = next.hosts().stream().map(HostMember::id).collect(Collectors.toSet());
-		this.digests.keySet().retainAll(live);
+		this.loads.keySet().retainAll(live);
 		this.view = next;
-		this.load = FleetLoad.of(this.digests.values());
+		this.load = FleetLoad.of(this.loads.values());
 		this.lost = this.table.getLost(now);
 	}
 
