Keep records by age as well as by number

A test with records that expire after 6 s and an idle partition reads all 200 results on a new host.

--- a/bench/src/main/java/org/wigeonglade/bench/batch/BatchFleet.java
+++ b/bench/src/main/java/org/wigeonglade/bench/batch/BatchFleet.java
@@ -80,13 +80,16 @@
 
 	private final long retainedRecords;
 
+	private final Duration retainedFor;
+
 	private long nextIncarnation = 1;
 
 	private BatchFleet(int partitions, int appendsPerSecond, UnaryOperator<LogStandIn.Builder> logSettings,
-			long retainedRecords) {
+			long retainedRecords, Duration retainedFor) {
 		this.log = logSettings.apply(LogStandIn.builder().vertx(this.vertx)).start();
 		this.configuration = configuration(partitions, appendsPerSecond);
 		this.retainedRecords = retainedRecords;
+		this.retainedFor = retainedFor;
 	}
 
 	/**
@@ -97,12 +100,12 @@
 	 * @return a running fleet
 	 */
 	public static BatchFleet start(int hosts, int partitions, int appendsPerSecond) {
-		return start(hosts, partitions, appendsPerSecond, UnaryOperator.identity(), Integer.MAX_VALUE);
+		return start(hosts, partitions, appendsPerSecond, UnaryOperator.identity(), Integer.MAX_VALUE, Duration.ZERO);
 	}
 
 	static BatchFleet start(int hosts, int partitions, int appendsPerSecond,
-			UnaryOperator<LogStandIn.Builder> logSettings, long retainedRecords) {
-		BatchFleet fleet = new BatchFleet(partitions, appendsPerSecond, logSettings, retainedRecords);
+			UnaryOperator<LogStandIn.Builder> logSettings, long retainedRecords, Duration retainedFor) {
+		BatchFleet fleet = new BatchFleet(partitions, appendsPerSecond, logSettings, retainedRecords, retainedFor);
 		for (int i = 0; i < hosts; i++) {
 			fleet.add("host-" + i);
 		}
@@ -131,7 +134,9 @@
 			.withPeers(this.peers.join(id))
 			.withFleet(this::view)
 			.withConfiguration(() -> new VersionedConfiguration(1, this.configuration))
-			.withRetention(this.retainedRecords, Math.min(4096, Math.max(8, this.retainedRecords / 4)))
+
+			.withRetention(this.retainedRecords, this.retainedFor,
+					Math.min(4096, Math.max(8, this.retainedRecords / 4)))
 			.build();
 		synchronized (this.hosts) {
 			this.hosts.put(id, runtime);
--- a/bench/src/test/java/org/wigeonglade/bench/batch/BatchFleetTests.java
+++ b/bench/src/test/java/org/wigeonglade/bench/batch/BatchFleetTests.java
@@ -152,7 +152,7 @@
 
 	@Test
 	void stateSurvivesTheExpiryOfItsRecords() {
-		try (BatchFleet fleet = BatchFleet.start(2, 1, 2000, (log) -> log.retainRecords(60), 60);
+		try (BatchFleet fleet = BatchFleet.start(2, 1, 2000, (log) -> log.retainRecords(60), 60, Duration.ZERO);
 				WorkerPool workers = new WorkerPool(fleet, 2, WorkerPool::complete)) {
 			JobStatus job = fleet.submit("host-0", "key", BatchJobs.lines(BatchFleet.IDEMPOTENT, 200));
 			fleet.live().forEach((host) -> workers.start(host, BatchFleet.IDEMPOTENT, false));
@@ -172,6 +172,25 @@
 		}
 	}
 
+	@Test
+	void resultsOfAnIdlePartitionSurviveTheirAge() {
+		Duration retained = Duration.ofSeconds(6);
+		try (BatchFleet fleet = BatchFleet.start(2, 1, 2000, (log) -> log.retainFor(retained), 100_000, retained);
+				WorkerPool workers = new WorkerPool(fleet, 16, WorkerPool::complete)) {
+			JobStatus job = fleet.submit("host-0", "key", BatchJobs.lines(BatchFleet.IDEMPOTENT, 200));
+			workers.start("host-0", BatchFleet.IDEMPOTENT, false);
+			until(() -> finished(fleet, "host-0", job.id()), "job did not finish");
+			long first = fleet.log().records("jobs-0").get(0).offset();
+			long last = fleet.log().appends();
+			until(() -> {
+				fleet.log().trim();
+				return fleet.log().records("jobs-0").get(0).offset() > last;
+			}, "records did not expire after offset " + first);
+			fleet.add("host-9");
+			Assert.assertEquals(ids(fleet.results("host-9", job.id())).size(), 200);
+		}
+	}
+
 	private static boolean finished(BatchFleet fleet, String host, BatchId id) {
 		return fleet.status(host, id).state() != JobStatus.State.IN_PROGRESS;
 	}
--- a/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
@@ -45,6 +45,8 @@
 
 	private final LogWriter writer;
 
+	private final RecordAges ages = new RecordAges();
+
 	private PartitionState state = new PartitionState();
 
 	private PartitionOwner owner;
@@ -341,7 +343,8 @@
 			return;
 		}
 		this.owner = new PartitionOwner(this.context, this.state, this.writer, this.follower);
-		this.keeper = new PartitionKeeper(this.context, this.state, this.writer, this.follower, this.owner::isActive);
+		this.keeper = new PartitionKeeper(this.context, this.state, this.writer, this.follower, this.owner::isActive,
+				this.ages);
 		this.outrankedSinceMillis = -1;
 		publish();
 		int open = this.state.getJobs().stream().mapToInt(JobState::countOpen).sum();
@@ -396,6 +399,7 @@
 
 		@Override
 		public void recordSeen(long offset, LogRecord entry) {
+			PartitionAgent.this.ages.add(offset, entry.getWallTimeMs());
 			if (entry.getHost().equals(PartitionAgent.this.state.getOwnerHost())
 					&& entry.getIncarnation() == PartitionAgent.this.state.getOwnerIncarnation()) {
 				PartitionAgent.this.ownerRecordMillis = PartitionAgent.this.context.ticker().millis();
--- a/core/src/main/java/org/wigeonglade/core/batch/PartitionKeeper.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionKeeper.java
@@ -32,6 +32,8 @@
 
 	private static final long EXPIRY_CHECK_MILLIS = 60_000;
 
+	private static final long AGE_PARTS = 3;
+
 	private final PartitionContext context;
 
 	private final PartitionState state;
@@ -42,6 +44,8 @@
 
 	private final BooleanSupplier active;
 
+	private final RecordAges ages;
+
 	/**
 	 * Records that expired although they were needed; they cannot be carried any more.
 	 */
@@ -53,13 +57,17 @@
 
 	private long nextExpiryMillis;
 
+	private long snapshotMillis;
+
 	PartitionKeeper(PartitionContext context, PartitionState state, LogWriter writer, PartitionFollower follower,
-			BooleanSupplier active) {
+			BooleanSupplier active, RecordAges ages) {
 		this.context = context;
 		this.state = state;
 		this.writer = writer;
 		this.follower = follower;
 		this.active = active;
+		this.ages = ages;
+		this.snapshotMillis = context.ticker().millis();
 		this.nextExpiryMillis = context.ticker().millis() + EXPIRY_CHECK_MILLIS;
 	}
 
@@ -69,8 +77,9 @@
 		}
 		long retained = retainedRecords();
 		long behind = this.state.getAppliedOffset() - Math.max(0, this.state.getSnapshotCovers());
-		long below = this.follower.getHeadOffset() - retained / 2;
-		if (behind >= Math.max(1, Math.min(this.context.options().snapshotEvery(), retained / 4))) {
+		long below = Math.max(this.follower.getHeadOffset() - retained / 2, offsetOfOldRecords());
+		if (behind >= Math.max(1, Math.min(this.context.options().snapshotEvery(), retained / 4)) || isSnapshotOld()) {
+			this.snapshotMillis = this.context.ticker().millis();
 			run("snapshot", snapshot());
 			return;
 		}
@@ -84,6 +93,19 @@
 		}
 	}
 
+	// A third of the time is left for what an earlier owner did not sample, and a third
+	// for
+	// the appends themselves.
+	private long offsetOfOldRecords() {
+		long time = this.context.options().retainedFor().toMillis();
+		return (time > 0) ? this.ages.offsetAt(this.context.ticker().wallMillis() - time / AGE_PARTS) : 0;
+	}
+
+	private boolean isSnapshotOld() {
+		long time = this.context.options().retainedFor().toMillis();
+		return time > 0 && this.context.ticker().millis() - this.snapshotMillis >= time / AGE_PARTS;
+	}
+
 	private long retainedRecords() {
 		long configured = this.context.options().retainedRecords();
 		if (this.follower.getOldestOffset() == 0) {
--- a/core/src/main/java/org/wigeonglade/core/batch/PartitionOptions.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionOptions.java
@@ -11,12 +11,13 @@
  * @param rebalanceAfter how long another host must rank first before the owner releases
  * @param retainedRecords records that the log retains at least, before any expiry was
  * seen; later the observed number counts if it is smaller
+ * @param retainedFor time for which the log retains a record at least, zero for no limit
  * @param snapshotEvery records between two snapshots
  * @param maxBufferedOutcomes outcomes that may wait for the log
  * @param writer the settings of the log writers
  */
 public record PartitionOptions(Duration lease, Duration workLease, Duration poll, Duration rebalanceAfter,
-		long retainedRecords, long snapshotEvery, int maxBufferedOutcomes, WriterOptions writer) {
+		long retainedRecords, Duration retainedFor, long snapshotEvery, int maxBufferedOutcomes, WriterOptions writer) {
 
 	private static final long DEFAULT_RETAINED = 100_000;
 
@@ -36,17 +37,18 @@
 	 */
 	public static PartitionOptions of(Duration lease, Duration workLease, Duration poll, Duration groupDelay) {
 		return new PartitionOptions(lease, workLease, poll, lease.multipliedBy(REBALANCE_LEASES), DEFAULT_RETAINED,
-				DEFAULT_SNAPSHOT_EVERY, DEFAULT_BUFFERED, WriterOptions.of(groupDelay));
+				Duration.ZERO, DEFAULT_SNAPSHOT_EVERY, DEFAULT_BUFFERED, WriterOptions.of(groupDelay));
 	}
 
 	/**
 	 * Returns a copy with another retention.
 	 * @param records records that the log retains at least
+	 * @param time time for which the log retains a record at least, zero for no limit
 	 * @param every records between two snapshots
 	 * @return the copy, never null
 	 */
-	public PartitionOptions withRetention(long records, long every) {
-		return new PartitionOptions(this.lease, this.workLease, this.poll, this.rebalanceAfter, records, every,
+	public PartitionOptions withRetention(long records, Duration time, long every) {
+		return new PartitionOptions(this.lease, this.workLease, this.poll, this.rebalanceAfter, records, time, every,
 				this.maxBufferedOutcomes, this.writer);
 	}
 
--- a/entry/src/main/java/org/wigeonglade/entry/batch/BatchRuntimeBuilder.java
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/BatchRuntimeBuilder.java
@@ -12,6 +12,7 @@
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.schema.generated.settings.HostSettings;
 import org.wigeonglade.schema.generated.settings.LimitSettings;
+import org.wigeonglade.schema.generated.settings.PlatformSettings;
 import org.wigeonglade.schema.generated.settings.TimingSettings;
 
 /**
@@ -43,6 +44,11 @@
 		this.options = PartitionOptions.of(Duration.ofMillis(timing.getPartitionLeaseMs()),
 				Duration.ofMillis(timing.getWorkLeaseMs()), Duration.ofMillis(timing.getLogPollMs()),
 				Duration.ofMillis(timing.getGroupCommitMs()));
+		PlatformSettings platform = settings.getPlatform();
+		if (platform != null) {
+			this.options = this.options.withRetention(platform.getLogRetainedRecords(),
+					Duration.ofMinutes(platform.getLogRetainedMinutes()), this.options.snapshotEvery());
+		}
 	}
 
 	/**
@@ -118,11 +124,12 @@
 	/**
 	 * Sets the retention that the log is known to have.
 	 * @param retainedRecords records of a stream that are retained at least
+	 * @param retainedFor time for which a record is retained at least, zero for no limit
 	 * @param snapshotEvery records between two snapshots
 	 * @return this builder
 	 */
-	public BatchRuntimeBuilder withRetention(long retainedRecords, long snapshotEvery) {
-		this.options = this.options.withRetention(retainedRecords, snapshotEvery);
+	public BatchRuntimeBuilder withRetention(long retainedRecords, Duration retainedFor, long snapshotEvery) {
+		this.options = this.options.withRetention(retainedRecords, retainedFor, snapshotEvery);
 		return this;
 	}
 
