--- a/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
@@ -45,6 +45,8 @@
 
 	private final LogWriter writer;
 
+	private final RecordAges ages = new RecordAges();
+
 	private PartitionState state = new PartitionState();
 
 	private PartitionOwner owner;
@@ -75,6 +77,8 @@
 
 	private volatile Set<String> waiting = Set.of();
 
+	private volatile HostId knownOwner;
+
 	/**
 	 * Creates an agent that has read nothing.
 	 * @param context what its parts share, not null
@@ -119,6 +123,14 @@
 		return Optional.ofNullable(this.published);
 	}
 
+	/**
+	 * Returns the owner as far as the stream was read; may be called by any thread.
+	 * @return the host of the last valid claim, empty after a release or without a claim
+	 */
+	public Optional<HostId> getKnownOwner() {
+		return Optional.ofNullable(this.knownOwner);
+	}
+
 	/**
 	 * Returns the number of append calls; may be called by any thread.
 	 * @return at least 0
@@ -331,7 +343,8 @@
 			return;
 		}
 		this.owner = new PartitionOwner(this.context, this.state, this.writer, this.follower);
-		this.keeper = new PartitionKeeper(this.context, this.state, this.writer, this.follower, this.owner::isActive);
+		this.keeper = new PartitionKeeper(this.context, this.state, this.writer, this.follower, this.owner::isActive,
+				this.ages);
 		this.outrankedSinceMillis = -1;
 		publish();
 		int open = this.state.getJobs().stream().mapToInt(JobState::countOpen).sum();
@@ -375,6 +388,8 @@
 		@Override
 		public void stateReplaced(PartitionState replaced) {
 			PartitionAgent.this.state = replaced;
+			PartitionAgent.this.knownOwner = (replaced.isReleased() || replaced.getOwnerHost().isEmpty()) ? null
+					: HostId.of(replaced.getOwnerHost());
 			dropOwner();
 			if (PartitionAgent.this.follower.isLossy()) {
 				LOG.log(BatchEvent.HISTORY_LOST, PartitionAgent.this.context.partition(),
@@ -384,6 +399,7 @@
 
 		@Override
 		public void recordSeen(long offset, LogRecord entry) {
+			PartitionAgent.this.ages.add(offset, entry.getWallTimeMs());
 			if (entry.getHost().equals(PartitionAgent.this.state.getOwnerHost())
 					&& entry.getIncarnation() == PartitionAgent.this.state.getOwnerIncarnation()) {
 				PartitionAgent.this.ownerRecordMillis = PartitionAgent.this.context.ticker().millis();
@@ -393,6 +409,7 @@
 		@Override
 		public void ownerChanged() {
 			PartitionState now = PartitionAgent.this.state;
+			PartitionAgent.this.knownOwner = now.isReleased() ? null : HostId.of(now.getOwnerHost());
 			PartitionOwner before = PartitionAgent.this.owner;
 			PartitionAgent.this.ownerRecordMillis = PartitionAgent.this.context.ticker().millis();
 			if (before == null || before.isActive()) {
