--- a/entry/src/main/java/org/wigeonglade/entry/host/EntryHostBuilder.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/EntryHostBuilder.java
@@ -12,8 +12,10 @@
 import org.wigeonglade.core.member.FleetViewSource;
 import org.wigeonglade.core.platform.HostDirectory;
 import org.wigeonglade.core.platform.LogService;
+import org.wigeonglade.core.route.EndpointChoice;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.entry.batch.BatchRuntime;
+import org.wigeonglade.entry.online.EndpointPolicy;
 import org.wigeonglade.entry.online.UpstreamClients;
 import org.wigeonglade.schema.generated.settings.FleetConfiguration;
 import org.wigeonglade.schema.generated.settings.HostSettings;
@@ -44,6 +46,8 @@
 
 	private Function<Vertx, UpstreamClients> clients = HttpUpstreamClients::new;
 
+	private EndpointPolicy policy = EndpointChoice::choose;
+
 	EntryHostBuilder(HostSettings settings) {
 		this.settings = settings;
 	}
@@ -130,6 +134,16 @@
 		return this;
 	}
 
+	/**
+	 * Sets the choice of runners for online requests.
+	 * @param policy the policy, not null
+	 * @return this builder
+	 */
+	public EntryHostBuilder withPolicy(EndpointPolicy policy) {
+		this.policy = Objects.requireNonNull(policy, "policy");
+		return this;
+	}
+
 	/**
 	 * Creates the host without starting it.
 	 * @return a host, never null
@@ -142,6 +156,10 @@
 		return this.settings;
 	}
 
+	EndpointPolicy getPolicy() {
+		return this.policy;
+	}
+
 	Ticker getTicker() {
 		return this.ticker;
 	}
--- a/entry/src/main/java/org/wigeonglade/entry/host/HostAssembly.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/HostAssembly.java
@@ -242,6 +242,7 @@
 			.withFleet(this.fleet)
 			.withLoad(this.load)
 			.withPeers(this.peers)
+			.withPolicy(this.builder.getPolicy())
 			.withClients(this.builder.clients(this.vertx));
 		if (this.quarantines != null) {
 			parts.withRecorder(this.quarantines);
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
@@ -55,6 +55,8 @@
 
 	private final FleetLoadSource load;
 
+	private final EndpointPolicy policy;
+
 	private final RunnerTable runners;
 
 	private final HostLinks links;
@@ -88,6 +90,7 @@
 		this.domain = builder.getDomain();
 		this.region = builder.getRegion();
 		this.load = builder.getLoad();
+		this.policy = builder.getPolicy();
 		this.random = new Random(builder.getSeed());
 		this.runners = new RunnerTable(builder.getSelf(), builder.getFleet(), builder.getClients(), this.ticker,
 				builder.getLoad());
@@ -200,7 +203,7 @@
 
 	private ServiceAdmission newAdmission(OnlineRequest request) {
 		return new ServiceAdmission(new RunnerPool(this.runners, this.ticker, request.service(), request.model(),
-				this.domain, this.region, this.load), this.ticker, this.random);
+				this.domain, this.region, this.load), this.ticker, this.random, this.policy);
 	}
 
 	private void listen(PeerExchange peers) {
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntimeBuilder.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntimeBuilder.java
@@ -11,6 +11,7 @@
 import org.wigeonglade.core.member.FleetView;
 import org.wigeonglade.core.member.FleetViewSource;
 import org.wigeonglade.core.peer.PeerExchange;
+import org.wigeonglade.core.route.EndpointChoice;
 import org.wigeonglade.core.time.Ticker;
 
 /**
@@ -38,6 +39,8 @@
 
 	private QuarantineRecorder recorder = (added) -> Uni.createFrom().voidItem();
 
+	private EndpointPolicy policy = EndpointChoice::choose;
+
 	private long seed;
 
 	/**
@@ -123,6 +126,16 @@
 		return this;
 	}
 
+	/**
+	 * Sets the choice of runners.
+	 * @param policy the policy, not null
+	 * @return this builder
+	 */
+	public OnlineRuntimeBuilder withPolicy(EndpointPolicy policy) {
+		this.policy = Objects.requireNonNull(policy, "policy");
+		return this;
+	}
+
 	/**
 	 * Sets the seed of random choices.
 	 * @param seed the seed
@@ -181,6 +194,10 @@
 		return this.recorder;
 	}
 
+	EndpointPolicy getPolicy() {
+		return this.policy;
+	}
+
 	long getSeed() {
 		return this.seed;
 	}
--- a/entry/src/main/java/org/wigeonglade/entry/online/ServiceAdmission.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/ServiceAdmission.java
@@ -46,6 +46,8 @@
 
 	private final Random random;
 
+	private final EndpointPolicy policy;
+
 	private final FairQueue<OnlineStream> queue = new FairQueue<>(QUEUE_CAPACITY);
 
 	private final Map<WorkspaceId, Usage> usage = new HashMap<>();
@@ -56,10 +58,11 @@
 
 	private int inFlight;
 
-	ServiceAdmission(RunnerPool pool, Ticker ticker, Random random) {
+	ServiceAdmission(RunnerPool pool, Ticker ticker, Random random, EndpointPolicy policy) {
 		this.pool = pool;
 		this.ticker = ticker;
 		this.random = random;
+		this.policy = policy;
 		this.wait = WaitEstimate.initial(ticker.nanos());
 		this.retries = RetryBudget.initial(ticker.nanos());
 	}
@@ -221,7 +224,7 @@
 		for (RunnerState candidate : candidates) {
 			endpoints.add(candidate.toEndpoint(now));
 		}
-		return EndpointChoice.choose(endpoints, prefix, this.random::nextInt)
+		return this.policy.choose(endpoints, prefix, this.random::nextInt)
 			.map((endpoint) -> candidates.get(endpoints.indexOf(endpoint)));
 	}
 
