--- a/bench/src/main/java/org/wigeonglade/bench/mixed/MixedComparison.java
+++ b/bench/src/main/java/org/wigeonglade/bench/mixed/MixedComparison.java
@@ -56,6 +56,8 @@
 
 	private static final long WARM_UP_MILLIS = 3000;
 
+	private static final Duration WARM_UP_LOAD = Duration.ofSeconds(4);
+
 	private final Deployment deployment;
 
 	private final double rate;
@@ -93,7 +95,10 @@
 		RoutingBaselines.all().forEach((name, policy) -> {
 			try (FleetFixture fixture = start(policy)) {
 				sleep(WARM_UP_MILLIS);
-				LoadMeasurement alone = online(fixture, "alone", this.seed);
+				// The first requests run before the compiler of the JVM has seen the
+				// code.
+				online(fixture, "warm-up", this.seed + 1, WARM_UP_LOAD);
+				LoadMeasurement alone = online(fixture, "alone", this.seed, this.duration);
 				baselines.put(name, describe(alone));
 				if (name.equals(RoutingBaselines.OURS)) {
 					measureMixed(fixture, alone, result);
@@ -107,7 +112,7 @@
 		submit(fixture);
 		sleep(WARM_UP_MILLIS);
 		long from = System.nanoTime();
-		LoadMeasurement mixed = online(fixture, "mixed", this.seed);
+		LoadMeasurement mixed = online(fixture, "mixed", this.seed, this.duration);
 		SlotUse use = SlotUse.of(fixture.engines(), SLOTS, from, System.nanoTime());
 		long batchFrom = System.nanoTime();
 		sleep(this.duration.toMillis() / 2);
@@ -141,6 +146,11 @@
 				"first_token_p99_ms", "longest_gap_p95_ms", "generator_lateness_p99_ms" }) {
 			figures.put(name, measurement.figures().get(name));
 		}
+		measurement.figures().forEach((name, value) -> {
+			if (name.startsWith("error_")) {
+				figures.put(name, value);
+			}
+		});
 		return figures;
 	}
 
@@ -152,10 +162,10 @@
 			.start();
 	}
 
-	private LoadMeasurement online(FleetFixture fixture, String name, long planSeed) {
+	private LoadMeasurement online(FleetFixture fixture, String name, long planSeed, Duration time) {
 		ServingClient client = ServingClient.of(fixture.vertx(), FleetConfigurations.API_KEY);
 		LoadBalancer balancer = new LoadBalancer(fixture);
-		LoadPlan plan = LoadPlan.steady(name, planSeed, this.rate, this.duration)
+		LoadPlan plan = LoadPlan.steady(name, planSeed, this.rate, time)
 			.withBursts(Duration.ofSeconds(4), Duration.ofMillis(500), 2);
 		return await(LoadGenerator.run(fixture.vertx(), plan,
 				(index) -> client
--- a/entry/src/main/java/org/wigeonglade/entry/completion/CompletionJson.java
+++ b/entry/src/main/java/org/wigeonglade/entry/completion/CompletionJson.java
@@ -1,6 +1,7 @@
 package org.wigeonglade.entry.completion;
 
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.Json;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.wigeonglade.core.engine.EngineEvent;
@@ -12,12 +13,18 @@
 
 	private static final Buffer DONE = Buffer.buffer("data: [DONE]\n\n");
 
+	private static final String MARK = "text of the token";
+
 	private final String id;
 
 	private final CompletionBody body;
 
 	private final long createdSeconds;
 
+	private String chunkStart;
+
+	private String chunkEnd;
+
 	/**
 	 * Creates the format of one answer.
 	 * @param id the identifier of the answer, not null
@@ -55,7 +62,10 @@
 	 * @return a server-sent event
 	 */
 	public Buffer chunk(String text) {
-		return event(frame(chunkObject(), choice(text).put("finish_reason", null)));
+		if (this.chunkStart == null) {
+			prepareChunks();
+		}
+		return Buffer.buffer(this.chunkStart + Json.encode(text) + this.chunkEnd);
 	}
 
 	/**
@@ -77,6 +87,16 @@
 		return Buffer.buffer("event: error\ndata: ").appendBuffer(error.toBuffer()).appendString("\n\n");
 	}
 
+	// All events of one answer differ only in their text, so that the rest is written
+	// once.
+	private void prepareChunks() {
+		String template = event(frame(chunkObject(), choice(MARK).put("finish_reason", null))).toString();
+		String quoted = Json.encode(MARK);
+		int at = template.lastIndexOf(quoted);
+		this.chunkStart = template.substring(0, at);
+		this.chunkEnd = template.substring(at + quoted.length());
+	}
+
 	private JsonObject choice(String text) {
 		JsonObject choice = new JsonObject().put("index", 0);
 		if (this.body.chat()) {
--- a/entry/src/test/java/org/wigeonglade/entry/host/HostFixture.java
+++ b/entry/src/test/java/org/wigeonglade/entry/host/HostFixture.java
@@ -114,6 +114,10 @@
 		return this;
 	}
 
+	public List<UpstreamMember> upstreams() {
+		return List.copyOf(this.upstreams);
+	}
+
 	public EntryHostBuilder builder() {
 		HostMember self = new HostMember(HostId.of("host-1"), 1, DOMAIN, REGION, "127.0.0.1:9", false, 0, 0);
 		FleetView view = new FleetView(List.of(self), this.upstreams, true);
