--- a/entry/src/main/java/org/wigeonglade/entry/control/ConfigurationRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/ConfigurationRuntime.java
@@ -117,7 +117,8 @@
 	void tick() {
 		long now = this.context.now();
 		long poll = this.context.options().logPoll().toMillis();
-		this.reader.tick(now, (this.ready) ? poll * FollowerChoice.getPollFactor(this.context, this.members) : poll,
+		this.reader.tick(now,
+				() -> (this.ready) ? poll * FollowerChoice.getPollFactor(this.context, this.members) : poll,
 				() -> this.replay.getNextOffset());
 		if (!this.ready && now >= this.nextAsk) {
 			this.nextAsk = now + this.context.options().digestInterval().toMillis();
--- a/entry/src/main/java/org/wigeonglade/entry/control/ControlEvent.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/ControlEvent.java
@@ -71,6 +71,9 @@
 	PLACEMENT_BLOCKED(3044, Level.WARNING, "placement change waits: ready runners are at the floor", "service",
 			"domain", "ready", "floor"),
 
+	/** A message came after the runtime was closed. */
+	CLOSED(3009, Level.DEBUG, "message dropped: the control runtime is closed", "host"),
+
 	/** A step of the control loop failed. */
 	STEP_FAILED(3050, Level.ERROR, "a step of the control loop failed", "step");
 
--- a/entry/src/main/java/org/wigeonglade/entry/control/ControlRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/ControlRuntime.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -53,7 +54,7 @@
 
 	ControlRuntime(ControlRuntimeBuilder builder) {
 		this.scheduler = (builder.getLoop() != null) ? null : newScheduler(builder.getIdentity().host().value());
-		Executor loop = (builder.getLoop() != null) ? builder.getLoop() : this.scheduler;
+		Executor loop = (builder.getLoop() != null) ? builder.getLoop() : this::runOnScheduler;
 		this.context = new ControlContext(Objects.requireNonNull(builder.getIdentity(), "identity"),
 				Objects.requireNonNull(builder.getPeerAddress(), "peerAddress"),
 				Objects.requireNonNull(builder.getOptions(), "options"), builder.getTicker(),
@@ -246,13 +247,24 @@
 		step("members", this.members::tick);
 		step("configuration", this.configuration::tick);
 		step("carrier", this.carrier::tick);
-		step("control stream", () -> this.stream.tick(this.context.options().logPoll().toMillis()
-				* FollowerChoice.getPollFactor(this.context, this.members)));
+		long poll = this.context.options().logPoll().toMillis();
+		step("control stream",
+				() -> this.stream.tick(() -> poll * FollowerChoice.getPollFactor(this.context, this.members)));
 		if (this.placement != null) {
 			step("placement", this.placement::tick);
 		}
 	}
 
+	// Messages that arrive while the runtime closes are dropped, as those of a lost host.
+	private void runOnScheduler(Runnable task) {
+		try {
+			this.scheduler.execute(task);
+		}
+		catch (RejectedExecutionException ex) {
+			logger.log(ControlEvent.CLOSED, this.context.identity().host());
+		}
+	}
+
 	private static void step(String name, Runnable action) {
 		try {
 			action.run();
--- a/entry/src/main/java/org/wigeonglade/entry/control/ControlStream.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/ControlStream.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import io.smallrye.mutiny.Uni;
 import org.wigeonglade.core.error.WigeongladeException;
@@ -61,7 +62,7 @@
 		return this.reader.readToHead(() -> this.placement.getNextOffset());
 	}
 
-	void tick(long pollMillis) {
+	void tick(LongSupplier pollMillis) {
 		this.reader.tick(this.context.now(), pollMillis, () -> this.placement.getNextOffset());
 	}
 
--- a/entry/src/main/java/org/wigeonglade/entry/control/MemberRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/MemberRuntime.java
@@ -46,6 +46,10 @@
 
 	private static final String HOST_LIST = "host list";
 
+	private static final long MAX_PUBLISH_MILLIS = 250;
+
+	private static final int PUBLISHES_PER_SILENCE = 12;
+
 	private final ControlContext context;
 
 	private final PlatformHealth health;
@@ -76,6 +80,8 @@
 
 	private long nextDigest;
 
+	private long nextPublish;
+
 	private long lastTick = Long.MIN_VALUE;
 
 	private volatile FleetView view = FleetView.EMPTY;
@@ -143,7 +149,9 @@
 			}
 			sendDigests();
 		}
-		publish(now);
+		if (now >= this.nextPublish) {
+			publish(now);
+		}
 	}
 
 	// Sends a digest at once, such as after a configuration came into force.
@@ -268,11 +276,18 @@
 	}
 
 	private void learnAddresses() {
-		this.table.getAddresses().forEach((host, address) -> {
+		Map<HostId, String> known = this.table.getAddresses();
+		known.forEach((host, address) -> {
 			if (!address.equals(this.learned.put(host, address))) {
 				this.context.directory().learn(host, address);
 			}
 		});
+		for (HostId host : List.copyOf(this.learned.keySet())) {
+			if (!known.containsKey(host) && !this.greeted.contains(host)) {
+				this.learned.remove(host);
+				this.context.directory().forget(host);
+			}
+		}
 	}
 
 	private void applySelf(long now) {
@@ -326,7 +341,11 @@
 		publish(this.context.now());
 	}
 
+	// News of leaving and stopping members is published at once; the rest in intervals,
+	// since a snapshot costs more than a digest.
 	private void publish(long now) {
+		this.nextPublish = now
+				+ Math.min(MAX_PUBLISH_MILLIS, this.context.options().hostSilent().toMillis() / PUBLISHES_PER_SILENCE);
 		FleetView next = this.table.toView(now, this.health.isReachable());
 		reportChanges(this.view, next, now);
 		Set<HostId> live = next.hosts().stream().map(HostMember::id).collect(Collectors.toSet());
--- a/entry/src/main/java/org/wigeonglade/entry/control/StreamReader.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/StreamReader.java
@@ -48,11 +48,11 @@
 		this.consumer = consumer;
 	}
 
-	void tick(long now, long pollMillis, LongSupplier nextOffset) {
+	void tick(long now, LongSupplier pollMillis, LongSupplier nextOffset) {
 		if (now < this.nextPoll) {
 			return;
 		}
-		this.nextPoll = now + pollMillis;
+		this.nextPoll = now + pollMillis.getAsLong();
 		boolean stuck = now - this.started >= 4 * this.context.options().platformTimeout().toMillis();
 		if (this.running == null || stuck) {
 			this.started = now;
