Tell jobs, items and partitions from their own records

Cause: explain of a job or item knew only what a host still had in memory. Change: explain reads the partition stream through the same replay as everywhere else, so only records that took effect are told; completed items are counted in one event. Codes of refusals are told in words. An address that is in use is a usage error instead of an internal one. One run of the adapters' tests failed in HttpEngineClientTests.aCrashIsReportedToEveryRequestInFlight (NOT_RUN expected, UNKNOWN found) and passed when repeated. Conclusion: durable outcomes are explained even after their host is gone.

--- a/cli/src/main/java/org/wigeonglade/cli/Main.java
+++ b/cli/src/main/java/org/wigeonglade/cli/Main.java
@@ -1,9 +1,11 @@
 package org.wigeonglade.cli;
 
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.util.Map;
 import java.util.stream.Collectors;
 
+import com.google.common.base.Throwables;
 import org.wigeonglade.cli.logging.LogSetup;
 import org.wigeonglade.core.error.WigeongladeException;
 import org.wigeonglade.schema.generated.settings.LogSettings;
@@ -80,6 +82,17 @@
 	}
 
 	private static int report(Exception failure, PrintWriter err) {
+		BindException taken = Throwables.getCausalChain(failure)
+			.stream()
+			.filter(BindException.class::isInstance)
+			.map(BindException.class::cast)
+			.findFirst()
+			.orElse(null);
+		if (taken != null) {
+			err.println("wigeonglade: WG-1003 cannot listen on the address: " + taken.getMessage());
+			err.flush();
+			return ExitCode.USAGE;
+		}
 		if (failure instanceof WigeongladeException known) {
 			err.println("wigeonglade: " + known.getCode().getCode() + " " + known.getMessage());
 			err.flush();
--- a/core/src/main/java/org/wigeonglade/core/account/AccountSentences.java
+++ b/core/src/main/java/org/wigeonglade/core/account/AccountSentences.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
+import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.schema.generated.log.AccountRecord;
 
 /**
@@ -35,7 +36,7 @@
 	 */
 	public static String tell(AccountRecord event) {
 		String subject = subject(event);
-		String reason = figure(event, "reason").map((text) -> ": " + text).orElse("");
+		String reason = reason(event);
 		AccountCode code = CODES.get(event.getCode());
 		if (code == null) {
 			return "An event of a kind that this version does not know was recorded for " + subject + ".";
@@ -43,7 +44,9 @@
 		return switch (code) {
 			case ACCEPTED -> capital(subject) + workspace(event) + " was accepted" + forService(event) + ".";
 			case STARTED -> capital(subject) + " was sent to " + upstream(event) + forService(event) + ".";
-			case COMPLETED -> capital(subject) + " was answered in full.";
+			case COMPLETED ->
+				figure(event, "outcomes").map((counts) -> "All items of the job have ended: " + counts + ".")
+					.orElse(capital(subject) + " was answered in full.");
 			case FAILED -> capital(subject) + " ended without a result" + reason + ".";
 			case PREEMPTED ->
 				capital(subject) + " was stopped to make room for people who were waiting; it continues later.";
@@ -65,8 +68,8 @@
 			case UPSTREAM_LEAVING -> capital(upstream(event)) + " is leaving and gets no new work" + reason + ".";
 			case HOST_LOST -> "An entry host was lost" + reason + ".";
 			case HOST_STOPPING -> "An entry host began a planned stop" + reason + ".";
-			case PLATFORM_LOST -> "The platform became unreachable from a host" + reason + ".";
-			case PLATFORM_BACK -> "The platform became reachable again from a host.";
+			case PLATFORM_LOST -> "A host can no longer reach the platform" + part(event) + ".";
+			case PLATFORM_BACK -> "A host can reach the platform again" + part(event) + ".";
 			case OUTCOME_UNKNOWN -> "It is not known whether " + subject + " ran; it was not run again" + reason + ".";
 			case COMMAND_SENT -> "A command was sent to " + upstream(event) + reason + ".";
 			case RESUMED -> capital(subject) + " continued on another engine where the first one had stopped.";
@@ -130,10 +133,36 @@
 		return figure(event, "service").map((name) -> " for service " + name).orElse("");
 	}
 
+	private static String part(AccountRecord event) {
+		return figure(event, "service").map((name) -> ", its " + name).orElse("");
+	}
+
 	private static String author(AccountRecord event) {
 		return figure(event, "author").map((name) -> " from " + name).orElse("");
 	}
 
+	private static String reason(AccountRecord event) {
+		return figure(event, "reason").or(() -> figure(event, "code").flatMap(AccountSentences::plainCode))
+			.map((text) -> ": " + text)
+			.orElse("");
+	}
+
+	// The codes that callers meet most, in words.
+	private static Optional<String> plainCode(String code) {
+		return ErrorCode.find(code).map((known) -> switch (known) {
+			case OVERLOADED -> "there was no free capacity in time";
+			case NO_UPSTREAM -> "no engine of the service was available";
+			case DEADLINE_EXCEEDED -> "its time was over";
+			case QUARANTINED -> "it had made engines fail before";
+			case STOPPING -> "the host was stopping";
+			case UPSTREAM_FAILED, STREAM_INCOMPLETE -> "the engine failed";
+			case UPSTREAM_REJECTED -> "the engine rejected it as invalid";
+			case PLATFORM_UNAVAILABLE, PLATFORM_UNKNOWN -> "the log of the platform was not available";
+			case KEY_REUSED, KEY_IN_PROGRESS -> "its key was already in use";
+			default -> "code " + code;
+		});
+	}
+
 	private static Optional<String> figure(AccountRecord event, String key) {
 		String value = event.getFiguresOrDefault(key, "");
 		return (value.isBlank()) ? Optional.empty() : Optional.of(value.replace('\n', ' ').replace('\r', ' '));
--- a/core/src/main/java/org/wigeonglade/core/account/AccountTeller.java
+++ b/core/src/main/java/org/wigeonglade/core/account/AccountTeller.java
@@ -35,8 +35,7 @@
 		if (events.isEmpty()) {
 			return "Nothing is recorded about this" + ((gaps.isEmpty()) ? "." : ", but the account has gaps.");
 		}
-		boolean single = query.subjectKind().equals("request") || query.subjectKind().equals("item");
-		if (!single) {
+		if (!isSingle(query)) {
 			return count(events.size(), "event", "events") + ((events.size() == 1) ? " is" : " are") + " recorded.";
 		}
 		AccountRecord end = events.stream()
@@ -50,6 +49,10 @@
 		return AccountSentences.tell(end);
 	}
 
+	private static boolean isSingle(AccountQuery query) {
+		return query.subjectKind().equals("request") || query.subjectKind().equals("item");
+	}
+
 	private static boolean isEnd(AccountRecord event) {
 		return AccountSentences.codeOf(event).map((code) -> switch (code) {
 			case COMPLETED, FAILED, REFUSED, CANCELLED, OUTCOME_UNKNOWN, CLIENT_GONE -> true;
@@ -87,7 +90,7 @@
 	private static void addMemoryGap(AccountMaterial material, List<AccountRecord> events, List<Account.Gap> gaps) {
 		boolean begun = events.stream()
 			.anyMatch((event) -> event.getCode() == AccountCode.ACCEPTED.getNumber()
-					|| event.getCode() == AccountCode.REFUSED.getNumber());
+					|| isSingle(material.query()) && isEnd(event));
 		if (!begun && material.latestStartWallMillis() > material.query().fromWallMillis()) {
 			gaps.add(new Account.Gap("Hosts keep most events in memory. The latest start of a host was at "
 					+ AccountSentences.time(material.latestStartWallMillis())
--- a/entry/src/main/java/org/wigeonglade/entry/operator/AccountCollector.java
+++ b/entry/src/main/java/org/wigeonglade/entry/operator/AccountCollector.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import com.google.protobuf.ByteString;
 import io.smallrye.mutiny.Uni;
@@ -142,10 +144,25 @@
 				truncated.add(answer.host().value());
 			}
 		}
+		dropTold(events, found.events());
 		return new AccountMaterial(query, events, silent, truncated, latestStart, found.complete(),
 				found.oldestWallMillis());
 	}
 
+	// A host also records the acceptance and the cancellation of a job that the log
+	// tells.
+	private static void dropTold(List<AccountRecord> events, List<AccountRecord> durable) {
+		Set<String> told = new HashSet<>();
+		durable.stream()
+			.filter((event) -> event.getSubjectKind().equals("batch"))
+			.forEach((event) -> told.add(key(event)));
+		events.removeIf((event) -> !event.getEventId().startsWith("log:") && told.contains(key(event)));
+	}
+
+	private static String key(AccountRecord event) {
+		return event.getCode() + " " + event.getSubjectKind() + " " + event.getSubjectId();
+	}
+
 	/**
 	 * Holds the answer of one host.
 	 *
--- a/entry/src/main/java/org/wigeonglade/entry/operator/DurableEvents.java
+++ b/entry/src/main/java/org/wigeonglade/entry/operator/DurableEvents.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.smallrye.mutiny.Uni;
@@ -21,7 +22,7 @@
 
 /**
  * Reads the durable events of the account from the streams {@code control} and
- * {@code config}.
+ * {@code config}, and of a job, item or partition from its partition stream.
  */
 final class DurableEvents {
 
@@ -47,16 +48,42 @@
 
 	Uni<Found> read(AccountQuery query) {
 		return readStream(CONTROL, query).onItem()
-			.transformToUni((control) -> readStream(CONFIG, query).onItem().transform(control::plus));
+			.transformToUni((control) -> readStream(CONFIG, query).onItem().transform(control::plus))
+			.onItem()
+			.transformToUni((found) -> readJobs(query).onItem().transform(found::plus));
+	}
+
+	private Uni<Found> readJobs(AccountQuery query) {
+		OptionalInt partition = JobEvents.partitionOf(query);
+		if (partition.isEmpty()) {
+			return Uni.createFrom().item(Found.EMPTY);
+		}
+		JobEvents events = JobEvents.create(query, partition.getAsInt());
+		return recover(readJobs(events, StreamName.of(events.getStream()), 0), events.getStream());
+	}
+
+	private Uni<Found> readJobs(JobEvents events, StreamName stream, int count) {
+		return this.log.read(stream, events.getNextOffset(), PAGE).onItem().transformToUni((slice) -> {
+			events.offer(slice);
+			int total = count + Math.max(1, slice.records().size());
+			if (events.isCurrent() || total >= MAX_RECORDS) {
+				return Uni.createFrom()
+					.item(new Found(events.getEvents(), events.isCurrent() && !events.isCut(),
+							events.getOldestWallMillis()));
+			}
+			return readJobs(events, stream, total);
+		});
 	}
 
 	private Uni<Found> readStream(StreamName stream, AccountQuery query) {
-		return readPage(stream, query, 0, 0, Found.EMPTY).onFailure(WigeongladeException.class)
-			.recoverWithItem((failure) -> {
-				LOGGER.log(OperatorEvent.RECORDS_UNREADABLE, stream.value(),
-						((WigeongladeException) failure).getCode().getCode());
-				return Found.UNREAD;
-			});
+		return recover(readPage(stream, query, 0, 0, Found.EMPTY), stream.value());
+	}
+
+	private static Uni<Found> recover(Uni<Found> read, String stream) {
+		return read.onFailure(WigeongladeException.class).recoverWithItem((failure) -> {
+			LOGGER.log(OperatorEvent.RECORDS_UNREADABLE, stream, ((WigeongladeException) failure).getCode().getCode());
+			return Found.UNREAD;
+		});
 	}
 
 	private Uni<Found> readPage(StreamName stream, AccountQuery query, long from, int count, Found found) {
