Avoid an overflow in the delay of full records

A job of 150,000 items stopped the writer: a queue that fills a record asked for no delay with the smallest long, and the subtraction of the clock turned it into the largest delay. The test appends two full records without delay.

--- a/core/src/main/java/org/wigeonglade/core/batch/LogWriter.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/LogWriter.java
@@ -29,6 +29,9 @@
 	/** An interactive entry waits at most this long for others. */
 	private static final long INTERACTIVE_DELAY_MILLIS = 2;
 
+	/** Leaves room for the subtraction of any clock value. */
+	private static final long LONG_AGO = Long.MIN_VALUE / 2;
+
 	private final StreamName stream;
 
 	private final WriterIdentity identity;
@@ -61,7 +64,7 @@
 
 	private int failures;
 
-	private long notBeforeMillis = Long.MIN_VALUE;
+	private long notBeforeMillis = LONG_AGO;
 
 	private Cancellable timer;
 
@@ -194,7 +197,7 @@
 
 	private long dueMillis() {
 		if (this.queuedBytes >= this.options.maxRecordBytes()) {
-			return Long.MIN_VALUE;
+			return LONG_AGO;
 		}
 		long delay = this.options.groupDelay().toMillis();
 		long due = this.bulk.isEmpty() ? Long.MAX_VALUE : this.bulk.peek().getQueuedMillis() + delay;
--- a/core/src/test/java/org/wigeonglade/core/batch/LogWriterTests.java
+++ b/core/src/test/java/org/wigeonglade/core/batch/LogWriterTests.java
@@ -50,6 +50,15 @@
 		Assert.assertEquals(records.get(0).getEntries(1).getJobCancelled().getBatchId(), "bulk");
 	}
 
+	@Test
+	void fullRecordIsAppendedWithoutDelay() {
+		LogWriter writer = writer(1000);
+		append(writer, "x".repeat(300_000), false, null);
+		append(writer, "y".repeat(300_000), false, null);
+		this.lane.advance(5);
+		Assert.assertEquals(this.log.records(STREAM).size(), 2);
+	}
+
 	@DataProvider
 	Object[][] faults() {
 		return new Object[][] { { Fault.LOST_ANSWER }, { Fault.LOST_REQUEST }, { Fault.LATE }, { Fault.REFUSED },
