--- a/entry/src/main/java/org/wigeonglade/entry/caller/CallerParts.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CallerParts.java
@@ -1,5 +1,7 @@
 package org.wigeonglade.entry.caller;
 
+import java.util.function.BooleanSupplier;
+
 import org.wigeonglade.core.account.AccountRecorder;
 import org.wigeonglade.core.config.ConfigurationSource;
 import org.wigeonglade.core.time.Ticker;
@@ -20,7 +22,9 @@
  * @param metrics the metrics of the host
  * @param account the account of the host
  * @param tracer the tracer of the host
+ * @param configured whether the configuration in force is known
  */
 public record CallerParts(HostSettings settings, Ticker ticker, ConfigurationSource configuration, OnlineRuntime online,
-		BatchRuntime batch, HostMetrics metrics, AccountRecorder account, HopTracer tracer) {
+		BatchRuntime batch, HostMetrics metrics, AccountRecorder account, HopTracer tracer,
+		BooleanSupplier configured) {
 }
--- a/entry/src/main/java/org/wigeonglade/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CallerServer.java
@@ -151,6 +151,11 @@
 			context.response().putHeader("Connection", "close");
 			throw new RefusedException(ErrorCode.STOPPING, "this host is stopping", Duration.ofSeconds(1));
 		}
+		if (!this.parts.configured().getAsBoolean()) {
+			// An older configuration than before a restart must not be used.
+			throw new RefusedException(ErrorCode.PLATFORM_UNAVAILABLE,
+					"this host does not know the configuration in force yet", Duration.ofSeconds(1));
+		}
 		context.next();
 	}
 
--- a/entry/src/main/java/org/wigeonglade/entry/host/HostAssembly.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/HostAssembly.java
@@ -135,7 +135,7 @@
 			startOperators();
 		}
 		this.callers = new CallerServer(this.vertx, new CallerParts(this.settings, this.ticker, this.configuration,
-				this.online, this.batch, this.metrics, this.account, this.tracer));
+				this.online, this.batch, this.metrics, this.account, this.tracer, this::isConfigured));
 		Promise<Void> opened = Promise.promise();
 		this.loop.execute(() -> this.callers.start().onComplete(opened));
 		Waiting.await(opened.future(), PART_LIMIT);
