--- a/entry/src/main/java/org/wigeonglade/entry/control/ControlRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/control/ControlRuntime.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.Executor;
-import java.util.concurrent.Executors;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -54,7 +54,7 @@
 
 	ControlRuntime(ControlRuntimeBuilder builder) {
 		this.scheduler = (builder.getLoop() != null) ? null : newScheduler(builder.getIdentity().host().value());
-		Executor loop = (builder.getLoop() != null) ? builder.getLoop() : this::runOnScheduler;
+		Executor loop = (builder.getLoop() != null) ? builder.getLoop() : this.scheduler;
 		this.context = new ControlContext(Objects.requireNonNull(builder.getIdentity(), "identity"),
 				Objects.requireNonNull(builder.getPeerAddress(), "peerAddress"),
 				Objects.requireNonNull(builder.getOptions(), "options"), builder.getTicker(),
@@ -255,16 +255,6 @@
 		}
 	}
 
-	// Messages that arrive while the runtime closes are dropped, as those of a lost host.
-	private void runOnScheduler(Runnable task) {
-		try {
-			this.scheduler.execute(task);
-		}
-		catch (RejectedExecutionException ex) {
-			logger.log(ControlEvent.CLOSED, this.context.identity().host());
-		}
-	}
-
 	private static void step(String name, Runnable action) {
 		try {
 			action.run();
@@ -285,8 +275,10 @@
 	}
 
 	private static ScheduledExecutorService newScheduler(String host) {
-		return Executors
-			.newSingleThreadScheduledExecutor(Thread.ofPlatform().name("control-" + host).daemon(true).factory());
+		// Answers that arrive after the stop are dropped, since nothing may change the
+		// state of a stopped host.
+		return new ScheduledThreadPoolExecutor(1, Thread.ofPlatform().name("control-" + host).daemon(true).factory(),
+				new ThreadPoolExecutor.DiscardPolicy());
 	}
 
 }
