--- a/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
@@ -21,7 +21,7 @@
  */
 @Command(name = "bench", mixinStandardHelpOptions = true,
 		description = "Measures the system against its stand-ins on this machine, on loopback.",
-		subcommands = { BenchCommand.Capacity.class, BenchCommand.Compare.class })
+		subcommands = { BenchCommand.Capacity.class, BenchCommand.Compare.class, BenchBatchCommand.class })
 final class BenchCommand implements Runnable {
 
 	@CommandLine.Spec
