--- a/bench/src/main/java/org/wigeonglade/bench/demo/FleetFixture.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/FleetFixture.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.UnaryOperator;
 
 import com.google.protobuf.ByteString;
 import io.vertx.core.Vertx;
@@ -13,14 +12,12 @@
 import org.wigeonglade.core.platform.HostRole;
 import org.wigeonglade.core.platform.ListedHost;
 import org.wigeonglade.core.settings.SettingsReader;
-import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.schema.generated.log.ConfigChange;
 import org.wigeonglade.schema.generated.log.LogEntry;
 import org.wigeonglade.schema.generated.log.LogRecord;
 import org.wigeonglade.schema.generated.settings.FleetConfiguration;
 import org.wigeonglade.schema.generated.settings.HostSettings;
 import org.wigeonglade.schema.generated.settings.PlatformSettings;
-import org.wigeonglade.schema.generated.settings.TimingSettings;
 import org.wigeonglade.standins.StandInServer;
 import org.wigeonglade.standins.engine.EngineSettings;
 import org.wigeonglade.standins.engine.EngineStandIn;
@@ -43,7 +40,7 @@
 
 	private final Deployment deployment;
 
-	private final Builder options;
+	private final FleetOptions options;
 
 	private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(EVENT_LOOPS));
 
@@ -61,7 +58,7 @@
 
 	private int startedHosts;
 
-	private FleetFixture(Builder options) {
+	FleetFixture(FleetOptions options) {
 		this.options = options;
 		this.deployment = options.deployment;
 		this.log = LogStandIn.builder().vertx(this.vertx).appendsPerSecond(options.logAppendsPerSecond).start();
@@ -74,8 +71,8 @@
 	 * @param deployment the size and network, not null
 	 * @return a builder, never null
 	 */
-	public static Builder builder(Deployment deployment) {
-		return new Builder(deployment);
+	public static FleetOptions builder(Deployment deployment) {
+		return new FleetOptions(deployment);
 	}
 
 	/**
@@ -249,7 +246,7 @@
 		StandInServer.await(this.vertx.close());
 	}
 
-	private FleetFixture start() {
+	FleetFixture start() {
 		publishConfiguration();
 		for (int i = 0; i < this.deployment.runners(); i++) {
 			EngineSettings settings = EngineStandIn.builder().vertx(this.vertx);
@@ -323,128 +320,4 @@
 			.withTiming(this.options.timing);
 	}
 
-	/**
-	 * Collects the options of a fixture.
-	 */
-	public static final class Builder {
-
-		private final Deployment deployment;
-
-		private FleetHostStarter starter = EntryHostStarter.create(Ticker.system());
-
-		private UnaryOperator<EngineSettings> engine = UnaryOperator.identity();
-
-		private List<String> models;
-
-		private TimingSettings timing = fastTiming();
-
-		private long hostListLagMillis = 200;
-
-		private int logAppendsPerSecond = 400;
-
-		private int appendBudget = 200;
-
-		private int platformTimeoutMillis = 1000;
-
-		private Builder(Deployment deployment) {
-			this.deployment = deployment;
-			this.models = List.of(deployment.modelService());
-		}
-
-		/**
-		 * Returns timings that detect lost hosts within about one second.
-		 * @return new timings, never null
-		 */
-		public static TimingSettings fastTiming() {
-			return new TimingSettings().withDigestIntervalMs(200)
-				.withHostSilentMs(1200)
-				.withPartitionLeaseMs(1200)
-				.withWorkLeaseMs(2000)
-				.withLogPollMs(200)
-				.withHostListPollMs(200)
-				.withGroupCommitMs(10)
-				.withBalancerDelayMs(100)
-				.withDrainLimitMs(5000);
-		}
-
-		/**
-		 * Sets how hosts are started.
-		 * @param value the starter, not null
-		 * @return this builder
-		 */
-		public Builder starter(FleetHostStarter value) {
-			this.starter = value;
-			return this;
-		}
-
-		/**
-		 * Changes the settings of every engine.
-		 * @param value the change, not null
-		 * @return this builder
-		 */
-		public Builder engine(UnaryOperator<EngineSettings> value) {
-			this.engine = value;
-			return this;
-		}
-
-		/**
-		 * Sets the models of the model service.
-		 * @param value the names, not empty
-		 * @return this builder
-		 */
-		public Builder models(List<String> value) {
-			this.models = List.copyOf(value);
-			return this;
-		}
-
-		/**
-		 * Sets the timings of all hosts.
-		 * @param value the timings, not null
-		 * @return this builder
-		 */
-		public Builder timing(TimingSettings value) {
-			this.timing = value;
-			return this;
-		}
-
-		/**
-		 * Sets the lag of the host list.
-		 * @param value milliseconds
-		 * @return this builder
-		 */
-		public Builder hostListLagMillis(long value) {
-			this.hostListLagMillis = value;
-			return this;
-		}
-
-		/**
-		 * Sets the rate limit of the log.
-		 * @param value appends a second, 0 for no limit
-		 * @return this builder
-		 */
-		public Builder logAppendsPerSecond(int value) {
-			this.logAppendsPerSecond = value;
-			return this;
-		}
-
-		/**
-		 * Sets the time until a call to the platform fails.
-		 * @param value milliseconds
-		 * @return this builder
-		 */
-		public Builder platformTimeoutMillis(int value) {
-			this.platformTimeoutMillis = value;
-			return this;
-		}
-
-		/**
-		 * Starts the fleet.
-		 * @return the running fleet, never null
-		 */
-		public FleetFixture start() {
-			return new FleetFixture(this).start();
-		}
-
-	}
-
 }
