Take eight uploads at a time

Four concurrent small jobs filled a host although the bound is meant for the ids of large ones, about 20 MB each. Eight keep the worst case at 160 MB. Nothing was measured.

--- a/entry/src/main/java/org/wigeonglade/entry/batch/LogBatchRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/LogBatchRuntime.java
@@ -44,7 +44,7 @@
 	private static final Duration STOP_LIMIT = Duration.ofSeconds(10);
 
 	/** An upload keeps the ids of its items in memory, up to about 20 MB. */
-	private static final int MAX_UPLOADS = 4;
+	private static final int MAX_UPLOADS = 8;
 
 	private final BatchRuntimeBuilder settings;
 
