Say truly whether a failed batch item ran

Cause: every failed item was reported with ran=ran, also one whose body cannot be parsed and that no engine ever saw; found by reading the results of a job by hand. Change: the dispatcher marks such an outcome as not run, the record keeps the mark, and results say not_run; every other failed or cancelled item says unknown, since a lost or refusing engine leaves it open. Ruled out: deriving the state from the error code, since one code has several origins. Figures: the new test fails without the mark and passes with it; no engine request exists for the item.

--- a/core/src/main/java/org/wigeonglade/core/batch/WorkLedger.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/WorkLedger.java
@@ -294,6 +294,7 @@
 			.setAttempts(Math.max(1, queue.getAttempts(report.getIndex())))
 			.setTokens(report.getTokens())
 			.setUpstream(report.getUpstream())
+			.setNotRun(report.getNotRun())
 			.build();
 	}
 
--- a/entry/src/main/java/org/wigeonglade/entry/batch/ResultLines.java
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/ResultLines.java
@@ -13,6 +13,7 @@
 import org.wigeonglade.core.batch.ItemState;
 import org.wigeonglade.core.batch.JobState;
 import org.wigeonglade.core.error.ErrorCode;
+import org.wigeonglade.core.error.RanState;
 import org.wigeonglade.schema.generated.log.BatchItem;
 import org.wigeonglade.schema.generated.log.ItemOutcome;
 import org.wigeonglade.schema.generated.log.LogEntry;
@@ -69,7 +70,8 @@
 			else {
 				boolean unknown = outcome.getStatus() == OutcomeStatus.UNKNOWN;
 				json.writeStringField("status", unknown ? "unknown" : "failed");
-				writeError(json, outcome.getErrorCode(), outcome.getErrorMessage(), unknown ? "unknown" : "ran");
+				writeError(json, outcome.getErrorCode(), outcome.getErrorMessage(),
+						outcome.getNotRun() ? RanState.NOT_RUN : RanState.UNKNOWN);
 			}
 			json.writeNumberField("attempts", outcome.getAttempts());
 			json.writeEndObject();
@@ -81,7 +83,7 @@
 		try (JsonGenerator json = open(bytes, item.getCustomId())) {
 			json.writeStringField("status", "cancelled");
 			writeError(json, ErrorCode.JOB_CANCELLED.getCode(), "the job was cancelled before the item was done",
-					"unknown");
+					RanState.UNKNOWN);
 			json.writeEndObject();
 		}
 		bytes.write('\n');
@@ -94,11 +96,11 @@
 		return json;
 	}
 
-	private static void writeError(JsonGenerator json, String code, String message, String ran) throws IOException {
+	private static void writeError(JsonGenerator json, String code, String message, RanState ran) throws IOException {
 		json.writeObjectFieldStart("error");
 		json.writeStringField("code", code);
 		json.writeStringField("message", message);
-		json.writeStringField("ran", ran);
+		json.writeStringField("ran", ran.getText());
 		json.writeEndObject();
 	}
 
--- a/entry/src/main/java/org/wigeonglade/entry/online/BatchDispatcher.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/BatchDispatcher.java
@@ -228,8 +228,7 @@
 			dispatcher.take(new BatchStream(item, body, fingerprint), item.getSuspect() || suspicion != null);
 		}
 		catch (WigeongladeException ex) {
-			this.reporter.add(new BatchStream(item, null, fingerprint).failed(WorkStatus.WORK_FAILED, name,
-					ex.getCode().getCode(), ex.getMessage()));
+			this.reporter.add(new BatchStream(item, null, fingerprint).invalid(name, ex));
 		}
 	}
 
--- a/entry/src/main/java/org/wigeonglade/entry/online/BatchStream.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/BatchStream.java
@@ -5,6 +5,7 @@
 
 import com.google.protobuf.ByteString;
 import org.wigeonglade.core.engine.EngineRequest;
+import org.wigeonglade.core.error.WigeongladeException;
 import org.wigeonglade.core.id.Fingerprint;
 import org.wigeonglade.core.id.RequestId;
 import org.wigeonglade.entry.completion.CompletionBody;
@@ -99,6 +100,15 @@
 		return outcome(status, upstream).setErrorCode(code).setErrorMessage(message).build();
 	}
 
+	// An item that cannot be parsed is the same on each try, so it never reached an
+	// upstream.
+	WorkOutcome invalid(String upstream, WigeongladeException failure) {
+		return outcome(WorkStatus.WORK_FAILED, upstream).setErrorCode(failure.getCode().getCode())
+			.setErrorMessage(failure.getMessage())
+			.setNotRun(true)
+			.build();
+	}
+
 	WorkOutcome completed(String upstream, byte[] result) {
 		return outcome(WorkStatus.WORK_COMPLETED, upstream).setResult(ByteString.copyFrom(result)).build();
 	}
--- a/entry/src/test/java/org/wigeonglade/entry/online/BatchDispatcherTests.java
+++ b/entry/src/test/java/org/wigeonglade/entry/online/BatchDispatcherTests.java
@@ -111,6 +111,19 @@
 		await(() -> this.owner.outcomes(WorkStatus.WORK_CRASHED) == SLOTS);
 	}
 
+	@Test
+	public void itemThatCannotBeParsedIsReportedAsNotRun() {
+		this.owner.maxTokens = 0;
+		finishAll();
+		await(() -> this.owner.outcomes(WorkStatus.WORK_FAILED) >= 1);
+		WorkOutcome failed = this.owner.firstFailed();
+		Assert.assertTrue(failed.getNotRun());
+		Assert.assertEquals(failed.getErrorCode(), ErrorCode.REQUEST_INVALID.getCode());
+		String id = "job." + failed.getIndex() + ".";
+		Assert.assertTrue(this.requests.stream().noneMatch((request) -> request.requestId().value().startsWith(id)),
+				"an engine saw an item that is reported as not run");
+	}
+
 	@Test
 	public void revokedGrantsAreStopped() {
 		RunnerState runner = this.online.getRunners().find(UpstreamId.of("runner-1"));
@@ -164,6 +177,8 @@
 
 		private volatile boolean exhausted;
 
+		private volatile int maxTokens = 4;
+
 		private int next;
 
 		@Override
@@ -176,8 +191,8 @@
 					.setIndex(this.next)
 					.setGrantId(this.next)
 					.setIdempotent(true)
-					.setBody(ByteString
-						.copyFromUtf8("{\"model\":\"runo-1\",\"prompt\":\"row " + this.next + "\",\"max_tokens\":4}")));
+					.setBody(ByteString.copyFromUtf8("{\"model\":\"runo-1\",\"prompt\":\"row " + this.next
+							+ "\",\"max_tokens\":" + this.maxTokens + "}")));
 			}
 			return Uni.createFrom().item(grant.build());
 		}
@@ -195,6 +210,13 @@
 			return !this.exhausted;
 		}
 
+		private synchronized WorkOutcome firstFailed() {
+			return this.outcomes.stream()
+				.filter((outcome) -> outcome.getStatus() == WorkStatus.WORK_FAILED)
+				.findFirst()
+				.orElseThrow();
+		}
+
 		private synchronized long outcomes(WorkStatus status) {
 			return this.outcomes.stream().filter((outcome) -> outcome.getStatus() == status).count();
 		}
