Hold new requests until their only run is allowed

Cause: copies of a request that no host had answered before started on every host at once, and a host that got leave to run after a crash did not know of the crash. A poison request from many callers therefore lost more than two runners. Change: a request that a host has never answered in full asks the host that watches its fingerprint before it runs, for at most 100 ms; the answer tells the crashes that are known; a crash is told before the run ends; waiting leaders are refused with the others at quarantine. The quarantine is logged once. Conclusion: the price is one exchange with another host in the first-token time of requests that are new to a host.

--- a/entry/src/main/java/org/wigeonglade/entry/online/HostLinks.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/HostLinks.java
@@ -1,7 +1,7 @@
 package org.wigeonglade.entry.online;
 
 import java.time.Duration;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.Fingerprint;
@@ -24,8 +24,14 @@
  */
 final class HostLinks {
 
-	/** Time after which the host that watches a fingerprint counts as unreachable. */
-	private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(500);
+	/** Time after which the host that watches a suspect counts as unreachable. */
+	private static final Duration SUSPECT_TIMEOUT = Duration.ofMillis(500);
+
+	/**
+	 * The same for a request that was never in flight on a runner that crashed. It adds
+	 * to the first-token time while a lost host is still in the view.
+	 */
+	private static final Duration NEW_TIMEOUT = Duration.ofMillis(100);
 
 	private final HostId self;
 
@@ -81,16 +87,17 @@
 
 	// Asks the watcher for leave to run a fingerprint.
 	void requestRun(HostId watcher, Fingerprint fingerprint, long leaseMillis, boolean ifUnreachable,
-			Consumer<Boolean> answer) {
+			BiConsumer<Boolean, QuarantineAdded> answer) {
 		if (this.peers == null) {
-			answer.accept(true);
+			answer.accept(true, of(fingerprint));
 			return;
 		}
 		PeerFrame frame = notice(SuspectStep.SUSPECT_RUN_REQUESTED, of(fingerprint), leaseMillis);
-		this.peers.request(watcher, LinkPurpose.CONTROL, frame, REQUEST_TIMEOUT)
+		this.peers.request(watcher, LinkPurpose.CONTROL, frame, ifUnreachable ? NEW_TIMEOUT : SUSPECT_TIMEOUT)
 			.subscribe()
-			.with((reply) -> answer.accept(reply.getQuarantineNotice().getStep() == SuspectStep.SUSPECT_RUN_GRANTED),
-					(failure) -> answer.accept(ifUnreachable));
+			.with((reply) -> answer.accept(reply.getQuarantineNotice().getStep() == SuspectStep.SUSPECT_RUN_GRANTED,
+					reply.getQuarantineNotice().getAdded()),
+					(failure) -> answer.accept(ifUnreachable, of(fingerprint)));
 	}
 
 	static PeerFrame notice(SuspectStep step, QuarantineAdded body, long leaseMillis) {
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
@@ -224,8 +224,8 @@
 		Fingerprint fingerprint = Fingerprint.of(notice.getAdded().getFingerprint());
 		if (notice.getStep() == SuspectStep.SUSPECT_RUN_REQUESTED) {
 			return Uni.createFrom()
-				.emitter((emitter) -> this.loop.execute(() -> emitter
-					.complete(answer(notice, this.suspects.grantRun(fingerprint, from, notice.getRunLeaseMs())))));
+				.emitter((emitter) -> this.loop.execute(() -> emitter.complete(answer(this.suspects.tell(fingerprint),
+						this.suspects.grantRun(fingerprint, from, notice.getRunLeaseMs())))));
 		}
 		this.loop.execute(() -> {
 			switch (notice.getStep()) {
@@ -239,9 +239,8 @@
 		return Uni.createFrom().nullItem();
 	}
 
-	private static PeerFrame answer(QuarantineNotice request, boolean granted) {
-		return HostLinks.notice(granted ? SuspectStep.SUSPECT_RUN_GRANTED : SuspectStep.SUSPECT_RUN_REFUSED,
-				request.getAdded(), 0);
+	private static PeerFrame answer(QuarantineAdded told, boolean granted) {
+		return HostLinks.notice(granted ? SuspectStep.SUSPECT_RUN_GRANTED : SuspectStep.SUSPECT_RUN_REFUSED, told, 0);
 	}
 
 	private void sweep() {
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineStream.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineStream.java
@@ -76,10 +76,6 @@
 		return this.failedOn;
 	}
 
-	int getTokenCount() {
-		return this.tokens.size();
-	}
-
 	boolean isDone() {
 		return this.phase == Phase.DONE;
 	}
--- a/entry/src/main/java/org/wigeonglade/entry/online/Suspects.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/Suspects.java
@@ -125,9 +125,16 @@
 	// Takes the crash of a runner with a request in flight. Afterwards the request may
 	// enter again.
 	void crashed(OnlineStream stream, String upstream) {
+		// The host that watches the fingerprint must know of the crash before the run
+		// ends, so
+		// that it tells the next host.
 		Fingerprint fingerprint = stream.getRequest().fingerprint();
-		leave(stream);
+		Run run = this.runs.get(fingerprint);
+		if (run != null) {
+			run.running.remove(stream);
+		}
 		report(fingerprint, upstream);
+		leave(stream);
 	}
 
 	// Takes a crash with work in flight that is not an online request.
@@ -180,6 +187,14 @@
 		return this.leases.request(fingerprint, from, leaseMillis, this.ticker.millis());
 	}
 
+	// Returns what a host that asks for leave to run a fingerprint must know of it.
+	QuarantineAdded tell(Fingerprint fingerprint) {
+		Suspicion suspicion = this.known.get(fingerprint);
+		QuarantineAdded.Builder body = QuarantineAdded.newBuilder().setFingerprint(fingerprint.value());
+		return (suspicion != null)
+				? body.setReason(suspicion.reason()).addAllCrashedUpstreams(suspicion.crashed()).build() : body.build();
+	}
+
 	void endRun(Fingerprint fingerprint, HostId from) {
 		this.leases.end(fingerprint, from);
 	}
@@ -195,10 +210,10 @@
 		if (this.known.size() > KNOWN_SIZE) {
 			this.known.remove(this.known.keySet().iterator().next());
 		}
-		if (after.quarantined()) {
+		if (after.quarantined() && (before == null || !before.quarantined())) {
 			LOG.log(OnlineEvent.QUARANTINED, fingerprint, after.reason());
 		}
-		else {
+		else if (!after.quarantined()) {
 			LOG.log(OnlineEvent.SUSPECTED, fingerprint, after.crashed());
 		}
 		stopCopies(fingerprint, after);
@@ -213,6 +228,9 @@
 		}
 		List<OnlineStream> copies = new ArrayList<>(run.running);
 		copies.addAll(run.waiting);
+		if (run.leader != null && run.leader.isHeld()) {
+			copies.add(run.leader);
+		}
 		if (suspicion.quarantined()) {
 			run.waiting.clear();
 			copies.forEach((copy) -> copy.quarantined(suspicion));
@@ -228,48 +246,41 @@
 
 	private void lead(Run run, OnlineStream stream) {
 		run.leader = stream;
-		boolean suspect = this.known.containsKey(run.fingerprint);
-		if (!suspect) {
-			run.running.add(stream);
-			stream.proceed(false);
-		}
-		ask(run, stream, suspect);
+		ask(run, stream);
 	}
 
-	private void ask(Run run, OnlineStream stream, boolean held) {
+	private void ask(Run run, OnlineStream stream) {
 		HostId watcher = this.links.watcherOf(run.fingerprint);
 		long lease = Math.max(1, stream.getRemainingMillis() + 1000);
 		if (watcher.equals(this.links.getSelf())) {
-			answered(run, stream, held, grantRun(run.fingerprint, watcher, lease));
+			answered(run, stream, grantRun(run.fingerprint, watcher, lease));
 			return;
 		}
 		run.watcher = watcher;
 		this.links.requestRun(watcher, run.fingerprint, lease, !this.known.containsKey(run.fingerprint),
-				(granted) -> this.loop.execute(() -> answered(run, stream, held, granted)));
+				(granted, told) -> this.loop.execute(() -> {
+					if (told.getCrashedUpstreamsCount() > 0) {
+						learn(told, false);
+					}
+					answered(run, stream, granted);
+				}));
 	}
 
-	private void answered(Run run, OnlineStream stream, boolean held, boolean granted) {
+	private void answered(Run run, OnlineStream stream, boolean granted) {
 		if (run.leader != stream || stream.isDone()) {
 			return;
 		}
-		boolean suspect = this.known.containsKey(run.fingerprint);
 		if (granted) {
-			if (held) {
-				run.running.add(stream);
-				stream.proceed(suspect);
-			}
-			return;
-		}
-		if (!held && (stream.getTokenCount() > 0 || !stream.recall())) {
+			run.running.add(stream);
+			stream.proceed(this.known.containsKey(run.fingerprint));
 			return;
 		}
-		run.running.remove(stream);
 		this.loop.schedule(ASK_AGAIN_MILLIS, () -> askAgain(run, stream));
 	}
 
 	private void askAgain(Run run, OnlineStream stream) {
 		if (run.leader == stream && !stream.isDone()) {
-			ask(run, stream, true);
+			ask(run, stream);
 		}
 	}
 
--- a/entry/src/test/java/org/wigeonglade/entry/online/BatchDispatcherTests.java
+++ b/entry/src/test/java/org/wigeonglade/entry/online/BatchDispatcherTests.java
@@ -92,6 +92,7 @@
 		await(() -> runner.getBatch() == SLOTS - 5);
 		announce(runner, 0);
 		await(() -> runner.getBatch() == SLOTS);
+		await(() -> this.requests.size() >= SLOTS + 5);
 		Assert.assertEquals(this.requests.stream().filter((r) -> r.resumeTokens().equals(List.of("t0 "))).count(), 5);
 	}
 
