--- a/bench/src/main/java/org/wigeonglade/bench/capacity/CapacityBench.java
+++ b/bench/src/main/java/org/wigeonglade/bench/capacity/CapacityBench.java
@@ -43,7 +43,7 @@
 		};
 		add.accept(ReplaySlopes.time(ITEMS));
 		add.accept(ReplaySlopes.memory(MEMORY_ITEMS));
-		add.accept(ReplaySlopes.records(LOG_ITEMS));
+		add.accept(ReplaySlopes.snapshotBytes(MEMORY_ITEMS));
 		add.accept(
 				ReplaySlopes.logBytes(LOG_ITEMS, ReplaySlopes.BODY_BYTES, ReplaySlopes.RESULT_BYTES, "append.bytes"));
 		add.accept(ReplaySlopes.logBytes(LOG_ITEMS, 0, 0, "append.bytes.overhead"));
--- a/bench/src/main/java/org/wigeonglade/bench/capacity/ReplaySlopes.java
+++ b/bench/src/main/java/org/wigeonglade/bench/capacity/ReplaySlopes.java
@@ -5,6 +5,7 @@
 
 import com.google.protobuf.ByteString;
 import org.wigeonglade.core.batch.PartitionReader;
+import org.wigeonglade.core.batch.PartitionSnapshot;
 import org.wigeonglade.core.batch.ReplayObserver;
 import org.wigeonglade.core.platform.LogSlice;
 import org.wigeonglade.core.platform.StoredRecord;
@@ -59,21 +60,26 @@
 		return Slope.fit("replay.memory", "items", "bytes", points);
 	}
 
-	static Slope logBytes(List<Integer> sizes, int bodyBytes, int resultBytes, String name) {
+	static Slope snapshotBytes(List<Integer> sizes) {
 		List<Slope.Point> points = new ArrayList<>();
 		for (int size : sizes) {
-			long bytes = log(size, bodyBytes, resultBytes).stream().mapToLong((record) -> record.length).sum();
+			PartitionReader reader = replay(log(size, 0, 0));
+			long bytes = PartitionSnapshot.encode(reader.getState(), "snapshot")
+				.stream()
+				.mapToLong(LogEntry::getSerializedSize)
+				.sum();
 			points.add(new Slope.Point(size, bytes));
 		}
-		return Slope.fit(name, "items", "bytes", points);
+		return Slope.fit("snapshot.bytes", "items", "bytes", points);
 	}
 
-	static Slope records(List<Integer> sizes) {
+	static Slope logBytes(List<Integer> sizes, int bodyBytes, int resultBytes, String name) {
 		List<Slope.Point> points = new ArrayList<>();
 		for (int size : sizes) {
-			points.add(new Slope.Point(size, log(size, 1, 1).size()));
+			long bytes = log(size, bodyBytes, resultBytes).stream().mapToLong((record) -> record.length).sum();
+			points.add(new Slope.Point(size, bytes));
 		}
-		return Slope.fit("append.records", "items", "records", points);
+		return Slope.fit(name, "items", "bytes", points);
 	}
 
 	private static PartitionReader replay(List<byte[]> log) {
