Keep batch items out of slots that the engine has not freed yet

Change: the slot of a stopped stream counts as taken for 20 ms; held items of a runner that gets no new work go back to their owner. Ruled out: waiting for the load report, which lags by more than the stream takes.

--- a/entry/src/main/java/org/wigeonglade/entry/online/RunnerDispatcher.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/RunnerDispatcher.java
@@ -32,6 +32,13 @@
 	 */
 	private static final double REACTION_SECONDS = 0.01;
 
+	/**
+	 * Time for which the slot of a stopped stream counts as taken, in milliseconds. An
+	 * engine frees the slot only when it sees the closed connection; an item that comes
+	 * earlier waits in the engine's queue, in front of online requests.
+	 */
+	static final long SLOT_RELEASE_MILLIS = 20;
+
 	/** Part of the slots that is kept free at most. */
 	private static final double LARGEST_HEADROOM = 0.25;
 
@@ -61,6 +68,8 @@
 
 	private final Deque<BatchStream> alone = new ArrayDeque<>();
 
+	private final Deque<Long> releaseMillis = new ArrayDeque<>();
+
 	private final ArrivalRate arrivals = new ArrivalRate();
 
 	private BatchStream isolated;
@@ -144,6 +153,10 @@
 			return;
 		}
 		preempt(Math.min(this.running.size(), online + this.running.size() - slots));
+		if (isLost()) {
+			returnHeld();
+			return;
+		}
 		if (!isOpen()) {
 			return;
 		}
@@ -151,7 +164,7 @@
 			startAlone(online);
 			return;
 		}
-		fill(slots - online - headroom(slots) - this.running.size());
+		fill(slots - online - headroom(slots) - this.running.size() - countReleasing());
 		returnOldParked();
 	}
 
@@ -165,10 +178,7 @@
 		if (this.isolated != null) {
 			giveBackIsolated();
 		}
-		for (Deque<BatchStream> held : List.of(this.parked, this.ready, this.alone)) {
-			held.forEach((s) -> this.reports.accept(returned(s)));
-			held.clear();
-		}
+		returnHeld();
 	}
 
 	void revoke(List<Long> grants) {
@@ -319,9 +329,25 @@
 		}
 	}
 
+	// Gives back the items that do not run, so that their owner can grant them elsewhere.
+	private void returnHeld() {
+		for (Deque<BatchStream> held : List.of(this.parked, this.ready, this.alone)) {
+			held.forEach((s) -> this.reports.accept(returned(s)));
+			held.clear();
+		}
+	}
+
+	private int countReleasing() {
+		while (!this.releaseMillis.isEmpty() && this.releaseMillis.peek() <= this.ticker.millis()) {
+			this.releaseMillis.poll();
+		}
+		return this.releaseMillis.size();
+	}
+
 	private void stop(BatchStream stream) {
 		if (stream.getAttempt() != null) {
 			stream.getAttempt().cancel();
+			this.releaseMillis.add(this.ticker.millis() + SLOT_RELEASE_MILLIS);
 			stream.end();
 			this.runner.endBatch();
 		}
@@ -373,9 +399,13 @@
 		return (int) Math.min(slots * LARGEST_HEADROOM, Math.round(wanted));
 	}
 
+	// A leaving runner gets no new work and one behind an open breaker none for seconds.
+	private boolean isLost() {
+		return this.runner.getMember().leaving() || !this.runner.mayDispatch(this.ticker.nanos());
+	}
+
 	private boolean isOpen() {
-		return !this.runner.getMember().leaving() && this.ticker.millis() >= this.pausedUntilMillis
-				&& this.runner.mayDispatch(this.ticker.nanos());
+		return !isLost() && this.ticker.millis() >= this.pausedUntilMillis;
 	}
 
 	private String name() {
--- a/entry/src/test/java/org/wigeonglade/entry/online/BatchDispatcherTests.java
+++ b/entry/src/test/java/org/wigeonglade/entry/online/BatchDispatcherTests.java
@@ -28,6 +28,7 @@
 import org.wigeonglade.core.id.UpstreamId;
 import org.wigeonglade.core.member.FleetView;
 import org.wigeonglade.core.member.HostMember;
+import org.wigeonglade.core.member.UpstreamMember;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.entry.host.HostFixture;
 import org.wigeonglade.schema.generated.peer.WorkAck;
@@ -52,6 +53,12 @@
 
 	private final Queue<EngineRequest> requests = new ConcurrentLinkedQueue<>();
 
+	private final Queue<Long> runNanos = new ConcurrentLinkedQueue<>();
+
+	private volatile long cancelNanos;
+
+	private volatile FleetView view;
+
 	private Vertx vertx;
 
 	private OnlineRuntime online;
@@ -62,15 +69,16 @@
 	public void start() throws Exception {
 		this.open.clear();
 		this.requests.clear();
+		this.runNanos.clear();
 		this.vertx = Vertx.vertx();
 		this.owner = new Owner();
 		HostFixture fixture = new HostFixture().withEngine("runner-1", this::run);
 		HostMember self = new HostMember(HostId.of("host-1"), 1, HostFixture.DOMAIN, HostFixture.REGION, "127.0.0.1:9",
 				false, 0, 0);
-		FleetView view = new FleetView(List.of(self), fixture.upstreams(), true);
+		this.view = new FleetView(List.of(self), fixture.upstreams(), true);
 		this.online = new OnlineRuntimeBuilder(loop(), HostId.of("host-1"))
 			.withPlace(HostFixture.DOMAIN, HostFixture.REGION)
-			.withFleet(() -> view)
+			.withFleet(() -> this.view)
 			.withClients(fixture.clients())
 			.build();
 		this.online.start();
@@ -112,6 +120,35 @@
 		await(() -> this.owner.outcomes(WorkStatus.WORK_CRASHED) == SLOTS);
 	}
 
+	@Test
+	public void slotOfAPreemptedStreamIsNotFilledBeforeTheEngineFreedIt() {
+		RunnerState runner = this.online.getRunners().find(UpstreamId.of("runner-1"));
+		announce(runner, 5);
+		await(() -> this.open.size() == SLOTS - 5);
+		long cancelled = this.cancelNanos;
+		announce(runner, 0);
+		await(() -> this.requests.size() > SLOTS);
+		long firstRefill = this.runNanos.stream().skip(SLOTS).findFirst().orElseThrow();
+		// The dispatcher counts in whole milliseconds.
+		long least = TimeUnit.MILLISECONDS.toNanos(RunnerDispatcher.SLOT_RELEASE_MILLIS - 1);
+		Assert.assertTrue(firstRefill - cancelled >= least, "refilled after " + (firstRefill - cancelled) + " ns");
+	}
+
+	@Test
+	public void itemsHeldForALeavingRunnerAreGivenBack() {
+		RunnerState runner = this.online.getRunners().find(UpstreamId.of("runner-1"));
+		announce(runner, 5);
+		await(() -> this.open.size() == SLOTS - 5);
+		int started = this.requests.size();
+		this.view = new FleetView(this.view.hosts(), this.view.upstreams().stream().map((u) -> leaving(u)).toList(),
+				true);
+		await(() -> this.owner.outcomes(WorkStatus.WORK_RETURNED) >= 5);
+		announce(runner, 0);
+		finishAll();
+		await(() -> this.owner.outcomes(WorkStatus.WORK_COMPLETED) == SLOTS - 5);
+		Assert.assertEquals(this.requests.size(), started, "a leaving runner got new work");
+	}
+
 	@Test
 	public void itemThatCannotBeParsedIsReportedAsNotRun() {
 		this.owner.maxTokens = 0;
@@ -136,6 +173,11 @@
 		Assert.assertEquals(this.owner.outcomes.size(), 0);
 	}
 
+	private static UpstreamMember leaving(UpstreamMember member) {
+		return new UpstreamMember(member.id(), member.incarnation(), member.service(), member.domain(), member.region(),
+				member.address(), member.runner(), member.models(), true);
+	}
+
 	private void announce(RunnerState runner, int count) {
 		runner.setOthersOnline(OTHER, count, Ticker.system().millis());
 	}
@@ -150,11 +192,15 @@
 
 	private Multi<EngineEvent> run(EngineRequest request) {
 		this.requests.add(request);
+		this.runNanos.add(System.nanoTime());
 		String id = request.requestId().value();
 		String item = id.substring(0, id.indexOf('.', id.indexOf('.') + 1));
 		return Multi.createFrom().emitter((emitter) -> {
 			this.open.put(item, emitter);
-			emitter.onTermination(() -> this.open.remove(item, emitter));
+			emitter.onTermination(() -> {
+				this.cancelNanos = System.nanoTime();
+				this.open.remove(item, emitter);
+			});
 		});
 	}
 
