Refuse results that an outage may have made incomplete

The status still answers from the last read. Ruled out: a marker line in the results, which existing clients would read as an item. Conclusion: a 200 answer holds every line the host could know of.

--- a/bench/src/test/java/org/wigeonglade/bench/batch/BatchFleetTests.java
+++ b/bench/src/test/java/org/wigeonglade/bench/batch/BatchFleetTests.java
@@ -137,6 +137,20 @@
 		}
 	}
 
+	@Test
+	void resultsOfAnUnfinishedJobAreRefusedDuringAnOutage() {
+		try (BatchFleet fleet = BatchFleet.start(2, 2, 200)) {
+			JobStatus job = fleet.submit("host-0", "key", BatchJobs.lines(BatchFleet.IDEMPOTENT, 10));
+			Assert.assertTrue(fleet.results("host-0", job.id()).isEmpty());
+			fleet.log().outage(CallFault.REFUSED_BEFORE);
+			RefusedException refused = Assert.expectThrows(RefusedException.class,
+					() -> fleet.results("host-0", job.id()));
+			Assert.assertEquals(refused.getCode(), ErrorCode.PLATFORM_UNAVAILABLE);
+			Assert.assertTrue(refused.getRetryAfter().isPresent());
+			Assert.assertEquals(fleet.status("host-0", job.id()).items(), 10);
+		}
+	}
+
 	@Test
 	void malformedLineIsNamedAndNothingIsAccepted() {
 		try (BatchFleet fleet = BatchFleet.start(1, 1, 200)) {
--- a/entry/src/main/java/org/wigeonglade/entry/batch/LogBatchRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/LogBatchRuntime.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
@@ -128,19 +129,21 @@
 
 	@Override
 	public Uni<JobStatus> status(WorkspaceId workspace, BatchId id) {
-		return withJob(workspace, id, JobStatuses::of);
+		return withJob(workspace, id, JobStatuses::of, (job) -> true);
 	}
 
+	// The results of a job that had not ended when the log was last read could lack lines
+	// that another host already returned, so they are refused instead.
 	@Override
 	public Multi<byte[]> results(WorkspaceId workspace, BatchId id) {
-		return withJob(workspace, id, JobState::snapshot).onItem()
+		return withJob(workspace, id, JobState::snapshot, JobState::isFinished).onItem()
 			.transformToMulti((job) -> JobResults.stream(this.settings.getLog(),
 					StreamName.of(PartitionRouter.streamOf(id.partition())), job));
 	}
 
 	@Override
 	public Uni<JobStatus> cancel(WorkspaceId workspace, BatchId id) {
-		return withJob(workspace, id, JobStatuses::of).chain((before) -> {
+		return withJob(workspace, id, JobStatuses::of, (job) -> true).chain((before) -> {
 			if (before.state() != JobStatus.State.IN_PROGRESS) {
 				return Uni.createFrom().item(before);
 			}
@@ -187,8 +190,10 @@
 		return this.partitions.getAppends();
 	}
 
-	// During an outage of the log the last known state is better than none.
-	private <T> Uni<T> withJob(WorkspaceId workspace, BatchId id, Function<JobState, T> reader) {
+	// During an outage of the log the last known state of a job is used where it is good
+	// enough for the caller.
+	private <T> Uni<T> withJob(WorkspaceId workspace, BatchId id, Function<JobState, T> reader,
+			Predicate<JobState> lastKnownSuffices) {
 		if (id.partition() >= this.policy.getPartitions()) {
 			return Uni.createFrom().failure(notFound(id));
 		}
@@ -198,8 +203,8 @@
 			.recoverWithUni((failure) -> Uni.createFrom()
 				.item(agent::getState)
 				.runSubscriptionOn(this.partitions.lane(id.partition()))
-				.chain((state) -> state.findJob(id.toString()).isPresent() ? Uni.createFrom().item(state)
-						: Uni.createFrom().failure(Readback.refused(failure))))
+				.chain((state) -> state.findJob(id.toString()).filter(lastKnownSuffices).isPresent()
+						? Uni.createFrom().item(state) : Uni.createFrom().failure(Readback.refused(failure))))
 			.map((state) -> read(state, workspace, id, reader));
 	}
 
