Wait for the closed listener in the crash test of the engine client

Cause: the test failed once with UNKNOWN instead of NOT_RUN: between the loss of the connections and the close of the listener a new connection is taken and then lost, and the client cannot know that nothing ran. Change: the test waits until the port refuses connections; all assertions stay. Conclusion: the client was right; the verdict no longer depends on timing.

--- a/adapters/src/test/java/org/wigeonglade/adapters/engine/HttpEngineClientTests.java
+++ b/adapters/src/test/java/org/wigeonglade/adapters/engine/HttpEngineClientTests.java
@@ -1,5 +1,8 @@
 package org.wigeonglade.adapters.engine;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -112,6 +115,8 @@
 		Assert.assertEquals(failure.getRan(), RanState.UNKNOWN);
 		AdapterFixture.until(() -> other.get() != null, "the other request failed");
 		Assert.assertTrue(((UpstreamException) other.get()).isCrashed());
+		// Until the listener is closed a connection may still be taken and then lost.
+		AdapterFixture.until(() -> refusesConnections(this.engine.port()), "listener closed");
 		UpstreamException refused = failure(this.client, request("r7", "abc", 50, List.of()));
 		Assert.assertEquals(refused.getRan(), RanState.NOT_RUN);
 		this.engine.restart();
@@ -119,6 +124,15 @@
 		run(this.client, request("r8", "abc", 50, List.of()));
 	}
 
+	private static boolean refusesConnections(int port) {
+		try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+			return !socket.isConnected();
+		}
+		catch (IOException ex) {
+			return true;
+		}
+	}
+
 	@Test
 	void aFullQueueIsARefusalThatRanNothing() {
 		for (int i = 0; i < 3; i++) {
