Remove the profile setting hedge

Cause: "hedge" was accepted and checked but had no effect, so a profile could promise what no host does.

--- a/core/src/main/java/org/wigeonglade/core/config/ConfigurationChecks.java
+++ b/core/src/main/java/org/wigeonglade/core/config/ConfigurationChecks.java
@@ -81,9 +81,6 @@
 		checkUnique("/profiles", profiles.stream().map(Profile::getName).toList());
 		for (int i = 0; i < profiles.size(); i++) {
 			Profile profile = profiles.get(i);
-			if (profile.getHedge() && !profile.getIdempotent()) {
-				add("/profiles/" + i + "/hedge", "true", "false, because the profile is not idempotent");
-			}
 			if (profile.getMaxQueueMs() > profile.getDeadlineMs()) {
 				add("/profiles/" + i + "/maxQueueMs", profile.getMaxQueueMs(),
 						"at most deadlineMs, which is " + profile.getDeadlineMs());
