Keep rare account events in the log and tell the course of a request

Cause: durable events of the account were never appended, and a request was told by its end only. The online path records queued, started, tried again and resumed requests and preempted items. Ruled out: an append for each event (the budget is 200 a second for the fleet). Conclusion: takeovers, losses and unknown outcomes outlive the host that saw them.

--- a/entry/src/main/java/org/wigeonglade/entry/host/HostAssembly.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/HostAssembly.java
@@ -35,6 +35,7 @@
 import org.wigeonglade.entry.online.OnlineRuntime;
 import org.wigeonglade.entry.online.OnlineRuntimeBuilder;
 import org.wigeonglade.entry.online.QuarantineLog;
+import org.wigeonglade.entry.operator.DurableAccount;
 import org.wigeonglade.entry.operator.HopTracer;
 import org.wigeonglade.entry.operator.HostMetrics;
 import org.wigeonglade.entry.operator.OperatorContext;
@@ -59,6 +60,9 @@
 	/** Interval at which owners of partitions are taken from digests. */
 	private static final long OWNERS_MILLIS = 50;
 
+	/** At most one append each second and host, and only while durable events wait. */
+	private static final long ACCOUNT_FLUSH_MILLIS = 1000;
+
 	private final EntryHostBuilder builder;
 
 	private final HostSettings settings;
@@ -222,6 +226,7 @@
 			.platform(directory, this.log)
 			.account(this.account)
 			.build();
+		startAccount();
 		this.fleet = this.control.getFleetViewSource();
 		this.load = this.control.getFleetLoadSource();
 		this.configuration = this::currentConfiguration;
@@ -230,6 +235,13 @@
 		this.control.start();
 	}
 
+	private void startAccount() {
+		DurableAccount durable = new DurableAccount(this.log, this.identity.host(), this.identity.incarnation(),
+				this.ticker);
+		this.account.setDurableSink(durable);
+		this.vertx.setPeriodic(ACCOUNT_FLUSH_MILLIS, (id) -> durable.flush());
+	}
+
 	private VersionedConfiguration currentConfiguration() {
 		VersionedConfiguration published = this.control.getConfigurationSource().current();
 		return (published.version() > 0) ? published : this.builder.getInitialConfiguration();
@@ -243,6 +255,7 @@
 			.withLoad(this.load)
 			.withPeers(this.peers)
 			.withPolicy(this.builder.getPolicy())
+			.withAccount(this.account)
 			.withClients(this.builder.clients(this.vertx));
 		if (this.quarantines != null) {
 			parts.withRecorder(this.quarantines);
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineParts.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineParts.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 
+import org.wigeonglade.core.account.AccountRecorder;
 import org.wigeonglade.core.time.Ticker;
 
 /**
@@ -12,8 +13,9 @@
  * @param suspects decides which requests may run
  * @param isolation runs suspected requests alone
  * @param arrivals tells batch dispatchers about online requests
+ * @param account records what happens to requests
  * @param active the answers in progress
  */
 record OnlineParts(EventLoop loop, Ticker ticker, Suspects suspects, Isolation isolation, ArrivalNotices arrivals,
-		Set<OnlineStream> active) {
+		AccountRecorder account, Set<OnlineStream> active) {
 }
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import io.smallrye.mutiny.Uni;
+import org.wigeonglade.core.account.AccountRecorder;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.Fingerprint;
@@ -100,12 +101,17 @@
 		this.suspects = new Suspects(this.loop, this.links, this.ticker, builder.getRecorder());
 		this.serviceCalls = new ServiceCalls(builder, this.suspects);
 		this.parts = new OnlineParts(this.loop, this.ticker, this.suspects,
-				new Isolation(this.loop, this.links, arrivals, this.ticker), arrivals, this.active);
+				new Isolation(this.loop, this.links, arrivals, this.ticker), arrivals, builder.getAccount(),
+				this.active);
 		if (builder.getPeers() != null) {
 			listen(builder.getPeers());
 		}
 	}
 
+	AccountRecorder getAccount() {
+		return this.parts.account();
+	}
+
 	/**
 	 * Starts the periodic tasks.
 	 */
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntimeBuilder.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntimeBuilder.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 
 import io.smallrye.mutiny.Uni;
+import org.wigeonglade.core.account.AccountRecorder;
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.Region;
@@ -39,6 +40,8 @@
 
 	private QuarantineRecorder recorder = (added) -> Uni.createFrom().voidItem();
 
+	private AccountRecorder account = (code, subjectKind, subjectId, causeEventId, figures) -> "";
+
 	private EndpointPolicy policy = EndpointChoice::choose;
 
 	private long seed;
@@ -126,6 +129,16 @@
 		return this;
 	}
 
+	/**
+	 * Sets the account of what happens to requests and items.
+	 * @param account the recorder, not null
+	 * @return this builder
+	 */
+	public OnlineRuntimeBuilder withAccount(AccountRecorder account) {
+		this.account = Objects.requireNonNull(account, "account");
+		return this;
+	}
+
 	/**
 	 * Sets the choice of runners.
 	 * @param policy the policy, not null
@@ -194,6 +207,10 @@
 		return this.recorder;
 	}
 
+	AccountRecorder getAccount() {
+		return this.account;
+	}
+
 	EndpointPolicy getPolicy() {
 		return this.policy;
 	}
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineStream.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineStream.java
@@ -4,8 +4,10 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
+import org.wigeonglade.core.account.AccountCode;
 import org.wigeonglade.core.engine.EngineEvent;
 import org.wigeonglade.core.engine.EngineRequest;
 import org.wigeonglade.core.error.ErrorCode;
@@ -109,6 +111,7 @@
 
 	// Waits in the queue; the wait is limited.
 	void queued(long limitMillis) {
+		record(AccountCode.QUEUED, Map.of("limit_ms", Long.toString(limitMillis)));
 		cancelTimer();
 		this.timer = this.parts.loop().schedule(limitMillis, this::waitedTooLong);
 	}
@@ -130,6 +133,8 @@
 			this.attempt.pause();
 		}
 		this.written = true;
+		record(startCode(), Map.of("upstream", runner.getMember().id().value(), "attempt",
+				Integer.toString(this.attempts), "tokens", Integer.toString(this.tokens.size())));
 		this.attempt.start(toEngineRequest(), false);
 	}
 
@@ -282,6 +287,17 @@
 		}
 	}
 
+	private AccountCode startCode() {
+		if (this.attempts == 1) {
+			return AccountCode.STARTED;
+		}
+		return this.tokens.isEmpty() ? AccountCode.RETRIED : AccountCode.RESUMED;
+	}
+
+	private void record(AccountCode code, Map<String, String> figures) {
+		this.parts.account().record(code, "request", this.request.id().value(), null, figures);
+	}
+
 	private void waitedTooLong() {
 		if (this.phase == Phase.QUEUED) {
 			refused(this.admission.overloaded(this.request, Duration.ofMillis(this.request.profile().getMaxQueueMs())));
--- a/entry/src/main/java/org/wigeonglade/entry/online/RunnerDispatcher.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/RunnerDispatcher.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
+import org.wigeonglade.core.account.AccountCode;
+import org.wigeonglade.core.account.AccountRecorder;
 import org.wigeonglade.core.engine.EngineEvent;
 import org.wigeonglade.core.engine.LoadReport;
 import org.wigeonglade.core.error.RanState;
@@ -58,6 +60,8 @@
 
 	private final HostLinks links;
 
+	private final AccountRecorder account;
+
 	private final Consumer<WorkOutcome> reports;
 
 	private final List<BatchStream> running = new ArrayList<>();
@@ -87,6 +91,7 @@
 		this.runner = runner;
 		this.suspects = online.getSuspects();
 		this.links = online.getLinks();
+		this.account = online.getAccount();
 		this.reports = reports;
 	}
 
@@ -283,6 +288,9 @@
 				this.parked.addFirst(stream);
 				left--;
 				this.preemptions++;
+				this.account.record(AccountCode.PREEMPTED, "item",
+						stream.getItem().getBatchId() + "/" + stream.getItem().getIndex(), null,
+						Map.of("upstream", name(), "tokens", Integer.toString(stream.getTokens().size())));
 			}
 		}
 		if (left < count) {
--- a/entry/src/main/java/org/wigeonglade/entry/operator/OperatorEvent.java
+++ b/entry/src/main/java/org/wigeonglade/entry/operator/OperatorEvent.java
@@ -32,7 +32,10 @@
 	CONFIG_PUBLISHED(7007, Level.INFO, "operator published a configuration", "version", "author"),
 
 	/** A configuration was turned down. */
-	CONFIG_REFUSED(7008, Level.WARNING, "configuration of an operator was turned down", "base", "author", "code");
+	CONFIG_REFUSED(7008, Level.WARNING, "configuration of an operator was turned down", "base", "author", "code"),
+
+	/** Durable events were not appended; they are appended later. */
+	ACCOUNT_APPEND_FAILED(7009, Level.INFO, "durable events of the account could not be appended yet", "events");
 
 	private final int number;
 
--- a/entry/src/test/java/org/wigeonglade/entry/online/BatchDispatcherTests.java
+++ b/entry/src/test/java/org/wigeonglade/entry/online/BatchDispatcherTests.java
@@ -53,6 +53,8 @@
 
 	private final Queue<EngineRequest> requests = new ConcurrentLinkedQueue<>();
 
+	private final Queue<String> account = new ConcurrentLinkedQueue<>();
+
 	private final Queue<Long> runNanos = new ConcurrentLinkedQueue<>();
 
 	private volatile long cancelNanos;
@@ -70,6 +72,7 @@
 		this.open.clear();
 		this.requests.clear();
 		this.runNanos.clear();
+		this.account.clear();
 		this.vertx = Vertx.vertx();
 		this.owner = new Owner();
 		HostFixture fixture = new HostFixture().withEngine("runner-1", this::run);
@@ -80,6 +83,10 @@
 			.withPlace(HostFixture.DOMAIN, HostFixture.REGION)
 			.withFleet(() -> this.view)
 			.withClients(fixture.clients())
+			.withAccount((code, kind, id, cause, figures) -> {
+				this.account.add(code + " " + kind + " " + id);
+				return "";
+			})
 			.build();
 		this.online.start();
 		new BatchDispatcher(loop(), Ticker.system(), this.online, this.owner).start();
@@ -102,6 +109,8 @@
 		await(() -> runner.getBatch() == SLOTS);
 		await(() -> this.requests.size() >= SLOTS + 5);
 		Assert.assertEquals(this.requests.stream().filter((r) -> r.resumeTokens().equals(List.of("t0 "))).count(), 5);
+		Assert.assertEquals(this.account.stream().filter((event) -> event.startsWith("PREEMPTED item job/")).count(),
+				5);
 	}
 
 	@Test
