Describe log events in one place and drop a second host starter

Cause: eight enums of events repeated the same 35 lines; the mixed bench had its own copy of the host starter; the engine client logged a reset of its own making as an error; "bench faults" ran the fast subset by default. Change: EventDescription holds what the catalogue says of an event; EntryHostStarter takes a policy and PolicyHost is gone; the handler is set before the reset; "bench faults" runs all cells by default. Conclusion: behaviour is unchanged but for the log line and the default.

--- a/adapters/src/main/java/org/wigeonglade/adapters/engine/CompletionStream.java
+++ b/adapters/src/main/java/org/wigeonglade/adapters/engine/CompletionStream.java
@@ -71,14 +71,14 @@
 	}
 
 	synchronized void write(HttpClientRequest opened, Buffer body) {
+		// Failures arrive through the response; without a handler Vert.x logs them.
+		opened.exceptionHandler((ignored) -> {
+		});
 		if (this.ended) {
 			opened.reset();
 			return;
 		}
 		this.http = opened;
-		// Failures arrive through the response; without a handler Vert.x logs them.
-		opened.exceptionHandler((ignored) -> {
-		});
 		opened.response().onSuccess(this::read).onFailure(this::failLost);
 		opened.end(body);
 	}
--- a/bench/src/main/java/org/wigeonglade/bench/demo/EntryHostStarter.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/EntryHostStarter.java
@@ -5,12 +5,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
 
 import io.vertx.core.Vertx;
 import org.wigeonglade.adapters.http.HttpClients;
 import org.wigeonglade.adapters.log.HttpLogService;
+import org.wigeonglade.core.route.EndpointChoice;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.entry.host.EntryHost;
+import org.wigeonglade.entry.online.EndpointPolicy;
 import org.wigeonglade.schema.generated.settings.FleetConfiguration;
 import org.wigeonglade.schema.generated.settings.HostSettings;
 
@@ -23,8 +26,11 @@
 
 	private final Ticker ticker;
 
-	private EntryHostStarter(Ticker ticker) {
+	private final Supplier<EndpointPolicy> policy;
+
+	private EntryHostStarter(Ticker ticker, Supplier<EndpointPolicy> policy) {
 		this.ticker = ticker;
+		this.policy = policy;
 	}
 
 	/**
@@ -33,7 +39,16 @@
 	 * @return a starter, never null
 	 */
 	public static EntryHostStarter create(Ticker ticker) {
-		return new EntryHostStarter(ticker);
+		return new EntryHostStarter(ticker, () -> EndpointChoice::choose);
+	}
+
+	/**
+	 * Returns a copy whose hosts choose runners in another way.
+	 * @param other gives each host a policy of its own, not null
+	 * @return a starter, never null
+	 */
+	public EntryHostStarter withPolicy(Supplier<EndpointPolicy> other) {
+		return new EntryHostStarter(this.ticker, other);
 	}
 
 	@Override
@@ -42,6 +57,7 @@
 		AtomicReference<Vertx> loops = new AtomicReference<>();
 		EntryHost host = EntryHost.builder(settings)
 			.withTicker(this.ticker)
+			.withPolicy(this.policy.get())
 			.withEventLoops(EVENT_LOOPS)
 			.withLog((vertx) -> {
 				loops.set(vertx);
--- a/bench/src/main/java/org/wigeonglade/bench/mixed/MixedComparison.java
+++ b/bench/src/main/java/org/wigeonglade/bench/mixed/MixedComparison.java
@@ -13,12 +13,14 @@
 import org.wigeonglade.adapters.http.HttpReply;
 import org.wigeonglade.bench.client.ServingClient;
 import org.wigeonglade.bench.demo.Deployment;
+import org.wigeonglade.bench.demo.EntryHostStarter;
 import org.wigeonglade.bench.demo.FleetConfigurations;
 import org.wigeonglade.bench.demo.FleetFixture;
 import org.wigeonglade.bench.demo.LoadBalancer;
 import org.wigeonglade.bench.load.LoadGenerator;
 import org.wigeonglade.bench.load.LoadMeasurement;
 import org.wigeonglade.bench.load.LoadPlan;
+import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.entry.online.EndpointPolicy;
 
 /**
@@ -157,7 +159,7 @@
 	private FleetFixture start(Supplier<EndpointPolicy> policy) {
 		return FleetFixture.builder(this.deployment)
 			.logAppendsPerSecond(0)
-			.starter(PolicyHost.starter(policy))
+			.starter(EntryHostStarter.create(Ticker.system()).withPolicy(policy))
 			.engine((engine) -> engine.slots(SLOTS).tokenMicros(TOKEN_MICROS).prefillMicrosPerToken(PREFILL_MICROS))
 			.start();
 	}
--- a/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.stream.Stream;
 
 import io.vertx.core.json.Json;
 import io.vertx.core.json.JsonArray;
@@ -128,8 +129,8 @@
 			description = "Runs faults at every step of a job and checks the promises; ends with code 1 if one was broken.")
 	static final class Faults implements Callable<Integer> {
 
-		@Option(names = "--cells", paramLabel = "SET", defaultValue = "fast",
-				description = "fast, singles or pairs (default: ${DEFAULT-VALUE}).")
+		@Option(names = "--cells", paramLabel = "SET", defaultValue = "all",
+				description = "all, fast, singles or pairs (default: ${DEFAULT-VALUE}); all takes about 15 minutes.")
 		private String cells;
 
 		@Option(names = "--parallel", paramLabel = "N", defaultValue = "2",
@@ -154,11 +155,14 @@
 		public Integer call() {
 			LogSetup.apply(LogSettings.Level.ERROR, LogSettings.Format.TEXT);
 			List<FaultCell> chosen = switch (this.cells) {
+				case "all" ->
+					Stream.concat(FaultMatrix.singles(this.seed).stream(), FaultMatrix.pairs(this.seed).stream())
+						.toList();
 				case "fast" -> FaultMatrix.fast();
 				case "singles" -> FaultMatrix.singles(this.seed);
 				case "pairs" -> FaultMatrix.pairs(this.seed);
 				default -> throw new InvalidRequestException(ErrorCode.ARGUMENT_INVALID,
-						"--cells is '" + this.cells + "', but must be fast, singles or pairs");
+						"--cells is '" + this.cells + "', but must be all, fast, singles or pairs");
 			};
 			return FaultMatrix.of(chosen, this.parallel, this.histories, this.page)
 				.run(System.out, this.console.isJson());
--- a/cli/src/test/java/org/wigeonglade/cli/logging/FormatterTests.java
+++ b/cli/src/test/java/org/wigeonglade/cli/logging/FormatterTests.java
@@ -8,6 +8,7 @@
 import io.vertx.core.json.JsonObject;
 import org.testng.Assert;
 import org.testng.annotations.Test;
+import org.wigeonglade.core.event.EventDescription;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.event.LogEvent;
 
@@ -55,23 +56,8 @@
 		SAMPLE;
 
 		@Override
-		public int getNumber() {
-			return 1999;
-		}
-
-		@Override
-		public Level getLevel() {
-			return Level.WARNING;
-		}
-
-		@Override
-		public String getText() {
-			return "Sample event";
-		}
-
-		@Override
-		public String[] getFields() {
-			return new String[] { "count", "name" };
+		public EventDescription getDescription() {
+			return EventDescription.of(1999, Level.WARNING, "Sample event", "count", "name");
 		}
 
 	}
--- a/core/src/main/java/org/wigeonglade/core/batch/BatchEvent.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/BatchEvent.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 
+import org.wigeonglade.core.event.EventDescription;
 import org.wigeonglade.core.event.LogEvent;
 
 /**
@@ -50,39 +51,15 @@
 	/** A task of the runtime failed. */
 	TASK_FAILED(4013, Level.ERROR, "task of the batch runtime failed", "partition", "task");
 
-	private final int number;
-
-	private final Level level;
-
-	private final String text;
-
-	private final String[] fields;
+	private final EventDescription description;
 
 	BatchEvent(int number, Level level, String text, String... fields) {
-		this.number = number;
-		this.level = level;
-		this.text = text;
-		this.fields = fields;
-	}
-
-	@Override
-	public int getNumber() {
-		return this.number;
-	}
-
-	@Override
-	public Level getLevel() {
-		return this.level;
-	}
-
-	@Override
-	public String getText() {
-		return this.text;
+		this.description = EventDescription.of(number, level, text, fields);
 	}
 
 	@Override
-	public String[] getFields() {
-		return this.fields.clone();
+	public EventDescription getDescription() {
+		return this.description;
 	}
 
 }
--- a/core/src/main/java/org/wigeonglade/core/event/LogEvent.java
+++ b/core/src/main/java/org/wigeonglade/core/event/LogEvent.java
@@ -8,28 +8,42 @@
  */
 public interface LogEvent {
 
+	/**
+	 * Returns what the catalogue says of the event.
+	 * @return the description, never null
+	 */
+	EventDescription getDescription();
+
 	/**
 	 * Returns the stable number, unique in the system.
 	 * @return a number from 1000 to 9999
 	 */
-	int getNumber();
+	default int getNumber() {
+		return getDescription().number();
+	}
 
 	/**
 	 * Returns the severity.
 	 * @return the level, never null
 	 */
-	Level getLevel();
+	default Level getLevel() {
+		return getDescription().level();
+	}
 
 	/**
 	 * Returns the message without figures.
 	 * @return one plain sentence, never null
 	 */
-	String getText();
+	default String getText() {
+		return getDescription().text();
+	}
 
 	/**
 	 * Returns the names of the fields that the event carries, in order.
 	 * @return the names, never null
 	 */
-	String[] getFields();
+	default String[] getFields() {
+		return getDescription().fields().toArray(String[]::new);
+	}
 
 }
--- a/entry/src/main/java/org/wigeonglade/entry/caller/CallerEvent.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CallerEvent.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 
+import org.wigeonglade.core.event.EventDescription;
 import org.wigeonglade.core.event.LogEvent;
 
 /**
@@ -18,39 +19,15 @@
 	/** A connection was refused because of the connection limit. */
 	CONNECTION_LIMIT(2003, Level.WARNING, "connection refused: connection limit reached", "limit");
 
-	private final int number;
-
-	private final Level level;
-
-	private final String text;
-
-	private final String[] fields;
+	private final EventDescription description;
 
 	CallerEvent(int number, Level level, String text, String... fields) {
-		this.number = number;
-		this.level = level;
-		this.text = text;
-		this.fields = fields;
-	}
-
-	@Override
-	public int getNumber() {
-		return this.number;
-	}
-
-	@Override
-	public Level getLevel() {
-		return this.level;
-	}
-
-	@Override
-	public String getText() {
-		return this.text;
+		this.description = EventDescription.of(number, level, text, fields);
 	}
 
 	@Override
-	public String[] getFields() {
-		return this.fields.clone();
+	public EventDescription getDescription() {
+		return this.description;
 	}
 
 }
--- a/entry/src/main/java/org/wigeonglade/entry/host/HostEvent.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/HostEvent.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 
+import org.wigeonglade.core.event.EventDescription;
 import org.wigeonglade.core.event.LogEvent;
 
 /**
@@ -27,39 +28,15 @@
 	/** A second signal ended the process during a planned stop. */
 	ENDED_BY_SIGNAL(1106, Level.ERROR, "second signal ended the process at once", "host", "interrupted");
 
-	private final int number;
-
-	private final Level level;
-
-	private final String text;
-
-	private final String[] fields;
+	private final EventDescription description;
 
 	HostEvent(int number, Level level, String text, String... fields) {
-		this.number = number;
-		this.level = level;
-		this.text = text;
-		this.fields = fields;
-	}
-
-	@Override
-	public int getNumber() {
-		return this.number;
-	}
-
-	@Override
-	public Level getLevel() {
-		return this.level;
-	}
-
-	@Override
-	public String getText() {
-		return this.text;
+		this.description = EventDescription.of(number, level, text, fields);
 	}
 
 	@Override
-	public String[] getFields() {
-		return this.fields.clone();
+	public EventDescription getDescription() {
+		return this.description;
 	}
 
 }
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineEvent.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineEvent.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 
+import org.wigeonglade.core.event.EventDescription;
 import org.wigeonglade.core.event.LogEvent;
 
 /**
@@ -38,39 +39,15 @@
 	/** Batch work was stopped for online work. */
 	PREEMPTED(2109, Level.DEBUG, "batch streams were preempted", "upstream", "count");
 
-	private final int number;
-
-	private final Level level;
-
-	private final String text;
-
-	private final String[] fields;
+	private final EventDescription description;
 
 	OnlineEvent(int number, Level level, String text, String... fields) {
-		this.number = number;
-		this.level = level;
-		this.text = text;
-		this.fields = fields;
-	}
-
-	@Override
-	public int getNumber() {
-		return this.number;
-	}
-
-	@Override
-	public Level getLevel() {
-		return this.level;
-	}
-
-	@Override
-	public String getText() {
-		return this.text;
+		this.description = EventDescription.of(number, level, text, fields);
 	}
 
 	@Override
-	public String[] getFields() {
-		return this.fields.clone();
+	public EventDescription getDescription() {
+		return this.description;
 	}
 
 }
--- a/entry/src/main/java/org/wigeonglade/entry/operator/OperatorEvent.java
+++ b/entry/src/main/java/org/wigeonglade/entry/operator/OperatorEvent.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 
+import org.wigeonglade.core.event.EventDescription;
 import org.wigeonglade.core.event.LogEvent;
 
 /**
@@ -37,39 +38,15 @@
 	/** Durable events were not appended; they are appended later. */
 	ACCOUNT_APPEND_FAILED(7009, Level.INFO, "durable events of the account could not be appended yet", "events");
 
-	private final int number;
-
-	private final Level level;
-
-	private final String text;
-
-	private final String[] fields;
+	private final EventDescription description;
 
 	OperatorEvent(int number, Level level, String text, String... fields) {
-		this.number = number;
-		this.level = level;
-		this.text = text;
-		this.fields = fields;
-	}
-
-	@Override
-	public int getNumber() {
-		return this.number;
-	}
-
-	@Override
-	public Level getLevel() {
-		return this.level;
-	}
-
-	@Override
-	public String getText() {
-		return this.text;
+		this.description = EventDescription.of(number, level, text, fields);
 	}
 
 	@Override
-	public String[] getFields() {
-		return this.fields.clone();
+	public EventDescription getDescription() {
+		return this.description;
 	}
 
 }
--- a/peer/src/main/java/org/wigeonglade/peer/PeerEvent.java
+++ b/peer/src/main/java/org/wigeonglade/peer/PeerEvent.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 
+import org.wigeonglade.core.event.EventDescription;
 import org.wigeonglade.core.event.LogEvent;
 
 /**
@@ -35,39 +36,15 @@
 	/** A connected host is not the expected one. */
 	OTHER_HOST(6008, Level.WARNING, "a peer address belongs to another host", "expected", "found", "address");
 
-	private final int number;
-
-	private final Level level;
-
-	private final String text;
-
-	private final String[] fields;
+	private final EventDescription description;
 
 	PeerEvent(int number, Level level, String text, String... fields) {
-		this.number = number;
-		this.level = level;
-		this.text = text;
-		this.fields = fields;
-	}
-
-	@Override
-	public int getNumber() {
-		return this.number;
-	}
-
-	@Override
-	public Level getLevel() {
-		return this.level;
-	}
-
-	@Override
-	public String getText() {
-		return this.text;
+		this.description = EventDescription.of(number, level, text, fields);
 	}
 
 	@Override
-	public String[] getFields() {
-		return this.fields.clone();
+	public EventDescription getDescription() {
+		return this.description;
 	}
 
 }
