Keep agents of partitions that ever claimed or appended

The agent had been dropped between its claim and the read of it, because the view of the fleet had grown; the next agent of the partition started its numbers again, so readers dropped the cancellation, and nobody granted work although the claim stood. Change: an agent is dropped only if it never claimed or appended, and one that claimed goes on reading its stream. Ruled out: shared sequence counters alone, which would leave the claim without an owner. Conclusion: the fault is closed by construction; a test that forces the moment is open.

--- a/bench/src/test/java/org/wigeonglade/bench/batch/BatchFleetTests.java
+++ b/bench/src/test/java/org/wigeonglade/bench/batch/BatchFleetTests.java
@@ -16,7 +16,9 @@
 import org.wigeonglade.core.error.RanState;
 import org.wigeonglade.core.error.RefusedException;
 import org.wigeonglade.core.id.BatchId;
+import org.wigeonglade.core.platform.StoredRecord;
 import org.wigeonglade.entry.batch.JobStatus;
+import org.wigeonglade.schema.generated.log.LogRecord;
 import org.wigeonglade.schema.generated.peer.WorkOutcome;
 import org.wigeonglade.schema.generated.peer.WorkStatus;
 import org.wigeonglade.standins.CallFault;
@@ -151,6 +153,33 @@
 		}
 	}
 
+	@Test
+	void growingFleetNeverRepeatsASequenceAndEveryPartitionHasAnOwner() throws Exception {
+		int partitions = 12;
+		try (BatchFleet fleet = BatchFleet.start(1, partitions, 200);
+				WorkerPool workers = new WorkerPool(fleet, 4, WorkerPool::complete)) {
+			for (int i = 1; i < 5; i++) {
+				fleet.add("late-" + i);
+				fleet.submit("host-0", "job-" + i, BatchJobs.lines(BatchFleet.IDEMPOTENT, 5));
+			}
+			fleet.live().forEach((host) -> workers.start(host, BatchFleet.IDEMPOTENT, false));
+			for (int i = 5; i < 20; i++) {
+				String host = fleet.live().get(i % fleet.live().size());
+				JobStatus job = fleet.submit(host, "job-" + i, BatchJobs.lines(BatchFleet.IDEMPOTENT, 5));
+				until(() -> finished(fleet, host, job.id()), "job did not finish: " + job.id());
+			}
+			for (int partition = 0; partition < partitions; partition++) {
+				Set<String> triples = new TreeSet<>();
+				for (StoredRecord stored : fleet.log().records("jobs-" + partition)) {
+					LogRecord found = LogRecord.parseFrom(stored.payload());
+					Assert.assertTrue(
+							triples.add(found.getHost() + "/" + found.getIncarnation() + "/" + found.getSequence()),
+							"repeated in jobs-" + partition + ": " + found.getHost() + "/" + found.getSequence());
+				}
+			}
+		}
+	}
+
 	@Test
 	void malformedLineIsNamedAndNothingIsAccepted() {
 		try (BatchFleet fleet = BatchFleet.start(1, 1, 200)) {
--- a/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/PartitionAgent.java
@@ -65,6 +65,8 @@
 
 	private boolean claiming;
 
+	private volatile boolean claimed;
+
 	private boolean mayClaim;
 
 	private boolean releasing;
@@ -147,6 +149,17 @@
 		return this.owner != null && this.owner.isActive();
 	}
 
+	/**
+	 * Returns whether the agent may be dropped and made again later; may be called by any
+	 * thread. One that ever claimed may own the partition without knowing it yet, and one
+	 * that ever appended must not start again with the sequence numbers of its writer,
+	 * since readers drop a number that they have seen.
+	 * @return true if nothing was ever appended or claimed
+	 */
+	public boolean isEvictable() {
+		return !this.claimed && this.writer.getAppends() == 0;
+	}
+
 	/**
 	 * Returns whether items of a service wait here; may be called by any thread.
 	 * @param service the service
@@ -209,7 +222,8 @@
 		// The second host follows too, so that a takeover begins with a current state.
 		boolean candidate = rank == 0 || rank == 1;
 		long now = this.context.ticker().millis();
-		if ((candidate || this.owner != null) && !this.polling
+		// A claim whose answer was lost may still have taken effect.
+		if ((candidate || this.owner != null || this.claimed) && !this.polling
 				&& now - this.lastReadMillis >= this.context.options().poll().toMillis()) {
 			this.polling = true;
 			this.follower.catchUp().subscribe().with((read) -> polled(true), (failure) -> polled(false));
@@ -270,6 +284,7 @@
 
 	private void claim() {
 		this.claiming = true;
+		this.claimed = true;
 		PartitionClaim claim = PartitionClaim.newBuilder()
 			.setTerm(Math.max(0, this.state.getTerm()) + 1)
 			.setHost(this.self.value())
--- a/entry/src/main/java/org/wigeonglade/entry/batch/PartitionSet.java
+++ b/entry/src/main/java/org/wigeonglade/entry/batch/PartitionSet.java
@@ -190,7 +190,7 @@
 		}
 		agent.tick(view, (now >= this.claimAfterMillis) ? ranked : List.of());
 		AtomicLong used = this.lastUse.get(partition);
-		if (!candidate && !agent.isOwner() && (used == null || now - used.get() > IDLE_MILLIS)
+		if (!candidate && agent.isEvictable() && (used == null || now - used.get() > IDLE_MILLIS)
 				&& this.agents.remove(partition, agent)) {
 			agent.close();
 		}
--- a/entry/src/main/java/org/wigeonglade/entry/online/Isolation.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/Isolation.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.Random;
 
 import org.wigeonglade.core.time.Ticker;
 
@@ -22,6 +23,12 @@
 	 */
 	private static final long SETTLE_MILLIS = 25;
 
+	/**
+	 * Longest additional time before a reservation that met another one is tried again,
+	 * in milliseconds; several times the time in which hosts hear of each other.
+	 */
+	private static final int GIVE_WAY_MILLIS = 50;
+
 	private final EventLoop loop;
 
 	private final HostLinks links;
@@ -30,6 +37,8 @@
 
 	private final Ticker ticker;
 
+	private final Random random;
+
 	private final Deque<OnlineStream> waiting = new ArrayDeque<>();
 
 	private OnlineStream current;
@@ -43,6 +52,8 @@
 		this.links = links;
 		this.arrivals = arrivals;
 		this.ticker = ticker;
+		// Hosts must differ in their delays.
+		this.random = new Random(links.getSelf().hashCode());
 	}
 
 	void submit(OnlineStream stream) {
@@ -76,6 +87,13 @@
 			find(stream).ifPresent(this::reserve);
 		}
 		long now = this.ticker.millis();
+		if (this.reserved != null && this.reserved.getOthersOnline(now) >= RunnerState.RESERVED) {
+			// Another host reserved the same runner at the same time. Each would wait for
+			// the other one; both give way for a time of their own.
+			release();
+			this.loop.schedule(POLL_MILLIS + this.random.nextInt(GIVE_WAY_MILLIS), () -> prepare(stream));
+			return;
+		}
 		if (this.reserved != null && this.reserved.getOnline() == 0 && now - this.reservedAtMillis >= SETTLE_MILLIS
 				&& isIdle(this.reserved, now)) {
 			stream.start(this.reserved);
