--- a/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
@@ -1,19 +1,34 @@
 package org.wigeonglade.cli;
 
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 
+import io.vertx.core.json.Json;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import me.tongfei.progressbar.ProgressBar;
 import org.wigeonglade.bench.capacity.CapacityBench;
 import org.wigeonglade.bench.capacity.Slope;
+import org.wigeonglade.bench.demo.Deployment;
+import org.wigeonglade.bench.faults.FaultCell;
+import org.wigeonglade.bench.faults.FaultMatrix;
+import org.wigeonglade.bench.fleet.FleetBench;
+import org.wigeonglade.bench.fleet.FleetOptions;
 import org.wigeonglade.bench.load.LoadComparison;
+import org.wigeonglade.bench.load.LoadPlan;
 import org.wigeonglade.bench.load.LoadReportFiles;
+import org.wigeonglade.bench.mixed.MixedBench;
+import org.wigeonglade.cli.logging.LogSetup;
+import org.wigeonglade.core.error.ErrorCode;
+import org.wigeonglade.core.error.InvalidRequestException;
+import org.wigeonglade.schema.generated.settings.LogSettings;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
 /**
@@ -21,7 +36,8 @@
  */
 @Command(name = "bench", mixinStandardHelpOptions = true,
 		description = "Measures the system against its stand-ins on this machine, on loopback.",
-		subcommands = { BenchCommand.Capacity.class, BenchCommand.Compare.class })
+		subcommands = { BenchCommand.Mixed.class, BenchCommand.Fleet.class, BenchCommand.Faults.class,
+				BenchCommand.Capacity.class, BenchCommand.Compare.class })
 final class BenchCommand implements Runnable {
 
 	@CommandLine.Spec
@@ -32,6 +48,128 @@
 		throw new CommandLine.ParameterException(this.spec.commandLine(), "a command is missing");
 	}
 
+	/**
+	 * Measures online latency with and without batch work.
+	 */
+	@Command(name = "mixed", mixinStandardHelpOptions = true,
+			description = "Measures online latency without and with batch work on the same runners.")
+	static final class Mixed implements Callable<Integer> {
+
+		@Option(names = "--deployment", paramLabel = "NAME", defaultValue = "muistopuu",
+				description = "muistopuu or plata (default: ${DEFAULT-VALUE}).")
+		private String deployment;
+
+		@Option(names = "--rate", paramLabel = "N", defaultValue = "40",
+				description = "Online requests per second (default: ${DEFAULT-VALUE}).")
+		private double rate;
+
+		@Option(names = "--seconds", paramLabel = "S", defaultValue = "10",
+				description = "Length of one run (default: ${DEFAULT-VALUE}).")
+		private int seconds;
+
+		@Option(names = "--runs", paramLabel = "N", defaultValue = "3",
+				description = "Runs of each kind (default: ${DEFAULT-VALUE}).")
+		private int runs;
+
+		@Option(names = "--items", paramLabel = "N", defaultValue = "20000",
+				description = "Items of the job, more than can finish (default: ${DEFAULT-VALUE}).")
+		private int items;
+
+		@Option(names = "--seed", paramLabel = "N", defaultValue = "1",
+				description = "Seed (default: ${DEFAULT-VALUE}).")
+		private long seed;
+
+		@Option(names = "--output", paramLabel = "FOLDER", defaultValue = "out/bench",
+				description = "Folder of the reports (default: ${DEFAULT-VALUE}).")
+		private Path output;
+
+		@Override
+		public Integer call() {
+			LoadPlan plan = LoadPlan.steady("mixed", this.seed, this.rate, Duration.ofSeconds(this.seconds))
+				.withBursts(Duration.ofSeconds(5), Duration.ofSeconds(1), 3);
+			MixedBench.of(Deployment.of(this.deployment), plan, this.runs, this.items, this.output).run(System.out);
+			return ExitCode.SUCCESS;
+		}
+
+	}
+
+	/**
+	 * Measures the cost of control over the number of hosts.
+	 */
+	@Command(name = "fleet", mixinStandardHelpOptions = true,
+			description = "Measures the cost of control and the spread of configurations over the number of hosts.")
+	static final class Fleet implements Callable<Integer> {
+
+		@Option(names = "--sizes", split = ",", paramLabel = "N",
+				description = "Numbers of hosts (default: 6,12,24,44).")
+		private List<Integer> sizes = FleetOptions.defaults().sizes();
+
+		@Option(names = "--seconds", paramLabel = "S", defaultValue = "10",
+				description = "Time over which the cost is measured (default: ${DEFAULT-VALUE}).")
+		private int seconds;
+
+		@Mixin
+		private Console console;
+
+		@Override
+		public Integer call() {
+			Map<String, Object> report = FleetBench
+				.run(FleetOptions.defaults().withSizes(this.sizes).withIdle(Duration.ofSeconds(this.seconds)));
+			if (this.console.isJson()) {
+				this.console.printJson(new JsonObject(Json.encode(report)));
+				return ExitCode.SUCCESS;
+			}
+			report.forEach((name, value) -> this.console.println(name + ": " + Json.encodePrettily(value)));
+			return ExitCode.SUCCESS;
+		}
+
+	}
+
+	/**
+	 * Runs the fault matrix.
+	 */
+	@Command(name = "faults", mixinStandardHelpOptions = true,
+			description = "Runs faults at every step of a job and checks the promises; ends with code 1 if one was broken.")
+	static final class Faults implements Callable<Integer> {
+
+		@Option(names = "--cells", paramLabel = "SET", defaultValue = "fast",
+				description = "fast, singles or pairs (default: ${DEFAULT-VALUE}).")
+		private String cells;
+
+		@Option(names = "--parallel", paramLabel = "N", defaultValue = "2",
+				description = "Fleets at once, 1 to 4 (default: ${DEFAULT-VALUE}).")
+		private int parallel;
+
+		@Option(names = "--seed", paramLabel = "N", defaultValue = "1",
+				description = "Seed (default: ${DEFAULT-VALUE}).")
+		private long seed;
+
+		@Option(names = "--histories", paramLabel = "FOLDER", defaultValue = "out/histories",
+				description = "Folder of the histories of failed cells (default: ${DEFAULT-VALUE}).")
+		private Path histories;
+
+		@Option(names = "--page", paramLabel = "FILE", description = "Write the matrix to this Markdown file.")
+		private Path page;
+
+		@Mixin
+		private Console console;
+
+		@Override
+		public Integer call() {
+			LogSetup.apply(LogSettings.Level.ERROR, LogSettings.Format.TEXT);
+			List<FaultCell> chosen = switch (this.cells) {
+				case "fast" -> FaultMatrix.fast();
+				case "singles" -> FaultMatrix.singles(this.seed);
+				case "pairs" -> FaultMatrix.pairs(this.seed);
+				default -> throw new InvalidRequestException(ErrorCode.ARGUMENT_INVALID,
+						"--cells is '" + this.cells + "', but must be fast, singles or pairs");
+			};
+			return FaultMatrix.of(chosen, this.parallel, this.histories, this.page)
+				.run(System.out, this.console.isJson());
+		}
+
+	}
+
 	/**
 	 * Takes the slopes of the capacity page.
 	 */
--- a/entry/src/main/java/org/wigeonglade/entry/operator/AccountCollector.java
+++ b/entry/src/main/java/org/wigeonglade/entry/operator/AccountCollector.java
@@ -44,6 +44,8 @@
 
 	private static final int MAX_CONCURRENT_QUERIES = 16;
 
+	private static final Set<String> JOB_KINDS = Set.of("batch", "item", "partition");
+
 	private static final String SINCE = "recordedSince";
 
 	private final OperatorContext context;
@@ -154,7 +156,7 @@
 	private static void dropTold(List<AccountRecord> events, List<AccountRecord> durable) {
 		Set<String> told = new HashSet<>();
 		durable.stream()
-			.filter((event) -> event.getSubjectKind().equals("batch"))
+			.filter((event) -> JOB_KINDS.contains(event.getSubjectKind()))
 			.forEach((event) -> told.add(key(event)));
 		events.removeIf((event) -> !event.getEventId().startsWith("log:") && told.contains(key(event)));
 	}
--- a/entry/src/main/java/org/wigeonglade/entry/operator/JobEvents.java
+++ b/entry/src/main/java/org/wigeonglade/entry/operator/JobEvents.java
@@ -143,7 +143,10 @@
 			AccountRecord.Builder event = event(codeOf(state), "item", id);
 			ItemOutcome outcome = findOutcome(job.getId(), index);
 			if (!outcome.getErrorCode().isEmpty()) {
-				event.putFigures("reason", outcome.getErrorCode() + " " + outcome.getErrorMessage());
+				event.putFigures("code", outcome.getErrorCode());
+			}
+			if (!outcome.getErrorMessage().isEmpty()) {
+				event.putFigures("reason", outcome.getErrorMessage());
 			}
 			if (!outcome.getUpstream().isEmpty()) {
 				event.putFigures("upstream", outcome.getUpstream());
