--- a/bench/src/main/java/org/wigeonglade/bench/mixed/MixedComparison.java
+++ b/bench/src/main/java/org/wigeonglade/bench/mixed/MixedComparison.java
@@ -85,19 +85,6 @@
 		return new MixedComparison(deployment, rate, duration, seed);
 	}
 
-	/**
-	 * Runs the comparison and prints its figures as one JSON object.
-	 * @param args the deployment, the online requests per second, the seconds of each
-	 * part and the seed
-	 */
-	public static void main(String[] args) {
-		JsonObject result = of(Deployment.of(args[0]), Double.parseDouble(args[1]),
-				Duration.ofSeconds(Integer.parseInt(args[2])), Long.parseLong(args[3]))
-			.run();
-		System.out.println(result.encode());
-		System.exit(result.getBoolean("ok") ? 0 : 1);
-	}
-
 	/**
 	 * Runs all parts.
 	 * @return the figures; {@code ok} is true only if every target was met
--- a/bench/src/main/java/org/wigeonglade/bench/overhead/OverheadBench.java
+++ b/bench/src/main/java/org/wigeonglade/bench/overhead/OverheadBench.java
@@ -79,16 +79,6 @@
 		return new OverheadBench(Math.max(1, requestsPerSecond), Math.max(1, seconds));
 	}
 
-	/**
-	 * Runs the comparison and prints its figures as one JSON object.
-	 * @param args the requests per second and the seconds of the comparison
-	 */
-	public static void main(String[] args) {
-		JsonObject result = of(Integer.parseInt(args[0]), Integer.parseInt(args[1])).run();
-		System.out.println(result.encode());
-		System.exit(result.getBoolean("ok") ? 0 : 1);
-	}
-
 	/**
 	 * Runs the comparison.
 	 * @return the figures; {@code ok} is true only if the target was met
--- a/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
@@ -36,8 +36,9 @@
  */
 @Command(name = "bench", mixinStandardHelpOptions = true,
 		description = "Measures the system against its stand-ins on this machine, on loopback.",
-		subcommands = { BenchCommand.Mixed.class, BenchCommand.Fleet.class, BenchCommand.Faults.class,
-				BenchCommand.Capacity.class, BenchCommand.Compare.class, BenchBatchCommand.class })
+		subcommands = { BenchMixedCommand.class, BenchOverheadCommand.class, BenchCommand.Report.class,
+				BenchCommand.Fleet.class, BenchCommand.Faults.class, BenchCommand.Capacity.class,
+				BenchCommand.Compare.class, BenchBatchCommand.class })
 final class BenchCommand implements Runnable {
 
 	@CommandLine.Spec
@@ -49,11 +50,11 @@
 	}
 
 	/**
-	 * Measures online latency with and without batch work.
+	 * Writes reports of repeated runs with and without batch work.
 	 */
-	@Command(name = "mixed", mixinStandardHelpOptions = true,
-			description = "Measures online latency without and with batch work on the same runners.")
-	static final class Mixed implements Callable<Integer> {
+	@Command(name = "report", mixinStandardHelpOptions = true,
+			description = "Repeats online runs without and with batch work and writes JSON, CSV and HTML reports.")
+	static final class Report implements Callable<Integer> {
 
 		@Option(names = "--deployment", paramLabel = "NAME", defaultValue = "muistopuu",
 				description = "muistopuu or plata (default: ${DEFAULT-VALUE}).")
@@ -115,12 +116,7 @@
 		public Integer call() {
 			Map<String, Object> report = FleetBench
 				.run(FleetOptions.defaults().withSizes(this.sizes).withIdle(Duration.ofSeconds(this.seconds)));
-			if (this.console.isJson()) {
-				this.console.printJson(new JsonObject(Json.encode(report)));
-				return ExitCode.SUCCESS;
-			}
-			report.forEach((name, value) -> this.console.println(name + ": " + Json.encodePrettily(value)));
-			return ExitCode.SUCCESS;
+			return this.console.printResult(new JsonObject(Json.encode(report)));
 		}
 
 	}
--- a/cli/src/main/java/org/wigeonglade/cli/Console.java
+++ b/cli/src/main/java/org/wigeonglade/cli/Console.java
@@ -31,6 +31,23 @@
 		println(value.encodePrettily());
 	}
 
+	/**
+	 * Prints the figures of a measurement.
+	 * @param result the figures with the verdict {@code ok}
+	 * @return the exit code of the verdict
+	 */
+	int printResult(JsonObject result) {
+		if (this.json) {
+			printJson(result);
+		}
+		else {
+			result
+				.forEach((figure) -> println(figure.getKey() + ": " + ((figure.getValue() instanceof JsonObject nested)
+						? nested.encodePrettily() : figure.getValue())));
+		}
+		return result.getBoolean("ok") ? ExitCode.SUCCESS : ExitCode.FAILED;
+	}
+
 	void println(String line) {
 		PrintWriter out = this.spec.commandLine().getOut();
 		out.println(line);
