--- a/bench/src/main/java/org/wigeonglade/bench/fleet/FleetBench.java
+++ b/bench/src/main/java/org/wigeonglade/bench/fleet/FleetBench.java
@@ -1,16 +1,12 @@
 package org.wigeonglade.bench.fleet;
 
-import java.io.PrintStream;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.PlatformException;
 
@@ -44,26 +40,6 @@
 		return report;
 	}
 
-	/**
-	 * Runs the measurement and prints one JSON text.
-	 * @param arguments the sizes, separated by commas, and the seconds of the cost
-	 * measurement; both optional
-	 * @throws JsonProcessingException if the report cannot be written
-	 */
-	public static void main(String[] arguments) throws JsonProcessingException {
-		FleetOptions options = FleetOptions.defaults();
-		if (arguments.length > 0) {
-			options = options.withSizes(Arrays.stream(arguments[0].split(",")).map(Integer::valueOf).toList());
-		}
-		if (arguments.length > 1) {
-			options = options.withIdle(Duration.ofSeconds(Long.parseLong(arguments[1])));
-		}
-		PrintStream out = System.out;
-		Map<String, Object> report = run(options);
-		out.println(new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(report));
-		System.exit(Boolean.TRUE.equals(report.get("ok")) ? 0 : 1);
-	}
-
 	static Map<String, Double> getSlopes(List<FleetPoint> points) {
 		Map<String, Double> slopes = new LinkedHashMap<>();
 		slopes.put("config_in_force_ms", slope(points, FleetPoint::configInForceMsMax));
--- a/cli/src/main/java/org/wigeonglade/cli/ConfigCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/ConfigCommand.java
@@ -140,10 +140,7 @@
 
 		@Override
 		public Integer call() {
-			JsonObject answer;
-			try (HostClient client = this.operator.connect()) {
-				answer = client.getJson("/operator/config", Map.of());
-			}
+			JsonObject answer = this.operator.getJson("/operator/config", Map.of());
 			if (this.console.isJson()) {
 				this.console.printJson(answer);
 				return ExitCode.SUCCESS;
@@ -169,10 +166,7 @@
 
 		@Override
 		public Integer call() {
-			JsonObject answer;
-			try (HostClient client = this.operator.connect()) {
-				answer = client.getJson("/operator/config/history", Map.of());
-			}
+			JsonObject answer = this.operator.getJson("/operator/config/history", Map.of());
 			if (this.console.isJson()) {
 				this.console.printJson(answer);
 				return ExitCode.SUCCESS;
--- a/cli/src/main/java/org/wigeonglade/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/ExplainCommand.java
@@ -50,10 +50,7 @@
 		putIfSet(parameters, "id", this.id);
 		putIfSet(parameters, "from", this.from);
 		putIfSet(parameters, "to", this.to);
-		JsonObject account;
-		try (HostClient client = this.operator.connect()) {
-			account = client.getJson("/operator/explain", parameters);
-		}
+		JsonObject account = this.operator.getJson("/operator/explain", parameters);
 		if (this.console.isJson()) {
 			this.console.printJson(account);
 		}
--- a/cli/src/main/java/org/wigeonglade/cli/OperatorOptions.java
+++ b/cli/src/main/java/org/wigeonglade/cli/OperatorOptions.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 
+import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.PemKeyCertOptions;
 import io.vertx.core.net.PemTrustOptions;
 import io.vertx.ext.web.client.WebClientOptions;
@@ -37,4 +38,10 @@
 		return new HostClient(this.url, Map.of(), options);
 	}
 
+	JsonObject getJson(String path, Map<String, String> query) {
+		try (HostClient client = connect()) {
+			return client.getJson(path, query);
+		}
+	}
+
 }
--- a/cli/src/main/java/org/wigeonglade/cli/StatusCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/StatusCommand.java
@@ -26,10 +26,7 @@
 
 	@Override
 	public Integer call() {
-		JsonObject status;
-		try (HostClient client = this.operator.connect()) {
-			status = client.getJson("/operator/status", Map.of());
-		}
+		JsonObject status = this.operator.getJson("/operator/status", Map.of());
 		if (this.console.isJson()) {
 			this.console.printJson(status);
 			return ExitCode.SUCCESS;
