--- a/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
@@ -22,7 +22,7 @@
 import org.wigeonglade.bench.load.LoadPlan;
 import org.wigeonglade.bench.load.LoadReportFiles;
 import org.wigeonglade.bench.mixed.MixedBench;
-import org.wigeonglade.cli.logging.LogSetup;
+import org.wigeonglade.core.logging.LogSetup;
 import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.InvalidRequestException;
 import org.wigeonglade.schema.generated.settings.LogSettings;
--- a/cli/src/main/java/org/wigeonglade/cli/DemoCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/DemoCommand.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.Callable;
 
 import org.wigeonglade.bench.demo.Demo;
-import org.wigeonglade.cli.logging.LogSetup;
+import org.wigeonglade.core.logging.LogSetup;
 import org.wigeonglade.schema.generated.settings.LogSettings;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
--- a/cli/src/main/java/org/wigeonglade/cli/EntryCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/EntryCommand.java
@@ -3,7 +3,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 
-import org.wigeonglade.cli.logging.LogSetup;
+import org.wigeonglade.core.logging.LogSetup;
 import org.wigeonglade.core.settings.SettingsReader;
 import org.wigeonglade.entry.host.EntryHost;
 import org.wigeonglade.entry.host.EntryHostBuilder;
--- a/cli/src/main/java/org/wigeonglade/cli/Main.java
+++ b/cli/src/main/java/org/wigeonglade/cli/Main.java
@@ -6,7 +6,7 @@
 import java.util.stream.Collectors;
 
 import com.google.common.base.Throwables;
-import org.wigeonglade.cli.logging.LogSetup;
+import org.wigeonglade.core.logging.LogSetup;
 import org.wigeonglade.core.error.WigeongladeException;
 import org.wigeonglade.schema.generated.settings.LogSettings;
 import picocli.CommandLine;
--- a/cli/src/test/java/org/wigeonglade/cli/logging/FormatterTests.java
+++ b/cli/src/test/java/org/wigeonglade/cli/logging/FormatterTests.java
@@ -11,6 +11,8 @@
 import org.wigeonglade.core.event.EventDescription;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.event.LogEvent;
+import org.wigeonglade.core.logging.JsonLinesFormatter;
+import org.wigeonglade.core.logging.TextFormatter;
 
 /**
  * Guards against events that lose their figures on the way to a formatter, and against
--- a/cli/src/main/java/org/wigeonglade/cli/logging/JsonLinesFormatter.java
+++ b/core/src/main/java/org/wigeonglade/core/logging/JsonLinesFormatter.java
@@ -1,4 +1,4 @@
-package org.wigeonglade.cli.logging;
+package org.wigeonglade.core.logging;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/cli/src/main/java/org/wigeonglade/cli/logging/LogSetup.java
+++ b/core/src/main/java/org/wigeonglade/core/logging/LogSetup.java
@@ -1,4 +1,4 @@
-package org.wigeonglade.cli.logging;
+package org.wigeonglade.core.logging;
 
 import java.util.Map;
 import java.util.logging.ConsoleHandler;
@@ -35,10 +35,20 @@
 	 * @param format the form of a line, not null
 	 */
 	public static void apply(LogSettings.Level level, LogSettings.Format format) {
-		LogManager.getLogManager().reset();
 		Formatter formatter = (format == LogSettings.Format.JSON) ? new JsonLinesFormatter() : new TextFormatter();
 		Handler handler = new ConsoleHandler();
 		handler.setFormatter(formatter);
+		apply(level, handler);
+	}
+
+	/**
+	 * Sends events of this system from the given level on, and warnings of libraries, to
+	 * a handler.
+	 * @param level the least severe level written, not null
+	 * @param handler the handler, not null
+	 */
+	public static void apply(LogSettings.Level level, Handler handler) {
+		LogManager.getLogManager().reset();
 		handler.setLevel(Level.ALL);
 		Logger root = Logger.getLogger("");
 		root.addHandler(handler);
--- a/cli/src/main/java/org/wigeonglade/cli/logging/TextFormatter.java
+++ b/core/src/main/java/org/wigeonglade/core/logging/TextFormatter.java
@@ -1,4 +1,4 @@
-package org.wigeonglade.cli.logging;
+package org.wigeonglade.core.logging;
 
 import java.io.PrintWriter;
 import java.io.StringWriter;
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/caller/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The port to the callers' wire format.
+ */
+package org.wigeonglade.gateway.caller;
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/Candidate.java
@@ -0,0 +1,29 @@
+package org.wigeonglade.gateway.fleet;
+
+/**
+ * A runner as a placement decision sees it.
+ *
+ * @param entry the registration, not null
+ * @param load the requests in progress over all hosts, not null
+ * @param avoided whether recent failures speak against it
+ * @param sameDomain whether it is in the failure domain of this host
+ */
+public record Candidate(RunnerEntry entry, LoadBoard.Load load, boolean avoided, boolean sameDomain) {
+
+	/**
+	 * Returns the number of slots without a request.
+	 * @return the number, negative while requests queue at the runner
+	 */
+	public int getFreeSlots() {
+		return this.entry.slots() - this.load.getTotal();
+	}
+
+	/**
+	 * Returns the number of requests beyond the slots if batch items gave theirs back.
+	 * @return the number, negative while slots are without an online request
+	 */
+	public int getOnlineExcess() {
+		return this.load.online() - this.entry.slots();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/HoldTime.java
@@ -0,0 +1,35 @@
+package org.wigeonglade.gateway.fleet;
+
+import java.time.Duration;
+
+/**
+ * Learns how long a request holds a slot of a service, as an exponentially weighted mean.
+ * Not thread-safe.
+ */
+public final class HoldTime {
+
+	/** Weight of the newest request: about the last twenty count. */
+	private static final double WEIGHT = 0.05;
+
+	/** Assumed until requests have been seen, in milliseconds. */
+	private static final double INITIAL_MILLIS = 500;
+
+	private double millis = INITIAL_MILLIS;
+
+	/**
+	 * Adds the time of one complete request.
+	 * @param hold the time, not null
+	 */
+	public void add(Duration hold) {
+		this.millis += WEIGHT * (hold.toMillis() - this.millis);
+	}
+
+	/**
+	 * Returns the mean.
+	 * @return the mean, never null
+	 */
+	public Duration getMean() {
+		return Duration.ofMillis(Math.round(this.millis));
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -0,0 +1,479 @@
+package org.wigeonglade.gateway.host;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.wigeonglade.core.error.InvalidRequestException;
+import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.caller.CallerCall;
+import org.wigeonglade.gateway.caller.CallerProtocol;
+import org.wigeonglade.gateway.fleet.PlacementPolicy;
+import org.wigeonglade.gateway.fleet.RunnerEntry;
+import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.http.CallerExchange;
+import org.wigeonglade.gateway.http.CallerServer;
+import org.wigeonglade.gateway.http.Connector;
+import org.wigeonglade.gateway.job.ItemScheduler;
+import org.wigeonglade.gateway.job.JobLedger;
+import org.wigeonglade.gateway.job.JobService;
+import org.wigeonglade.gateway.log.GatewayEvent;
+import org.wigeonglade.gateway.online.CrashLedger;
+import org.wigeonglade.gateway.online.OnlineContext;
+import org.wigeonglade.gateway.online.OnlineMetrics;
+import org.wigeonglade.gateway.online.OnlineRequest;
+import org.wigeonglade.gateway.peer.PeerExchange;
+import org.wigeonglade.gateway.peer.PeerTable;
+import org.wigeonglade.gateway.route.CallerLimits;
+import org.wigeonglade.gateway.route.Route;
+import org.wigeonglade.gateway.route.RouteKind;
+import org.wigeonglade.gateway.route.RoutingTable;
+import org.wigeonglade.gateway.runner.Fleet;
+import org.wigeonglade.gateway.runner.RunnerPool;
+import org.wigeonglade.gateway.store.FollowPace;
+import org.wigeonglade.gateway.store.KeyedLog;
+import org.wigeonglade.gateway.store.KeyedRecord;
+import org.wigeonglade.gateway.store.KeyedStream;
+import org.wigeonglade.gateway.store.StreamFollower;
+import org.wigeonglade.schema.generated.gateway.HostEntry;
+
+/**
+ * One gateway process: wires the parts, tells whether it is ready, and stops gracefully.
+ * All work runs on one event loop, since the machines run one thread at a time.
+ */
+public final class GatewayHost {
+
+	private static final EventLogger LOG = EventLogger.of(GatewayHost.class);
+
+	/**
+	 * Reads of configurations wait for a change, so that it is in force within a round
+	 * trip; the wait is short, so that a silent connection is noticed.
+	 */
+	private static final FollowPace CONFIGURATION_PACE = new FollowPace(Duration.ofMillis(50),
+			Duration.ofMillis(1_000));
+
+	/**
+	 * Runners write about once a second each, so reads are paced: a leaving runner must
+	 * be known in less than two seconds.
+	 */
+	private static final FollowPace RUNNER_PACE = new FollowPace(Duration.ofMillis(350), Duration.ZERO);
+
+	/** Results must be readable everywhere within a second. */
+	private static final FollowPace OWN_PACE = new FollowPace(Duration.ofMillis(150), Duration.ofMillis(1_000));
+
+	/** Time between steps of the item scheduler in milliseconds. */
+	private static final long ITEM_STEP_MILLIS = 25;
+
+	/** Time between checks of what has grown old, in milliseconds. */
+	private static final long MAINTENANCE_MILLIS = 250;
+
+	/**
+	 * Age in milliseconds up to which the state of jobs is recent enough to run items.
+	 */
+	private static final long JOBS_CURRENT_MILLIS = 2_000;
+
+	/**
+	 * Time in milliseconds after SIGTERM until idle connections are closed: the balancer
+	 * needs two failed probes, one a second, to send no further connections.
+	 */
+	private static final long CLOSE_IDLE_AFTER_MILLIS = 2_800;
+
+	/** Part of the grace time after which requests in progress are given up. */
+	private static final double DRAIN_SHARE = 0.9;
+
+	/** Part of the grace time after which items in progress are given back. */
+	private static final double ITEM_DRAIN_SHARE = 0.6;
+
+	private final GatewaySettings settings;
+
+	private final GatewayAdapters adapters;
+
+	private final Ticker ticker;
+
+	private final MultiThreadIoEventLoopGroup group;
+
+	private final EventLoop loop;
+
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
+	private final Fleet fleet;
+
+	private final JobLedger ledger = new JobLedger();
+
+	private final PeerTable peers = new PeerTable();
+
+	private final CrashLedger crashes = new CrashLedger();
+
+	private final HostEntry self;
+
+	private final KeyedLog log;
+
+	private final Beliefs beliefs;
+
+	private final StreamFollower configurationFollower;
+
+	private final StreamFollower runnerFollower;
+
+	private final StreamFollower ownFollower;
+
+	private final PeerExchange exchange;
+
+	private final ItemScheduler items;
+
+	private final JobService jobs;
+
+	private final OnlineContext online;
+
+	private final CallerServer callers;
+
+	private final CallerServer readiness;
+
+	private final CallerServer metrics;
+
+	private boolean stopping;
+
+	private boolean ready;
+
+	private boolean registered;
+
+	private long stopMillis;
+
+	/**
+	 * Creates a host that is not started.
+	 * @param settings the settings, not null
+	 * @param adapters the platform, not null
+	 * @param ticker the clock, not null
+	 * @param random the source of random numbers, not null
+	 */
+	public GatewayHost(GatewaySettings settings, GatewayAdapters adapters, Ticker ticker, RandomGenerator random) {
+		this.settings = settings;
+		this.adapters = adapters;
+		this.ticker = ticker;
+		this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+		this.loop = (EventLoop) this.group.next();
+		Connector connector = new Connector(this.loop);
+		this.log = adapters.openLog(connector, this.loop);
+		this.self = HostEntry.newBuilder()
+			.setHost(settings.host().value())
+			.setIp(settings.peers().getAddress().getHostAddress())
+			.setPort(settings.peers().getPort())
+			.setDomain(settings.domain().value())
+			.setIncarnation(ticker.wallMillis())
+			.build();
+		this.fleet = new Fleet(new RunnerPool(connector, ticker), adapters.getRunnerProtocol(), settings.domain(),
+				ticker);
+		this.fleet.setLiveHosts(() -> this.peers.getLiveCount() + 1);
+		PlacementPolicy policy = new PlacementPolicy(random);
+		this.beliefs = new Beliefs(adapters, this.fleet, this.ledger, this.peers, ticker, this.self);
+		this.configurationFollower = new StreamFollower(this.log, KeyedStream.CONFIGURATION, CONFIGURATION_PACE,
+				this.loop, ticker, this.beliefs.configurationListener());
+		this.runnerFollower = new StreamFollower(this.log, KeyedStream.RUNNERS, RUNNER_PACE, this.loop, ticker,
+				this.beliefs.runnerListener());
+		this.ownFollower = new StreamFollower(this.log, KeyedStream.OWN, OWN_PACE, this.loop, ticker,
+				this.beliefs.ownListener((job) -> jobChanged(job)));
+		this.exchange = new PeerExchange(this.self, this.loop, ticker, this.fleet.getBoard(), this.peers,
+				new PeerListener());
+		this.exchange.describe(() -> this.stopping, this::isJobsCurrent);
+		this.fleet.onLoadChanged(this.exchange::changed);
+		this.items = ItemScheduler.of(settings.host(), this.self.getIncarnation(), this.ledger, this.peers, this.fleet,
+				policy, this.loop, ticker, this.log);
+		this.jobs = new JobService(this.ledger, this.ownFollower, this.log, adapters.getCallerProtocol(), this.loop,
+				ticker);
+		this.online = new OnlineContext(this.loop, ticker, this.fleet, policy, adapters.getCallerProtocol(),
+				this.crashes, new SlotPreemptor(), new OnlineMetrics(this.registry));
+		this.callers = new CallerServer(this.group, ticker, this::callerLimits, this::handle);
+		this.readiness = new CallerServer(this.group, ticker, () -> CallerLimits.DEFAULTS, this::answerReadiness);
+		this.metrics = new CallerServer(this.group, ticker, () -> CallerLimits.DEFAULTS, this::answerMetrics);
+	}
+
+	/**
+	 * Opens all sockets and starts to follow the store.
+	 */
+	public void start() {
+		long startMillis = this.ticker.millis();
+		this.readiness.listen(this.settings.readiness()).syncUninterruptibly();
+		this.callers.listen(this.settings.callers()).syncUninterruptibly();
+		this.exchange.listen(this.settings.peers()).syncUninterruptibly();
+		this.metrics.listen(this.settings.metrics()).syncUninterruptibly();
+		this.loop.submit(() -> {
+			this.configurationFollower.start();
+			this.runnerFollower.start();
+			this.ownFollower.start();
+			register();
+			this.loop.scheduleWithFixedDelay(guarded(this::maintain), MAINTENANCE_MILLIS, MAINTENANCE_MILLIS,
+					TimeUnit.MILLISECONDS);
+			this.loop.scheduleWithFixedDelay(guarded(() -> this.items.step(isJobsCurrent())), ITEM_STEP_MILLIS,
+					ITEM_STEP_MILLIS, TimeUnit.MILLISECONDS);
+		}).syncUninterruptibly();
+		LOG.log(GatewayEvent.STARTED, this.settings.host(), this.settings.domain(), this.self.getIncarnation(),
+				this.ticker.millis() - startMillis);
+	}
+
+	/**
+	 * Stops gracefully: reports that it is not ready, lets requests in progress end, and
+	 * returns when none is left or the grace time is nearly over.
+	 */
+	public void stop() {
+		this.loop.submit(() -> {
+			this.stopping = true;
+			this.stopMillis = this.ticker.millis();
+			LOG.log(GatewayEvent.STOPPING, this.settings.host(), this.callers.getBusyCount(),
+					this.items.getRunningCount());
+			this.callers.drain();
+			this.items.stop();
+			this.exchange.changed();
+		}).syncUninterruptibly();
+		boolean drained = false;
+		while (!drained) {
+			sleep();
+			drained = this.loop.submit(this::isDrained).syncUninterruptibly().getNow();
+		}
+		this.loop.submit(() -> {
+			LOG.log(GatewayEvent.STOPPED, this.settings.host(), this.ticker.millis() - this.stopMillis,
+					this.callers.getBusyCount());
+			close();
+		}).syncUninterruptibly();
+		this.group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Ends at once, as a killed process does; for tests.
+	 */
+	public void kill() {
+		this.loop.submit(this::close).syncUninterruptibly();
+		this.group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).syncUninterruptibly();
+	}
+
+	/**
+	 * Returns where the host takes requests.
+	 * @return the address, never null after {@link #start()}
+	 */
+	public java.net.InetSocketAddress getCallerAddress() {
+		return this.callers.getAddress();
+	}
+
+	/**
+	 * Returns whether the host reports itself ready.
+	 * @return true if it knows a configuration and runners and is not stopping
+	 */
+	public boolean isReady() {
+		return this.ready;
+	}
+
+	private void close() {
+		this.configurationFollower.stop();
+		this.runnerFollower.stop();
+		this.ownFollower.stop();
+		this.items.cancelAll();
+		this.callers.close();
+		this.readiness.close();
+		this.metrics.close();
+	}
+
+	private boolean isDrained() {
+		long since = this.ticker.millis() - this.stopMillis;
+		long grace = this.settings.grace().toMillis();
+		if (since >= grace * ITEM_DRAIN_SHARE) {
+			this.items.cancelAll();
+		}
+		if (since < CLOSE_IDLE_AFTER_MILLIS) {
+			return false;
+		}
+		this.callers.closeIdle();
+		boolean idle = this.callers.getBusyCount() == 0 && this.items.getRunningCount() == 0
+				&& this.items.getUnwrittenCount() == 0;
+		return idle || since >= grace * DRAIN_SHARE;
+	}
+
+	private static void sleep() {
+		try {
+			Thread.sleep(50);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException("interrupted during a planned stop", ex);
+		}
+	}
+
+	private void register() {
+		this.log
+			.append(KeyedStream.OWN,
+					List.of(KeyedRecord.of(Beliefs.HOST_PREFIX + this.settings.host(), this.self.toByteArray())))
+			.subscribe()
+			.with((offset) -> this.registered = true,
+					(failure) -> this.loop.schedule(this::register, MAINTENANCE_MILLIS, TimeUnit.MILLISECONDS));
+	}
+
+	private void maintain() {
+		this.fleet.maintain();
+		this.crashes.expire(this.ticker.millis());
+		this.jobs.maintain();
+		for (PeerTable.Peer peer : this.peers.expire(this.ticker.millis())) {
+			LOG.log(GatewayEvent.HOST_LOST, peer.getHost(), peer.getSilence(this.ticker.millis()));
+		}
+		this.exchange.tick();
+		updateReadiness();
+	}
+
+	private void updateReadiness() {
+		String reason = null;
+		if (this.stopping) {
+			reason = "stopping";
+		}
+		else if (this.fleet.getTable() == null) {
+			reason = "no configuration is known";
+		}
+		else if (this.fleet.getDirectory().getEntries().isEmpty()) {
+			reason = "no runner is known";
+		}
+		if ((reason == null) != this.ready) {
+			this.ready = reason == null;
+			LOG.log(GatewayEvent.READINESS, this.ready, reason);
+		}
+	}
+
+	private boolean isJobsCurrent() {
+		return this.registered && this.ownFollower.getAgeMillis() <= JOBS_CURRENT_MILLIS;
+	}
+
+	private CallerLimits callerLimits() {
+		RoutingTable table = this.fleet.getTable();
+		return (table != null) ? table.getLimits() : CallerLimits.DEFAULTS;
+	}
+
+	private void jobChanged(org.wigeonglade.gateway.job.Job job) {
+		this.jobs.changed(job);
+	}
+
+	private void handle(CallerExchange call) {
+		try {
+			route(call);
+		}
+		catch (RuntimeException ex) {
+			LOG.log(GatewayEvent.UNEXPECTED, ex,
+					this.adapters.getCallerProtocol().requestId(call.getRequest().headers()).orElse(null));
+			if (call.isHeadWritten()) {
+				call.abort();
+			}
+			else {
+				call.respond(500, List.of(), new byte[0]);
+			}
+		}
+	}
+
+	private void route(CallerExchange call) {
+		CallerProtocol protocol = this.adapters.getCallerProtocol();
+		CallerCall asked;
+		try {
+			asked = protocol.read(call.getRequest().method(), call.getRequest().uri(), call.getRequest().headers());
+		}
+		catch (InvalidRequestException ex) {
+			call.respond(400, List.of(), ex.getMessage().getBytes(StandardCharsets.UTF_8));
+			return;
+		}
+		if (!(asked instanceof CallerCall.Routed)) {
+			this.jobs.handle(call, asked);
+			return;
+		}
+		RoutingTable table = this.fleet.getTable();
+		if (table == null) {
+			call.respond(503, protocol.refusalHeaders(MAINTENANCE_MILLIS), new byte[0]);
+			return;
+		}
+		Route route = table.find(call.getRequest().headers().get("Host"), call.getPath()).orElse(null);
+		if (route == null) {
+			LOG.log(GatewayEvent.NO_ROUTE, protocol.requestId(call.getRequest().headers()).orElse(null),
+					call.getRequest().headers().get("Host"), call.getPath(), table.getVersion(),
+					this.configurationFollower.getAgeMillis());
+			call.respond(404, List.of(), new byte[0]);
+		}
+		else if (route.getKind() == RouteKind.BATCH) {
+			this.jobs.submit(call, route);
+		}
+		else {
+			OnlineRequest.start(this.online, call, route);
+		}
+	}
+
+	private void answerReadiness(CallerExchange call) {
+		updateReadiness();
+		call.respond(this.ready ? 200 : 503, List.of(), new byte[0]);
+	}
+
+	private void answerMetrics(CallerExchange call) {
+		ByteArrayOutputStream text = new ByteArrayOutputStream();
+		try {
+			PrometheusTextFormatWriter.create().write(text, this.registry.scrape());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		call.respond(200, List.of(Map.entry("Content-Type", "text/plain; version=0.0.4")), text.toByteArray());
+	}
+
+	private Runnable guarded(Runnable task) {
+		return () -> {
+			try {
+				task.run();
+			}
+			catch (RuntimeException ex) {
+				LOG.log(GatewayEvent.UNEXPECTED, ex, (Object) null);
+			}
+		};
+	}
+
+	private final class SlotPreemptor implements OnlineContext.Preemptor {
+
+		@Override
+		public String preempt(RunnerEntry runner) {
+			if (GatewayHost.this.items.preempt(runner.id(), 1) > 0) {
+				return GatewayHost.this.settings.host().value();
+			}
+			HostId holder = GatewayHost.this.fleet.getBoard().getBatchHolder(runner.id());
+			if (holder == null) {
+				return null;
+			}
+			GatewayHost.this.exchange.requestPreemption(holder, runner.id());
+			return holder.value();
+		}
+
+		@Override
+		public void reportCrash(long fingerprint, RunnerEntry runner) {
+			GatewayHost.this.exchange.reportCrash(fingerprint, runner);
+		}
+
+	}
+
+	private final class PeerListener implements PeerExchange.Listener {
+
+		@Override
+		public void heard(HostEntry sender) {
+			GatewayHost.this.beliefs.register(sender);
+		}
+
+		@Override
+		public void preemptionRequested(RunnerId runner, int slots) {
+			GatewayHost.this.items.preempt(runner, slots);
+		}
+
+		@Override
+		public void crashReported(long fingerprint, RunnerId runner, long startedMillis) {
+			GatewayHost.this.crashes.add(fingerprint, runner, startedMillis, GatewayHost.this.ticker.millis());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
@@ -0,0 +1,235 @@
+package org.wigeonglade.gateway.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+
+/**
+ * A connection of a caller. Requests are read whole and handled one after the other.
+ * Confined to the event loop.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+
+	/** Requests read ahead of the one in progress; more end the connection. */
+	private static final int MAX_PIPELINED = 16;
+
+	private final CallerServer server;
+
+	private final Deque<CallerExchange> waiting = new ArrayDeque<>();
+
+	private Channel channel;
+
+	private CallerExchange current;
+
+	private HttpRequest head;
+
+	private ByteArrayOutputStream body;
+
+	private boolean refused;
+
+	private ScheduledFuture<?> timer;
+
+	CallerConnection(CallerServer server) {
+		this.server = server;
+	}
+
+	Channel getChannel() {
+		return this.channel;
+	}
+
+	boolean isClosingAfter(HttpRequest request) {
+		return this.server.isDraining() || !HttpUtil.isKeepAlive(request);
+	}
+
+	// A request that is partly read counts as in progress.
+	boolean isIdle() {
+		return this.current == null && this.head == null && this.waiting.isEmpty();
+	}
+
+	void close() {
+		this.channel.close();
+	}
+
+	void abort() {
+		this.waiting.clear();
+		this.current = null;
+		this.channel.close();
+	}
+
+	void exchangeEnded(boolean closing) {
+		this.current = null;
+		if (closing) {
+			this.waiting.clear();
+			return;
+		}
+		CallerExchange next = this.waiting.poll();
+		if (next != null) {
+			start(next);
+		}
+		else {
+			startIdleTimer();
+		}
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		this.channel = context.channel();
+		this.server.add(this);
+		startIdleTimer();
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		stopTimer();
+		this.server.remove(this);
+		CallerExchange interrupted = this.current;
+		this.current = null;
+		this.waiting.clear();
+		if (interrupted != null) {
+			interrupted.gone();
+		}
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		if (this.current != null && this.channel.isWritable()) {
+			this.current.writable();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		this.channel.close();
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		try {
+			HttpObject object = (HttpObject) message;
+			if (this.refused) {
+				return;
+			}
+			if (object.decoderResult().isFailure()) {
+				Throwable cause = object.decoderResult().cause();
+				refuse((cause instanceof TooLongFrameException) ? 431 : 400, "the request cannot be decoded");
+				return;
+			}
+			if (object instanceof HttpRequest request) {
+				readHead(request);
+			}
+			if (!this.refused && object instanceof HttpContent content) {
+				readContent(content);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void readHead(HttpRequest request) {
+		this.head = request;
+		this.body = new ByteArrayOutputStream(0);
+		startTimer(this.server.getLimits().headerTimeout().toMillis(), () -> refuse(408, "the request is incomplete"));
+		if (HttpUtil.getContentLength(request, 0L) > this.server.getLimits().maxBodyBytes()) {
+			refuse(413, "the body is too large");
+			return;
+		}
+		if (HttpUtil.is100ContinueExpected(request)) {
+			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+					Unpooled.EMPTY_BUFFER));
+		}
+	}
+
+	private void readContent(HttpContent content) {
+		if (this.head == null) {
+			return;
+		}
+		if (content.content().isReadable()) {
+			byte[] bytes = ByteBufUtil.getBytes(content.content());
+			this.body.write(bytes, 0, bytes.length);
+			if (this.body.size() > this.server.getLimits().maxBodyBytes()) {
+				refuse(413, "the body is too large");
+				return;
+			}
+		}
+		if (content instanceof LastHttpContent) {
+			CallerExchange exchange = new CallerExchange(this, this.head, this.body.toByteArray(),
+					this.server.nowMillis());
+			this.head = null;
+			this.body = null;
+			stopTimer();
+			receive(exchange);
+		}
+	}
+
+	private void receive(CallerExchange exchange) {
+		if (this.current == null) {
+			start(exchange);
+		}
+		else if (this.waiting.size() < MAX_PIPELINED) {
+			this.waiting.add(exchange);
+		}
+		else {
+			this.channel.close();
+		}
+	}
+
+	private void start(CallerExchange exchange) {
+		this.current = exchange;
+		this.server.handle(exchange);
+	}
+
+	private void refuse(int status, String reason) {
+		this.refused = true;
+		stopTimer();
+		if (this.current != null) {
+			this.channel.close();
+			return;
+		}
+		byte[] text = (reason + "\n").getBytes(StandardCharsets.UTF_8);
+		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(text));
+		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
+		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		this.channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+	}
+
+	private void startIdleTimer() {
+		startTimer(this.server.getLimits().idleTimeout().toMillis(), this::close);
+	}
+
+	private void startTimer(long millis, Runnable action) {
+		stopTimer();
+		this.timer = this.channel.eventLoop().schedule(action, millis, TimeUnit.MILLISECONDS);
+	}
+
+	private void stopTimer() {
+		if (this.timer != null) {
+			this.timer.cancel(false);
+			this.timer = null;
+		}
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerServer.java
@@ -0,0 +1,148 @@
+package org.wigeonglade.gateway.http;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.route.CallerLimits;
+
+/**
+ * Accepts HTTP requests of callers and hands them on whole. Confined to the event loop.
+ */
+public final class CallerServer {
+
+	/** Length of the queue of connections that wait to be accepted. */
+	private static final int BACKLOG = 1024;
+
+	private final EventLoopGroup loop;
+
+	private final Ticker ticker;
+
+	private final Supplier<CallerLimits> limits;
+
+	private final Consumer<CallerExchange> handler;
+
+	private final Set<CallerConnection> connections = new HashSet<>();
+
+	private Channel listener;
+
+	private boolean draining;
+
+	/**
+	 * Creates a server that does not listen yet.
+	 * @param loop the event loop, not null
+	 * @param ticker the clock, not null
+	 * @param limits gives the limits in force, not null
+	 * @param handler receives each request, not null
+	 */
+	public CallerServer(EventLoopGroup loop, Ticker ticker, Supplier<CallerLimits> limits,
+			Consumer<CallerExchange> handler) {
+		this.loop = loop;
+		this.ticker = ticker;
+		this.limits = limits;
+		this.handler = handler;
+	}
+
+	/**
+	 * Starts to listen.
+	 * @param address the address, not null
+	 * @return completes when connections are accepted, or fails
+	 */
+	public ChannelFuture listen(InetSocketAddress address) {
+		ChannelFuture bound = new ServerBootstrap().group(this.loop)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(getLimits().maxHeaderBytes())
+						.setMaxInitialLineLength(getLimits().maxHeaderBytes());
+					channel.pipeline().addLast(new HttpServerCodec(config), new CallerConnection(CallerServer.this));
+				}
+			})
+			.bind(address);
+		this.listener = bound.channel();
+		return bound;
+	}
+
+	/**
+	 * Returns the address that the server listens on.
+	 * @return the address, never null after {@link #listen}
+	 */
+	public InetSocketAddress getAddress() {
+		return (InetSocketAddress) this.listener.localAddress();
+	}
+
+	/**
+	 * Begins a graceful shutdown: each further answer announces that its connection
+	 * closes. New connections are still accepted until {@link #close()}.
+	 */
+	public void drain() {
+		this.draining = true;
+	}
+
+	/**
+	 * Closes the connections that carry no request.
+	 */
+	public void closeIdle() {
+		List.copyOf(this.connections).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
+	}
+
+	/**
+	 * Returns the number of requests in progress or partly read.
+	 * @return the number
+	 */
+	public int getBusyCount() {
+		return (int) this.connections.stream().filter((c) -> !c.isIdle()).count();
+	}
+
+	/**
+	 * Stops to listen and closes all connections.
+	 */
+	public void close() {
+		if (this.listener != null) {
+			this.listener.close();
+		}
+		List.copyOf(this.connections).forEach(CallerConnection::close);
+	}
+
+	boolean isDraining() {
+		return this.draining;
+	}
+
+	CallerLimits getLimits() {
+		return this.limits.get();
+	}
+
+	long nowMillis() {
+		return this.ticker.millis();
+	}
+
+	void add(CallerConnection connection) {
+		this.connections.add(connection);
+	}
+
+	void remove(CallerConnection connection) {
+		this.connections.remove(connection);
+	}
+
+	void handle(CallerExchange exchange) {
+		this.handler.accept(exchange);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/ClientConnection.java
@@ -0,0 +1,200 @@
+package org.wigeonglade.gateway.http;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * A connection to a server that carries one request at a time. An answer that belongs to
+ * another request is skipped; bytes that come while no request waits end the connection.
+ * Confined to its event loop.
+ */
+public final class ClientConnection extends ChannelInboundHandlerAdapter {
+
+	private final Channel channel;
+
+	private Exchange exchange;
+
+	private boolean headSeen;
+
+	private boolean skipping;
+
+	private boolean keepAlive = true;
+
+	private boolean lengthUnknown;
+
+	private boolean broken;
+
+	private long idleSinceMillis;
+
+	private long idleLimitMillis;
+
+	ClientConnection(Channel channel) {
+		this.channel = channel;
+	}
+
+	/**
+	 * Sends a request.
+	 * @param next the request, not null
+	 * @throws IllegalStateException if another request is in progress
+	 */
+	public void send(Exchange next) {
+		if (this.exchange != null) {
+			throw new IllegalStateException("the connection already carries a request");
+		}
+		this.exchange = next;
+		this.headSeen = false;
+		HttpRequest head = next.request();
+		byte[] body = next.body();
+		this.channel.write(head);
+		if (body.length > 0) {
+			this.channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(body)));
+		}
+		this.channel.writeAndFlush(new DefaultLastHttpContent()).addListener((future) -> {
+			if (!future.isSuccess()) {
+				fail("the request could not be written: " + future.cause());
+			}
+		});
+	}
+
+	/**
+	 * Ends the connection. The request in progress, if any, is told nothing.
+	 */
+	public void close() {
+		this.exchange = null;
+		this.channel.close();
+	}
+
+	/**
+	 * Stops or continues reading, for a receiver that is slower than the server.
+	 * @param reading whether to read
+	 */
+	public void setReading(boolean reading) {
+		this.channel.config().setAutoRead(reading);
+	}
+
+	/**
+	 * Returns whether a further request may be sent.
+	 * @param nowMillis the monotonic time in milliseconds
+	 * @return true if the connection is open, idle and not about to be closed
+	 */
+	public boolean isReusable(long nowMillis) {
+		return this.exchange == null && this.keepAlive && !this.broken && this.channel.isActive()
+				&& nowMillis - this.idleSinceMillis < this.idleLimitMillis;
+	}
+
+	/**
+	 * Records the start of idleness.
+	 * @param nowMillis the monotonic time in milliseconds
+	 * @param limitMillis how long the connection may stay idle, in milliseconds
+	 */
+	public void idle(long nowMillis, long limitMillis) {
+		this.idleSinceMillis = nowMillis;
+		this.idleLimitMillis = limitMillis;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		try {
+			HttpObject object = (HttpObject) message;
+			if (object.decoderResult().isFailure()) {
+				fail("the answer cannot be decoded: " + object.decoderResult().cause());
+				return;
+			}
+			if (object instanceof HttpResponse response) {
+				readHead(response);
+			}
+			if (object instanceof HttpContent content) {
+				readContent(content);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		fail("the connection was closed");
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		fail("the connection failed: " + cause.getMessage());
+	}
+
+	private void readHead(HttpResponse response) {
+		if (response.status().code() / 100 == 1) {
+			return;
+		}
+		if (this.exchange == null) {
+			fail("an answer came while no request waited");
+			return;
+		}
+		if (!this.exchange.accepts(response)) {
+			this.skipping = true;
+			return;
+		}
+		this.skipping = false;
+		this.headSeen = true;
+		this.keepAlive = HttpUtil.isKeepAlive(response);
+		this.lengthUnknown = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)
+				&& response.status().code() != 204 && response.status().code() != 304;
+		if (this.lengthUnknown
+				|| response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)) {
+			this.keepAlive = false;
+		}
+		this.exchange.head(response);
+	}
+
+	private void readContent(HttpContent content) {
+		if (this.skipping) {
+			this.skipping = !(content instanceof LastHttpContent);
+			return;
+		}
+		if (this.exchange == null || !this.headSeen) {
+			return;
+		}
+		if (content.content().isReadable()) {
+			this.exchange.content(ByteBufUtil.getBytes(content.content()));
+		}
+		if (content instanceof LastHttpContent && this.exchange != null) {
+			complete();
+		}
+	}
+
+	// The decoder ends a body without length when the connection ends, also by a reset;
+	// the exception of a reset comes first and has failed the exchange by then.
+	private void complete() {
+		Exchange done = this.exchange;
+		this.exchange = null;
+		if (!this.keepAlive) {
+			this.channel.close();
+		}
+		done.end();
+	}
+
+	private void fail(String reason) {
+		this.broken = true;
+		Exchange failed = this.exchange;
+		this.exchange = null;
+		this.channel.close();
+		if (failed != null) {
+			failed.failed(reason);
+		}
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/Connector.java
@@ -0,0 +1,86 @@
+package org.wigeonglade.gateway.http;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.util.AttributeKey;
+
+/**
+ * Opens connections to servers on one event loop.
+ */
+public final class Connector {
+
+	private static final AttributeKey<ClientConnection> CONNECTION = AttributeKey.valueOf("client-connection");
+
+	/** Largest head of an answer in bytes. */
+	private static final int MAX_HEADER_BYTES = 64 * 1024;
+
+	private final EventLoop loop;
+
+	/**
+	 * Creates a connector.
+	 * @param loop the event loop of all connections, not null
+	 */
+	public Connector(EventLoop loop) {
+		this.loop = loop;
+	}
+
+	/**
+	 * Opens a connection.
+	 * @param address the server, not null
+	 * @param timeout the longest time to wait, not null
+	 * @param listener receives the connection or the failure on the event loop, not null
+	 */
+	public void connect(InetSocketAddress address, Duration timeout, Listener listener) {
+		new Bootstrap().group(this.loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
+			.handler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					ClientConnection connection = new ClientConnection(channel);
+					channel.attr(CONNECTION).set(connection);
+					HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
+					channel.pipeline().addLast(new HttpClientCodec(decoder, false, false), connection);
+				}
+			})
+			.connect(address)
+			.addListener((io.netty.channel.ChannelFuture future) -> {
+				if (future.isSuccess()) {
+					listener.connected(future.channel().attr(CONNECTION).get());
+				}
+				else {
+					listener.failed(future.cause());
+				}
+			});
+	}
+
+	/**
+	 * Receives the outcome of opening a connection.
+	 */
+	public interface Listener {
+
+		/**
+		 * Receives the open connection.
+		 * @param connection the connection, not null
+		 */
+		void connected(ClientConnection connection);
+
+		/**
+		 * Is told that no connection could be opened.
+		 * @param cause the cause, not null
+		 */
+		void failed(Throwable cause);
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemPolicy.java
@@ -0,0 +1,45 @@
+package org.wigeonglade.gateway.job;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Decides when an item is given up. Pure.
+ */
+public final class ItemPolicy {
+
+	private ItemPolicy() {
+	}
+
+	/**
+	 * Decides after a runner answered that an item failed.
+	 * @param status the status of the answer
+	 * @param failures the failed runs of the item, this one included
+	 * @param maxAttempts the failed runs after which an item is given up, at least 1
+	 * @return why the item is given up, empty if it runs again
+	 */
+	public static Optional<String> giveUpAfter(int status, int failures, int maxAttempts) {
+		if (status == 422) {
+			return Optional.of("the runner can never do it");
+		}
+		if (status == 500 && failures >= maxAttempts) {
+			return Optional.of("it failed " + failures + " times");
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Decides whether an item is too old to be run.
+	 * @param age the time since the job was submitted, not null
+	 * @param retention the time after which items may be given up, not null; zero for
+	 * never
+	 * @return why the item is given up, empty if it may run
+	 */
+	public static Optional<String> giveUpAt(Duration age, Duration retention) {
+		if (!retention.isZero() && age.compareTo(retention) > 0) {
+			return Optional.of("it was not done within " + retention.toSeconds() + " s");
+		}
+		return Optional.empty();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -0,0 +1,266 @@
+package org.wigeonglade.gateway.job;
+
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.fleet.RunnerEntry;
+import org.wigeonglade.gateway.runner.Fleet;
+import org.wigeonglade.gateway.runner.RunnerAnswer;
+import org.wigeonglade.gateway.runner.RunnerCall;
+import org.wigeonglade.gateway.runner.RunnerFailure;
+import org.wigeonglade.gateway.runner.RunnerRequest;
+import org.wigeonglade.gateway.stream.StreamEvent;
+import org.wigeonglade.gateway.stream.StreamParser;
+
+/**
+ * The progress of one item on this host over all of its runs. Output that has been
+ * received is kept, and the next run goes on after the last whole event. Confined to the
+ * event loop.
+ */
+final class ItemRun {
+
+	/**
+	 * Silence in milliseconds after which a run goes on at another runner. An item waits
+	 * for no person, so this is longer than for online streams.
+	 */
+	private static final long PATIENCE_MILLIS = 2_000;
+
+	private final Job job;
+
+	private final SubmittedItem item;
+
+	private final Listener listener;
+
+	private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+
+	private OptionalLong lastEvent = OptionalLong.empty();
+
+	private int events;
+
+	private int failures;
+
+	private int attempts;
+
+	private RunnerCall call;
+
+	private long notBeforeMillis;
+
+	ItemRun(Job job, SubmittedItem item, Listener listener) {
+		this.job = job;
+		this.item = item;
+		this.listener = listener;
+	}
+
+	Job getJob() {
+		return this.job;
+	}
+
+	SubmittedItem getItem() {
+		return this.item;
+	}
+
+	boolean isRunning() {
+		return this.call != null;
+	}
+
+	RunnerEntry getRunner() {
+		return (this.call != null) ? this.call.getRunner() : null;
+	}
+
+	OptionalLong getLastEvent() {
+		return this.lastEvent;
+	}
+
+	int getEvents() {
+		return this.events;
+	}
+
+	int getFailures() {
+		return this.failures;
+	}
+
+	int getAttempts() {
+		return this.attempts;
+	}
+
+	byte[] getOutput() {
+		return this.output.toByteArray();
+	}
+
+	boolean isDelayed(long nowMillis) {
+		return nowMillis < this.notBeforeMillis;
+	}
+
+	void delay(long untilMillis) {
+		this.notBeforeMillis = untilMillis;
+	}
+
+	int countFailure() {
+		return ++this.failures;
+	}
+
+	void start(Fleet fleet, EventLoop loop, Ticker ticker, RunnerEntry runner, Duration remaining) {
+		this.attempts++;
+		HttpHeaders headers = new DefaultHttpHeaders();
+		for (Map.Entry<String, String> header : this.item.headers()) {
+			headers.add(header.getKey(), header.getValue());
+		}
+		headers.set(HttpHeaderNames.HOST, this.job.getHostName());
+		RunnerRequest request = new RunnerRequest(this.item.id().value(), HttpMethod.POST, this.item.path(), headers,
+				this.item.body(), remaining, this.lastEvent, true);
+		Receiver receiver = new Receiver(loop, ticker, runner);
+		RunnerCall started = RunnerCall.start(fleet, runner, request, receiver);
+		if (!receiver.over) {
+			this.call = started;
+			receiver.watch();
+		}
+	}
+
+	void cancel() {
+		if (this.call != null) {
+			this.call.cancel();
+			this.call = null;
+		}
+	}
+
+	/**
+	 * Receives the end of runs.
+	 */
+	interface Listener {
+
+		void completed(ItemRun run, RunnerEntry runner);
+
+		void answered(ItemRun run, RunnerEntry runner, RunnerAnswer answer);
+
+		void broken(ItemRun run, RunnerEntry runner, RunnerFailure failure);
+
+	}
+
+	private final class Receiver implements RunnerCall.Listener {
+
+		private final EventLoop loop;
+
+		private final Ticker ticker;
+
+		private final RunnerEntry runner;
+
+		private final StreamParser parser = new StreamParser();
+
+		private RunnerAnswer answer;
+
+		private long progressMillis;
+
+		private boolean over;
+
+		private ScheduledFuture<?> timer;
+
+		private Receiver(EventLoop loop, Ticker ticker, RunnerEntry runner) {
+			this.loop = loop;
+			this.ticker = ticker;
+			this.runner = runner;
+			this.progressMillis = ticker.millis();
+		}
+
+		@Override
+		public void head(RunnerAnswer head, HttpHeaders headers) {
+			this.answer = head;
+		}
+
+		@Override
+		public void content(byte[] bytes) {
+			this.progressMillis = this.ticker.millis();
+			if (!this.answer.isSuccess() || this.over) {
+				return;
+			}
+			List<StreamEvent> received;
+			try {
+				received = this.parser.add(bytes);
+			}
+			catch (IllegalStateException ex) {
+				breakOff(RunnerFailure.Kind.BROKEN, ex.getMessage());
+				return;
+			}
+			for (StreamEvent event : received) {
+				if (event.id() < 0) {
+					continue;
+				}
+				if (ItemRun.this.lastEvent.isPresent() && event.id() != ItemRun.this.lastEvent.getAsLong() + 1) {
+					breakOff(RunnerFailure.Kind.BROKEN,
+							"event " + event.id() + " follows event " + ItemRun.this.lastEvent.getAsLong());
+					return;
+				}
+				ItemRun.this.lastEvent = OptionalLong.of(event.id());
+				if (ItemRun.this.events++ > 0) {
+					ItemRun.this.output.write('\n');
+				}
+				ItemRun.this.output.writeBytes(event.getData());
+			}
+		}
+
+		@Override
+		public void end() {
+			if (this.answer.isSuccess() && this.parser.isInsideEvent()) {
+				failed(new RunnerFailure(RunnerFailure.Kind.BROKEN, "the stream ended in the middle of an event"));
+				return;
+			}
+			finish();
+			if (this.answer.isSuccess()) {
+				ItemRun.this.listener.completed(ItemRun.this, this.runner);
+			}
+			else {
+				ItemRun.this.listener.answered(ItemRun.this, this.runner, this.answer);
+			}
+		}
+
+		@Override
+		public void failed(RunnerFailure failure) {
+			finish();
+			ItemRun.this.listener.broken(ItemRun.this, this.runner, failure);
+		}
+
+		private void breakOff(RunnerFailure.Kind kind, String reason) {
+			if (ItemRun.this.call != null) {
+				ItemRun.this.call.cancel();
+			}
+			failed(new RunnerFailure(kind, reason));
+		}
+
+		private void finish() {
+			this.over = true;
+			ItemRun.this.call = null;
+			if (this.timer != null) {
+				this.timer.cancel(false);
+			}
+		}
+
+		private void watch() {
+			this.timer = this.loop.schedule(this::checkSilence, PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+		}
+
+		private void checkSilence() {
+			if (this.over || ItemRun.this.call == null) {
+				return;
+			}
+			long left = this.progressMillis + PATIENCE_MILLIS - this.ticker.millis();
+			if (left > 0) {
+				this.timer = this.loop.schedule(this::checkSilence, left, TimeUnit.MILLISECONDS);
+			}
+			else {
+				breakOff(RunnerFailure.Kind.SILENT, "no byte for " + PATIENCE_MILLIS + " ms");
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -0,0 +1,360 @@
+package org.wigeonglade.gateway.job;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.netty.channel.EventLoop;
+import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.id.ServiceName;
+import org.wigeonglade.core.member.Rendezvous;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.fleet.PlacementPolicy;
+import org.wigeonglade.gateway.fleet.RunnerEntry;
+import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.log.GatewayEvent;
+import org.wigeonglade.gateway.peer.PeerTable;
+import org.wigeonglade.gateway.route.Route;
+import org.wigeonglade.gateway.runner.Fleet;
+import org.wigeonglade.gateway.runner.RunnerAnswer;
+import org.wigeonglade.gateway.runner.RunnerFailure;
+import org.wigeonglade.gateway.store.KeyedLog;
+
+/**
+ * Runs the items that fall to this host on idle slots, the most urgent first, and gives
+ * slots back when online requests need them. Every host computes from the same jobs and
+ * live hosts who runs an item; where views differ an item may run twice, and the first
+ * result in the stream counts. Confined to the event loop.
+ */
+public final class ItemScheduler implements ItemRun.Listener {
+
+	private static final EventLogger LOG = EventLogger.of(ItemScheduler.class);
+
+	/** Delay in milliseconds before an item that failed runs again. */
+	private static final long RETRY_DELAY_MILLIS = 300;
+
+	/**
+	 * Items started in one step, so that the other hosts see each other's choices before
+	 * the next step.
+	 */
+	private static final int STARTS_PER_STEP = 2;
+
+	/** Deadline of a run where the route sets no retention. */
+	private static final Duration DEFAULT_RUN_LIMIT = Duration.ofSeconds(60);
+
+	private final HostId self;
+
+	private final JobLedger ledger;
+
+	private final PeerTable peers;
+
+	private final Fleet fleet;
+
+	private final PlacementPolicy policy;
+
+	private final EventLoop loop;
+
+	private final Ticker ticker;
+
+	private final RecordWriter writer;
+
+	private final String writerKey;
+
+	private final Map<ItemKey, ItemRun> runs = new HashMap<>();
+
+	private final Map<ItemKey, ItemOutcome> unwritten = new HashMap<>();
+
+	private final Map<ItemKey, HostId> owners = new HashMap<>();
+
+	private long ownersVersion = -1;
+
+	private long attempts;
+
+	private boolean stopping;
+
+	private boolean eligible;
+
+	private ItemScheduler(HostId self, long incarnation, JobLedger ledger, PeerTable peers, Fleet fleet,
+			PlacementPolicy policy, EventLoop loop, Ticker ticker, KeyedLog log) {
+		this.self = self;
+		this.ledger = ledger;
+		this.peers = peers;
+		this.fleet = fleet;
+		this.policy = policy;
+		this.loop = loop;
+		this.ticker = ticker;
+		this.writer = new RecordWriter(log, loop, ticker);
+		this.writerKey = self + "." + incarnation;
+	}
+
+	/**
+	 * Returns a scheduler.
+	 * @param self this host, not null
+	 * @param incarnation its start
+	 * @param ledger the jobs, not null
+	 * @param peers the other hosts, not null
+	 * @param fleet the runners, not null
+	 * @param policy places items, not null
+	 * @param loop the event loop, not null
+	 * @param ticker the clock, not null
+	 * @param log the store, not null
+	 * @return a scheduler, never null
+	 */
+	public static ItemScheduler of(HostId self, long incarnation, JobLedger ledger, PeerTable peers, Fleet fleet,
+			PlacementPolicy policy, EventLoop loop, Ticker ticker, KeyedLog log) {
+		return new ItemScheduler(self, incarnation, ledger, peers, fleet, policy, loop, ticker, log);
+	}
+
+	/**
+	 * Starts items on idle slots and drops those that no longer fall to this host.
+	 * @param current whether the state of jobs is recent enough to act on
+	 */
+	public void step(boolean current) {
+		if (this.eligible != current) {
+			this.eligible = current;
+			this.ownersVersion = -1;
+		}
+		release();
+		if (this.stopping || this.fleet.getTable() == null) {
+			return;
+		}
+		int started = 0;
+		for (Work work : waiting()) {
+			if (started >= STARTS_PER_STEP) {
+				return;
+			}
+			if (start(work)) {
+				started++;
+			}
+		}
+	}
+
+	/**
+	 * Gives slots of a runner back.
+	 * @param runner the runner, not null
+	 * @param slots the number
+	 * @return the number of items that were stopped
+	 */
+	public int preempt(RunnerId runner, int slots) {
+		List<ItemRun> victims = this.runs.values()
+			.stream()
+			.filter((run) -> run.isRunning() && run.getRunner().id().equals(runner))
+			.sorted(Comparator.comparingLong((ItemRun run) -> run.getJob().getSubmittedAtMillis())
+				.reversed()
+				.thenComparingInt(ItemRun::getEvents))
+			.limit(slots)
+			.toList();
+		for (ItemRun victim : victims) {
+			LOG.log(GatewayEvent.ITEM_PREEMPTED, victim.getJob().getId(), victim.getItem().id(), runner,
+					lastEvent(victim));
+			victim.cancel();
+		}
+		return victims.size();
+	}
+
+	/**
+	 * Starts no further items.
+	 */
+	public void stop() {
+		this.stopping = true;
+	}
+
+	/**
+	 * Ends all runs.
+	 */
+	public void cancelAll() {
+		this.runs.values().forEach(ItemRun::cancel);
+		this.runs.clear();
+	}
+
+	/**
+	 * Returns the number of runs in progress.
+	 * @return the number
+	 */
+	public int getRunningCount() {
+		return (int) this.runs.values().stream().filter(ItemRun::isRunning).count();
+	}
+
+	/**
+	 * Returns the number of results that are not durable yet.
+	 * @return the number
+	 */
+	public int getUnwrittenCount() {
+		return this.writer.getPending();
+	}
+
+	@Override
+	public void completed(ItemRun run, RunnerEntry runner) {
+		this.fleet.getHealth().succeeded(runner.id());
+		finish(run, new ItemOutcome(run.getItem().id(), true, run.getOutput()), "", runner);
+	}
+
+	@Override
+	public void answered(ItemRun run, RunnerEntry runner, RunnerAnswer answer) {
+		boolean ran = !answer.notRun() && !answer.wrongRunner();
+		if (ran && answer.status() == 500) {
+			run.countFailure();
+		}
+		LOG.log(GatewayEvent.ITEM_FAILED, run.getJob().getId(), run.getItem().id(), runner.id(),
+				"status " + answer.status(), run.getFailures(), lastEvent(run));
+		if (answer.wrongRunner()) {
+			this.fleet.getHealth().failed(runner.id(), this.ticker.millis());
+		}
+		int maxAttempts = routeOf(run.getJob()).map(Route::getMaxAttempts).orElse(1);
+		Optional<String> reason = ran ? ItemPolicy.giveUpAfter(answer.status(), run.getFailures(), maxAttempts)
+				: Optional.empty();
+		if (reason.isPresent()) {
+			giveUp(run.getJob(), run.getItem(), reason.get());
+		}
+		else {
+			run.delay(this.ticker.millis() + RETRY_DELAY_MILLIS);
+		}
+	}
+
+	@Override
+	public void broken(ItemRun run, RunnerEntry runner, RunnerFailure failure) {
+		LOG.log(GatewayEvent.ITEM_FAILED, run.getJob().getId(), run.getItem().id(), runner.id(),
+				failure.kind() + ": " + failure.reason(), run.getFailures(), lastEvent(run));
+		if (failure.kind() != RunnerFailure.Kind.STALE_CONNECTION
+				&& failure.kind() != RunnerFailure.Kind.NO_CONNECTION) {
+			this.fleet.getHealth().failed(runner.id(), this.ticker.millis());
+		}
+	}
+
+	private boolean start(Work work) {
+		long wallMillis = this.ticker.wallMillis();
+		Duration age = Duration.ofMillis(wallMillis - work.job.getSubmittedAtMillis());
+		Route route = work.route;
+		Optional<String> tooOld = ItemPolicy.giveUpAt(age, route.getRetention());
+		if (tooOld.isPresent()) {
+			giveUp(work.job, work.item, tooOld.get());
+			return false;
+		}
+		ServiceName service = route.chooseService(work.item.id().value());
+		Optional<RunnerEntry> runner = this.policy.placeBatch(this.fleet.candidates(service, Set.of()));
+		if (runner.isEmpty()) {
+			return false;
+		}
+		ItemRun run = this.runs.computeIfAbsent(work.key, (k) -> new ItemRun(work.job, work.item, this));
+		Duration remaining = route.getRetention().isZero() ? DEFAULT_RUN_LIMIT : route.getRetention().minus(age);
+		LOG.log(GatewayEvent.ITEM_STARTED, work.job.getId(), work.item.id(), runner.get().id(), lastEvent(run),
+				run.getAttempts() + 1, work.dueMillis - wallMillis,
+				this.fleet.getBoard().getLoad(runner.get().id()).getTotal());
+		run.start(this.fleet, this.loop, this.ticker, runner.get(), remaining);
+		return true;
+	}
+
+	private void release() {
+		long now = this.ticker.millis();
+		this.unwritten.keySet()
+			.removeIf((key) -> this.ledger.find(key.job).filter((j) -> j.isOpen(key.item)).isEmpty());
+		this.runs.entrySet().removeIf((entry) -> {
+			ItemKey key = entry.getKey();
+			Optional<Job> job = this.ledger.find(key.job);
+			String cause = null;
+			if (job.isEmpty() || job.get().isEnded()) {
+				cause = "the job has ended";
+			}
+			else if (!job.get().isOpen(key.item)) {
+				cause = "the item has a result";
+			}
+			else if (!entry.getValue().isRunning() && !entry.getValue().isDelayed(now) && !isOwn(key)) {
+				cause = "another host runs it";
+			}
+			if (cause == null) {
+				return false;
+			}
+			if (entry.getValue().isRunning()) {
+				LOG.log(GatewayEvent.ITEM_RELEASED, key.job, key.item, cause);
+				entry.getValue().cancel();
+			}
+			return true;
+		});
+	}
+
+	private List<Work> waiting() {
+		long now = this.ticker.millis();
+		List<Work> waiting = new ArrayList<>();
+		for (Job job : this.ledger.getJobs()) {
+			if (!job.isComplete() || job.isDone()) {
+				continue;
+			}
+			Optional<Route> route = routeOf(job);
+			for (SubmittedItem item : List.copyOf(job.getOpenItems())) {
+				ItemKey key = new ItemKey(job.getId(), item.id());
+				if (this.unwritten.containsKey(key) || !isOwn(key)) {
+					continue;
+				}
+				if (route.isEmpty()) {
+					giveUp(job, item, "its route no longer exists");
+					continue;
+				}
+				ItemRun run = this.runs.get(key);
+				if (run == null || (!run.isRunning() && !run.isDelayed(now))) {
+					long due = job.getSubmittedAtMillis() + route.get().getCompletionTarget().toMillis();
+					waiting.add(new Work(key, job, item, route.get(), due));
+				}
+			}
+		}
+		waiting.sort(Comparator.comparingLong(Work::dueMillis));
+		return waiting;
+	}
+
+	private Optional<Route> routeOf(Job job) {
+		return this.fleet.getTable().find(job.getHostName(), job.getPath());
+	}
+
+	private boolean isOwn(ItemKey key) {
+		if (this.ownersVersion != this.peers.getVersion()) {
+			this.owners.clear();
+			this.ownersVersion = this.peers.getVersion();
+		}
+		return this.owners.computeIfAbsent(key, this::owner).equals(this.self);
+	}
+
+	// Hosts without a recent state of jobs run items only where no host has one.
+	private HostId owner(ItemKey key) {
+		List<HostId> hosts = new ArrayList<>();
+		this.peers.getPeers().stream().filter(PeerTable.Peer::isEligible).forEach((p) -> hosts.add(p.getHost()));
+		if (this.eligible || hosts.isEmpty()) {
+			hosts.add(this.self);
+		}
+		return Rendezvous.first(key.job + "/" + key.item, hosts, HostId::value).orElse(this.self);
+	}
+
+	private void giveUp(Job job, SubmittedItem item, String reason) {
+		ItemKey key = new ItemKey(job.getId(), item.id());
+		ItemRun run = this.runs.computeIfAbsent(key, (k) -> new ItemRun(job, item, this));
+		finish(run, new ItemOutcome(item.id(), false, new byte[0]), reason, null);
+	}
+
+	private void finish(ItemRun run, ItemOutcome outcome, String reason, RunnerEntry runner) {
+		JobId job = run.getJob().getId();
+		ItemKey key = new ItemKey(job, outcome.item());
+		LOG.log(GatewayEvent.ITEM_DONE, job, outcome.item(), outcome.completed() ? "completed" : "given up", reason,
+				run.getEvents(), (runner != null) ? runner.id() : null);
+		this.runs.remove(key);
+		this.unwritten.put(key, outcome);
+		this.writer.add(() -> this.unwritten.containsKey(key)
+				? JobRecords.write(job, outcome, reason, this.writerKey + "." + ++this.attempts) : null);
+	}
+
+	private static Long lastEvent(ItemRun run) {
+		return run.getLastEvent().isPresent() ? run.getLastEvent().getAsLong() : null;
+	}
+
+	private record ItemKey(JobId job, ItemId item) {
+
+	}
+
+	private record Work(ItemKey key, Job job, SubmittedItem item, Route route, long dueMillis) {
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/Job.java
@@ -0,0 +1,192 @@
+package org.wigeonglade.gateway.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.wigeonglade.schema.generated.gateway.JobPart;
+
+/**
+ * The state of one job as the stream tells it. Changed by {@link JobLedger} only.
+ */
+public final class Job {
+
+	private final JobId id;
+
+	private final Map<Integer, JobPart> parts = new HashMap<>();
+
+	private final Map<ItemId, SubmittedItem> items = new LinkedHashMap<>();
+
+	private final Map<ItemId, SubmittedItem> open = new LinkedHashMap<>();
+
+	private final List<ItemOutcome> results = new ArrayList<>();
+
+	private final Map<ItemId, Integer> positions = new HashMap<>();
+
+	private final List<String> keys = new ArrayList<>();
+
+	private String hostName = "";
+
+	private String path = "";
+
+	private long submittedAtMillis;
+
+	private boolean complete;
+
+	private boolean ended;
+
+	Job(JobId id) {
+		this.id = id;
+	}
+
+	/**
+	 * Returns the job.
+	 * @return the id, never null
+	 */
+	public JobId getId() {
+		return this.id;
+	}
+
+	/**
+	 * Returns whether all parts are known, so that the job is accepted.
+	 * @return true if it is
+	 */
+	public boolean isComplete() {
+		return this.complete;
+	}
+
+	/**
+	 * Returns whether the submitter has ended the job.
+	 * @return true if no item must run any more
+	 */
+	public boolean isEnded() {
+		return this.ended;
+	}
+
+	/**
+	 * Returns whether nothing is left to do.
+	 * @return true if the job has ended or all items have a result
+	 */
+	public boolean isDone() {
+		return this.ended || (this.complete && this.open.isEmpty());
+	}
+
+	/**
+	 * Returns the host name that the job was submitted to.
+	 * @return the host name, never null
+	 */
+	public String getHostName() {
+		return this.hostName;
+	}
+
+	/**
+	 * Returns the path that the job was submitted to.
+	 * @return the path, never null
+	 */
+	public String getPath() {
+		return this.path;
+	}
+
+	/**
+	 * Returns when the job was submitted.
+	 * @return milliseconds since the epoch
+	 */
+	public long getSubmittedAtMillis() {
+		return this.submittedAtMillis;
+	}
+
+	/**
+	 * Returns the number of items.
+	 * @return the number
+	 */
+	public int getTotal() {
+		return this.items.size();
+	}
+
+	/**
+	 * Returns an item.
+	 * @param item the item, not null
+	 * @return the item as submitted, empty if the job has none of that name
+	 */
+	public Optional<SubmittedItem> findItem(ItemId item) {
+		return Optional.ofNullable(this.items.get(item));
+	}
+
+	/**
+	 * Returns whether an item has no result yet.
+	 * @param item the item, not null
+	 * @return true if it has none
+	 */
+	public boolean isOpen(ItemId item) {
+		return this.open.containsKey(item);
+	}
+
+	/**
+	 * Returns the items without a result.
+	 * @return the items in order
+	 */
+	public Collection<SubmittedItem> getOpenItems() {
+		return this.open.values();
+	}
+
+	/**
+	 * Returns the results from a position on.
+	 * @param from the first position, at least 0
+	 * @return the results in order of their positions, empty if there are none yet
+	 */
+	public List<ItemOutcome> getResults(int from) {
+		return (from < this.results.size()) ? this.results.subList(from, this.results.size()) : List.of();
+	}
+
+	/**
+	 * Returns the keys of the stream that hold the job.
+	 * @return the keys, never null
+	 */
+	public List<String> getKeys() {
+		return List.copyOf(this.keys);
+	}
+
+	void addPart(String key, JobPart part) {
+		if (this.complete || this.parts.putIfAbsent(part.getPart(), part) != null) {
+			return;
+		}
+		this.keys.add(key);
+		if (this.parts.size() < part.getParts()) {
+			return;
+		}
+		this.hostName = part.getRouteHost();
+		this.path = part.getRoutePath();
+		this.submittedAtMillis = part.getSubmittedAtMs();
+		for (int i = 0; i < part.getParts(); i++) {
+			this.parts.get(i).getItemsList().forEach((item) -> {
+				SubmittedItem submitted = JobRecords.read(item);
+				this.items.put(submitted.id(), submitted);
+			});
+		}
+		this.parts.clear();
+		this.open.putAll(this.items);
+		this.positions.keySet().forEach(this.open::remove);
+		this.complete = true;
+	}
+
+	boolean addResult(String key, ItemOutcome outcome) {
+		this.keys.add(key);
+		if (this.positions.containsKey(outcome.item())) {
+			return false;
+		}
+		this.positions.put(outcome.item(), this.results.size());
+		this.results.add(outcome);
+		this.open.remove(outcome.item());
+		return true;
+	}
+
+	void end(String key) {
+		this.keys.add(key);
+		this.ended = true;
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobRecords.java
@@ -0,0 +1,170 @@
+package org.wigeonglade.gateway.job;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.wigeonglade.core.error.ErrorCode;
+import org.wigeonglade.core.error.PlatformException;
+import org.wigeonglade.gateway.store.KeyedRecord;
+import org.wigeonglade.schema.generated.gateway.ItemHeader;
+import org.wigeonglade.schema.generated.gateway.ItemResult;
+import org.wigeonglade.schema.generated.gateway.ItemState;
+import org.wigeonglade.schema.generated.gateway.JobEnd;
+import org.wigeonglade.schema.generated.gateway.JobItem;
+import org.wigeonglade.schema.generated.gateway.JobPart;
+
+/**
+ * Writes jobs as records of the own stream and reads them back. Keys: {@code j/JOB/PART}
+ * for a part of a job, {@code r/JOB/ITEM/WRITER} for a result, {@code e/JOB} for the end
+ * of a job. Each try to append a result has a key of its own, so that a result that was
+ * appended twice stays at the place of its first record after older records are dropped.
+ */
+public final class JobRecords {
+
+	/** Prefix of the keys of parts of jobs. */
+	static final String PART_PREFIX = "j/";
+
+	/** Prefix of the keys of results. */
+	static final String RESULT_PREFIX = "r/";
+
+	/** Prefix of the keys of ends of jobs. */
+	static final String END_PREFIX = "e/";
+
+	/**
+	 * Target size of a part in bytes: half of the largest record, so that an item of
+	 * ordinary size still fits.
+	 */
+	private static final int PART_BYTES = 96 * 1024;
+
+	private JobRecords() {
+	}
+
+	/**
+	 * Writes a job as one or more parts.
+	 * @param job the job, not null
+	 * @return the records, to be appended in one call
+	 */
+	public static List<KeyedRecord> write(SubmittedJob job) {
+		List<List<JobItem>> parts = split(job);
+		List<KeyedRecord> records = new ArrayList<>();
+		int first = 0;
+		for (int i = 0; i < parts.size(); i++) {
+			JobPart part = JobPart.newBuilder()
+				.setJobId(job.id().value())
+				.setSubmittedAtMs(job.submittedAtMillis())
+				.setRouteHost(job.hostName())
+				.setRoutePath(job.path())
+				.setPart(i)
+				.setParts(parts.size())
+				.setTotalItems(job.items().size())
+				.setFirstItem(first)
+				.addAllItems(parts.get(i))
+				.build();
+			records.add(KeyedRecord.of(PART_PREFIX + job.id() + "/" + i, part.toByteArray()));
+			first += parts.get(i).size();
+		}
+		return records;
+	}
+
+	/**
+	 * Writes a result.
+	 * @param job the job, not null
+	 * @param outcome the result, not null
+	 * @param reason why the item was given up, or an empty text
+	 * @param attemptKey a text that no other append of a result has, not null
+	 * @return the record, never null
+	 */
+	public static KeyedRecord write(JobId job, ItemOutcome outcome, String reason, String attemptKey) {
+		ItemResult result = ItemResult.newBuilder()
+			.setJobId(job.value())
+			.setItemId(outcome.item().value())
+			.setState(outcome.completed() ? ItemState.ITEM_STATE_COMPLETED : ItemState.ITEM_STATE_DEAD_LETTER)
+			.setOutput(ByteString.copyFrom(outcome.output()))
+			.setReason(reason)
+			.build();
+		return KeyedRecord.of(RESULT_PREFIX + job + "/" + outcome.item() + "/" + attemptKey, result.toByteArray());
+	}
+
+	/**
+	 * Writes the end of a job.
+	 * @param job the job, not null
+	 * @return the record, never null
+	 */
+	public static KeyedRecord writeEnd(JobId job) {
+		return KeyedRecord.of(END_PREFIX + job, JobEnd.newBuilder().setJobId(job.value()).build().toByteArray());
+	}
+
+	static JobPart readPart(KeyedRecord record) {
+		try {
+			return JobPart.parseFrom(record.value());
+		}
+		catch (InvalidProtocolBufferException ex) {
+			throw invalid(record, ex);
+		}
+	}
+
+	static ItemResult readResult(KeyedRecord record) {
+		try {
+			return ItemResult.parseFrom(record.value());
+		}
+		catch (InvalidProtocolBufferException ex) {
+			throw invalid(record, ex);
+		}
+	}
+
+	static JobEnd readEnd(KeyedRecord record) {
+		try {
+			return JobEnd.parseFrom(record.value());
+		}
+		catch (InvalidProtocolBufferException ex) {
+			throw invalid(record, ex);
+		}
+	}
+
+	private static PlatformException invalid(KeyedRecord record, InvalidProtocolBufferException cause) {
+		return new PlatformException(ErrorCode.RECORD_INVALID,
+				"the record at offset " + record.offset() + " with key '" + record.key() + "' cannot be decoded",
+				cause);
+	}
+
+	private static List<List<JobItem>> split(SubmittedJob job) {
+		List<List<JobItem>> parts = new ArrayList<>();
+		List<JobItem> part = new ArrayList<>();
+		int bytes = 0;
+		for (SubmittedItem item : job.items()) {
+			JobItem next = write(item);
+			if (!part.isEmpty() && bytes + next.getSerializedSize() > PART_BYTES) {
+				parts.add(part);
+				part = new ArrayList<>();
+				bytes = 0;
+			}
+			part.add(next);
+			bytes += next.getSerializedSize();
+		}
+		parts.add(part);
+		return parts;
+	}
+
+	private static JobItem write(SubmittedItem item) {
+		JobItem.Builder builder = JobItem.newBuilder()
+			.setId(item.id().value())
+			.setPath(item.path())
+			.setBody(ByteString.copyFrom(item.body()))
+			.setTokens(item.tokens());
+		for (Map.Entry<String, String> header : item.headers()) {
+			builder.addHeaders(ItemHeader.newBuilder().setName(header.getKey()).setValue(header.getValue()));
+		}
+		return builder.build();
+	}
+
+	static SubmittedItem read(JobItem item) {
+		List<Map.Entry<String, String>> headers = new ArrayList<>();
+		item.getHeadersList().forEach((h) -> headers.add(Map.entry(h.getName(), h.getValue())));
+		return new SubmittedItem(ItemId.of(item.getId()), item.getPath(), headers, item.getBody().toByteArray(),
+				item.getTokens());
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -0,0 +1,255 @@
+package org.wigeonglade.gateway.job;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.wigeonglade.core.error.InvalidRequestException;
+import org.wigeonglade.core.error.PlatformException;
+import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.caller.CallerCall;
+import org.wigeonglade.gateway.caller.CallerProtocol;
+import org.wigeonglade.gateway.http.CallerExchange;
+import org.wigeonglade.gateway.log.GatewayEvent;
+import org.wigeonglade.gateway.route.Route;
+import org.wigeonglade.gateway.store.KeyedLog;
+import org.wigeonglade.gateway.store.KeyedRecord;
+import org.wigeonglade.gateway.store.KeyedStream;
+import org.wigeonglade.gateway.store.StreamFollower;
+
+/**
+ * Answers the calls of submitters: submit, read results, read an item, end. A job counts
+ * as accepted when the store has acknowledged all of its records. Confined to the event
+ * loop.
+ */
+public final class JobService {
+
+	private static final EventLogger LOG = EventLogger.of(JobService.class);
+
+	/**
+	 * Age of the state in milliseconds up to which a job that is not known does not
+	 * exist. Accepted jobs must be readable everywhere a second later.
+	 */
+	private static final long CERTAIN_MILLIS = 700;
+
+	/** Longest time in milliseconds that a call waits for a recent state. */
+	private static final long CERTAINTY_WAIT_MILLIS = 900;
+
+	/** Retry time of a refusal while the store is away, in milliseconds. */
+	private static final long STORE_RETRY_MILLIS = 400;
+
+	private final JobLedger ledger;
+
+	private final StreamFollower follower;
+
+	private final KeyedLog log;
+
+	private final CallerProtocol protocol;
+
+	private final EventLoop loop;
+
+	private final Ticker ticker;
+
+	private final Map<JobId, List<Runnable>> resultWaiters = new HashMap<>();
+
+	/**
+	 * Creates the service.
+	 * @param ledger the jobs, not null
+	 * @param follower the follower that feeds the ledger, not null
+	 * @param log the store, not null
+	 * @param protocol the wire format of callers, not null
+	 * @param loop the event loop, not null
+	 * @param ticker the clock, not null
+	 */
+	public JobService(JobLedger ledger, StreamFollower follower, KeyedLog log, CallerProtocol protocol, EventLoop loop,
+			Ticker ticker) {
+		this.ledger = ledger;
+		this.follower = follower;
+		this.log = log;
+		this.protocol = protocol;
+		this.loop = loop;
+		this.ticker = ticker;
+	}
+
+	/**
+	 * Accepts a job.
+	 * @param exchange the call, not null
+	 * @param route the route that it came on, not null
+	 */
+	public void submit(CallerExchange exchange, Route route) {
+		Optional<String> id = this.protocol.requestId(exchange.getRequest().headers());
+		if (id.isEmpty()) {
+			answer(exchange, 400, "the job has no id");
+			return;
+		}
+		JobId jobId = JobId.of(id.get());
+		if (this.ledger.find(jobId).isPresent()) {
+			LOG.log(GatewayEvent.JOB_REPEATED, jobId);
+			answer(exchange, 202, "");
+			return;
+		}
+		SubmittedJob job;
+		try {
+			job = this.protocol.readJob(jobId, route.getHostName(), exchange.getPath(), this.ticker.wallMillis(),
+					exchange.getBody());
+		}
+		catch (InvalidRequestException ex) {
+			LOG.log(GatewayEvent.JOB_REFUSED, jobId, 400, ex.getMessage(), 0);
+			answer(exchange, 400, ex.getMessage());
+			return;
+		}
+		append(exchange, job);
+	}
+
+	/**
+	 * Answers a call about a job.
+	 * @param exchange the call, not null
+	 * @param call what it asks for, not null
+	 */
+	public void handle(CallerExchange exchange, CallerCall call) {
+		switch (call) {
+			case CallerCall.ReadResults read ->
+				withJob(exchange, read.job(), (job) -> readResults(exchange, job, read));
+			case CallerCall.ReadItem read -> withJob(exchange, read.job(), (job) -> readItem(exchange, job, read));
+			case CallerCall.EndJob end -> withJob(exchange, end.job(), (job) -> end(exchange, job));
+			case CallerCall.Routed routed -> throw new IllegalArgumentException("not a call about a job");
+		}
+	}
+
+	/**
+	 * Is told that jobs changed.
+	 * @param job the job, not null
+	 */
+	public void changed(Job job) {
+		List<Runnable> waiters = this.resultWaiters.remove(job.getId());
+		if (waiters != null) {
+			waiters.forEach(Runnable::run);
+		}
+	}
+
+	private void append(CallerExchange exchange, SubmittedJob job) {
+		long start = this.ticker.millis();
+		this.log.append(KeyedStream.OWN, JobRecords.write(job)).subscribe().with((offset) -> this.loop.execute(() -> {
+			LOG.log(GatewayEvent.JOB_ACCEPTED, job.id(), job.items().size(), offset, this.ticker.millis() - start);
+			answer(exchange, 202, "");
+		}), (failure) -> this.loop.execute(() -> appendFailed(exchange, job, failure, start)));
+	}
+
+	// An append without an answer may still take effect, so nothing is promised then.
+	private void appendFailed(CallerExchange exchange, SubmittedJob job, Throwable failure, long start) {
+		boolean unknown = !(failure instanceof PlatformException platform) || platform.isUnknown();
+		boolean accepted = this.ledger.find(job.id()).isPresent();
+		int status = accepted ? 202 : (unknown ? 504 : 503);
+		LOG.log(GatewayEvent.JOB_REFUSED, job.id(), status, failure.getMessage(), this.ticker.millis() - start);
+		exchange.respond(status, this.protocol.refusalHeaders((status == 503) ? STORE_RETRY_MILLIS : -1), new byte[0]);
+	}
+
+	private void withJob(CallerExchange exchange, JobId id, java.util.function.Consumer<Job> action) {
+		Optional<Job> job = this.ledger.find(id);
+		if (job.isPresent()) {
+			action.accept(job.get());
+			return;
+		}
+		long deadline = this.ticker.millis() + CERTAINTY_WAIT_MILLIS;
+		this.follower.onNextRead(() -> {
+			if (!exchange.isEnded()) {
+				this.ledger.find(id).ifPresentOrElse(action, () -> unknownJob(exchange, id));
+			}
+		});
+		this.loop.schedule(() -> {
+			if (!exchange.isEnded() && this.ledger.find(id).isEmpty()) {
+				unknownJob(exchange, id);
+			}
+		}, deadline - this.ticker.millis(), TimeUnit.MILLISECONDS);
+	}
+
+	private void unknownJob(CallerExchange exchange, JobId id) {
+		long age = this.follower.getAgeMillis();
+		if (age <= CERTAIN_MILLIS) {
+			answer(exchange, 404, "no such job");
+		}
+		else {
+			LOG.log(GatewayEvent.JOB_UNSURE, id, age, 503);
+			exchange.respond(503, this.protocol.refusalHeaders(STORE_RETRY_MILLIS), new byte[0]);
+		}
+	}
+
+	private void readResults(CallerExchange exchange, Job job, CallerCall.ReadResults read) {
+		if (!job.getResults(read.from()).isEmpty() || read.waitMillis() <= 0 || job.isDone()) {
+			writeResults(exchange, job, read);
+			return;
+		}
+		boolean[] answered = new boolean[1];
+		Runnable answer = () -> {
+			if (!answered[0]) {
+				answered[0] = true;
+				writeResults(exchange, job, read);
+			}
+		};
+		this.resultWaiters.computeIfAbsent(job.getId(), (j) -> new ArrayList<>()).add(() -> {
+			if (!answered[0] && job.getResults(read.from()).isEmpty() && !job.isDone()) {
+				readResults(exchange, job, read);
+				answered[0] = true;
+			}
+			else {
+				answer.run();
+			}
+		});
+		this.loop.schedule(answer, read.waitMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private void writeResults(CallerExchange exchange, Job job, CallerCall.ReadResults read) {
+		if (!exchange.isEnded()) {
+			exchange.respond(200, List.of(Map.entry("Content-Type", "application/json")),
+					this.protocol.writeResults(job.getTotal(), read.from(), job.getResults(read.from())));
+		}
+	}
+
+	private void readItem(CallerExchange exchange, Job job, CallerCall.ReadItem read) {
+		Optional<SubmittedItem> item = job.findItem(read.item());
+		if (item.isPresent() && !job.isEnded()) {
+			exchange.respond(200, List.of(Map.entry("Content-Type", "application/octet-stream")), item.get().body());
+		}
+		else {
+			answer(exchange, 404, "no such item");
+		}
+	}
+
+	private void end(CallerExchange exchange, Job job) {
+		if (job.isEnded()) {
+			answer(exchange, 200, "");
+			return;
+		}
+		KeyedRecord record = JobRecords.writeEnd(job.getId());
+		this.log.append(KeyedStream.OWN, List.of(record)).subscribe().with((offset) -> this.loop.execute(() -> {
+			LOG.log(GatewayEvent.JOB_ENDED, job.getId(), offset);
+			answer(exchange, 200, "");
+		}), (failure) -> this.loop.execute(() -> {
+			LOG.log(GatewayEvent.JOB_UNSURE, job.getId(), this.follower.getAgeMillis(), 504);
+			answer(exchange, 504, "the end of the job may not be recorded");
+		}));
+	}
+
+	private static void answer(CallerExchange exchange, int status, String text) {
+		exchange.respond(status, List.of(), text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Drops the waits of callers that have left.
+	 */
+	public void maintain() {
+		for (Iterator<JobId> i = this.resultWaiters.keySet().iterator(); i.hasNext();) {
+			if (this.ledger.find(i.next()).isEmpty()) {
+				i.remove();
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/RecordWriter.java
@@ -0,0 +1,119 @@
+package org.wigeonglade.gateway.job;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoop;
+import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.log.GatewayEvent;
+import org.wigeonglade.gateway.store.KeyedLog;
+import org.wigeonglade.gateway.store.KeyedRecord;
+import org.wigeonglade.gateway.store.KeyedStream;
+
+/**
+ * Appends records that must become durable sooner or later, in groups, with one append in
+ * flight. After a failure all of them are tried again, until the ledger shows that they
+ * are no longer needed. Confined to the event loop.
+ */
+final class RecordWriter {
+
+	private static final EventLogger LOG = EventLogger.of(RecordWriter.class);
+
+	/** Time in milliseconds for which records are collected. */
+	private static final long COLLECT_MILLIS = 15;
+
+	/** Delay after a failure in milliseconds. */
+	private static final long RETRY_MILLIS = 300;
+
+	/** Size of a group in bytes: half of what one call may carry. */
+	private static final int MAX_GROUP_BYTES = 1 << 20;
+
+	private final KeyedLog log;
+
+	private final EventLoop loop;
+
+	private final Ticker ticker;
+
+	private final List<Pending> pending = new ArrayList<>();
+
+	private boolean busy;
+
+	RecordWriter(KeyedLog log, EventLoop loop, Ticker ticker) {
+		this.log = log;
+		this.loop = loop;
+		this.ticker = ticker;
+	}
+
+	/**
+	 * Adds a record.
+	 * @param record makes the record for each try, or returns null if it is no longer
+	 * needed
+	 */
+	void add(Supplier<KeyedRecord> record) {
+		this.pending.add(new Pending(record));
+		schedule(COLLECT_MILLIS);
+	}
+
+	int getPending() {
+		return this.pending.size();
+	}
+
+	private void schedule(long delayMillis) {
+		if (!this.busy) {
+			this.busy = true;
+			this.loop.schedule(this::append, delayMillis, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void append() {
+		List<Pending> group = new ArrayList<>();
+		List<KeyedRecord> records = new ArrayList<>();
+		List<Pending> needless = new ArrayList<>();
+		int bytes = 0;
+		for (Pending next : this.pending) {
+			KeyedRecord record = next.record.get();
+			if (record == null) {
+				needless.add(next);
+				continue;
+			}
+			bytes += (record.value() != null) ? record.value().length : 0;
+			if (!group.isEmpty() && bytes > MAX_GROUP_BYTES) {
+				break;
+			}
+			group.add(next);
+			records.add(record);
+		}
+		this.pending.removeAll(needless);
+		if (group.isEmpty()) {
+			this.busy = false;
+			return;
+		}
+		long start = this.ticker.millis();
+		this.log.append(KeyedStream.OWN, records).subscribe().with((offset) -> this.loop.execute(() -> {
+			LOG.log(GatewayEvent.RESULTS_APPENDED, records.size(), offset, this.ticker.millis() - start);
+			this.pending.removeAll(group);
+			this.busy = false;
+			if (!this.pending.isEmpty()) {
+				schedule(0);
+			}
+		}), (failure) -> this.loop.execute(() -> {
+			LOG.log(GatewayEvent.RESULTS_DELAYED, records.size(), failure.getMessage());
+			this.busy = false;
+			schedule(RETRY_MILLIS);
+		}));
+	}
+
+	private static final class Pending {
+
+		private final Supplier<KeyedRecord> record;
+
+		private Pending(Supplier<KeyedRecord> record) {
+			this.record = record;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Numbered log events of the gateway.
+ */
+package org.wigeonglade.gateway.log;
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerExchange.java
@@ -0,0 +1,270 @@
+package org.wigeonglade.gateway.peer;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.fleet.LoadBoard;
+import org.wigeonglade.gateway.fleet.RunnerEntry;
+import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.log.GatewayEvent;
+import org.wigeonglade.schema.generated.gateway.CrashReport;
+import org.wigeonglade.schema.generated.gateway.Datagram;
+import org.wigeonglade.schema.generated.gateway.HostEntry;
+import org.wigeonglade.schema.generated.gateway.Preemption;
+import org.wigeonglade.schema.generated.gateway.RunnerLoad;
+
+/**
+ * Tells the other hosts, by datagrams, what this one has in progress, and hears the same
+ * of them. Confined to the event loop.
+ */
+public final class PeerExchange {
+
+	private static final EventLogger LOG = EventLogger.of(PeerExchange.class);
+
+	/** Longest time between datagrams to a live host, in milliseconds. */
+	private static final long REGULAR_MILLIS = 250;
+
+	/** Time between datagrams to a silent host, in milliseconds. */
+	private static final long SILENT_MILLIS = 1_000;
+
+	/**
+	 * Time for which changes are collected, for each other host, in microseconds: it
+	 * bounds the datagrams that a host sends, whatever the number of hosts.
+	 */
+	private static final long COLLECT_MICROS_PER_HOST = 350;
+
+	private final HostEntry self;
+
+	private final EventLoop loop;
+
+	private final Ticker ticker;
+
+	private final LoadBoard board;
+
+	private final PeerTable table;
+
+	private final Listener listener;
+
+	private final Map<HostId, Long> lastSent = new HashMap<>();
+
+	private Channel channel;
+
+	private long sequence;
+
+	private boolean scheduled;
+
+	private BooleanSupplier leaving = () -> false;
+
+	private BooleanSupplier jobsCurrent = () -> false;
+
+	/**
+	 * Creates an exchange without a socket.
+	 * @param self this host, not null
+	 * @param loop the event loop, not null
+	 * @param ticker the clock, not null
+	 * @param board the requests in progress, not null
+	 * @param table the other hosts, not null
+	 * @param listener receives what others ask for, not null
+	 */
+	public PeerExchange(HostEntry self, EventLoop loop, Ticker ticker, LoadBoard board, PeerTable table,
+			Listener listener) {
+		this.self = self;
+		this.loop = loop;
+		this.ticker = ticker;
+		this.board = board;
+		this.table = table;
+		this.listener = listener;
+	}
+
+	/**
+	 * Sets what this host says of itself.
+	 * @param isLeaving tells whether it is stopping, not null
+	 * @param isJobsCurrent tells whether it knows the present state of jobs, not null
+	 */
+	public void describe(BooleanSupplier isLeaving, BooleanSupplier isJobsCurrent) {
+		this.leaving = isLeaving;
+		this.jobsCurrent = isJobsCurrent;
+	}
+
+	/**
+	 * Opens the socket.
+	 * @param address the address, not null
+	 * @return completes when datagrams are received, or fails
+	 */
+	public ChannelFuture listen(InetSocketAddress address) {
+		ChannelFuture bound = new Bootstrap().group(this.loop)
+			.channel(NioDatagramChannel.class)
+			.handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+				@Override
+				protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+					receive(ByteBufUtil.getBytes(packet.content()));
+				}
+
+				@Override
+				public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+					LOG.log(GatewayEvent.DATAGRAM_INVALID, cause, 0);
+				}
+			})
+			.bind(address);
+		this.channel = bound.channel();
+		return bound;
+	}
+
+	/**
+	 * Sends the load to all hosts soon; calls in quick succession share a datagram.
+	 */
+	public void changed() {
+		if (!this.scheduled && this.channel != null) {
+			this.scheduled = true;
+			long micros = COLLECT_MICROS_PER_HOST * Math.max(1, this.table.getLiveCount());
+			this.loop.schedule(() -> {
+				this.scheduled = false;
+				sendToAll(datagram().build(), true);
+			}, micros, TimeUnit.MICROSECONDS);
+		}
+	}
+
+	/**
+	 * Sends what is due to hosts that have not had a datagram for a while.
+	 */
+	public void tick() {
+		if (this.channel != null) {
+			sendToAll(datagram().build(), false);
+		}
+	}
+
+	/**
+	 * Asks a host to give back a batch slot.
+	 * @param host the host, not null
+	 * @param runner the runner, not null
+	 */
+	public void requestPreemption(HostId host, RunnerId runner) {
+		this.table.find(host).ifPresent((peer) -> {
+			Preemption preemption = Preemption.newBuilder().setRunner(runner.value()).setSlots(1).build();
+			send(peer, datagram().addPreemptions(preemption).build().toByteArray());
+			this.board.expectPreemption(host, runner);
+		});
+	}
+
+	/**
+	 * Tells all hosts that a runner was lost with a request in progress.
+	 * @param fingerprint the request
+	 * @param runner the runner, not null
+	 */
+	public void reportCrash(long fingerprint, RunnerEntry runner) {
+		CrashReport report = CrashReport.newBuilder()
+			.setFingerprint(fingerprint)
+			.setRunner(runner.id().value())
+			.setRunnerStartedMs(runner.startedMillis())
+			.build();
+		sendToAll(datagram().addCrashes(report).build(), true);
+	}
+
+	private Datagram.Builder datagram() {
+		Datagram.Builder builder = Datagram.newBuilder()
+			.setSender(this.self)
+			.setSequence(++this.sequence)
+			.setLeaving(this.leaving.getAsBoolean())
+			.setJobsCurrent(this.jobsCurrent.getAsBoolean());
+		this.board.getOwn()
+			.forEach((runner, load) -> builder.addLoads(
+					RunnerLoad.newBuilder().setRunner(runner.value()).setOnline(load.online()).setBatch(load.batch())));
+		return builder;
+	}
+
+	private void sendToAll(Datagram datagram, boolean atOnce) {
+		byte[] bytes = datagram.toByteArray();
+		long now = this.ticker.millis();
+		for (PeerTable.Peer peer : new ArrayList<>(this.table.getPeers())) {
+			long since = now - this.lastSent.getOrDefault(peer.getHost(), -SILENT_MILLIS);
+			long pause = peer.isAlive() ? (atOnce ? 0 : REGULAR_MILLIS) : SILENT_MILLIS;
+			if (since >= pause) {
+				send(peer, bytes);
+			}
+		}
+		this.channel.flush();
+	}
+
+	private void send(PeerTable.Peer peer, byte[] bytes) {
+		this.lastSent.put(peer.getHost(), this.ticker.millis());
+		this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.getAddress()));
+	}
+
+	private void receive(byte[] bytes) {
+		Datagram datagram;
+		try {
+			datagram = Datagram.parseFrom(bytes);
+		}
+		catch (InvalidProtocolBufferException ex) {
+			LOG.log(GatewayEvent.DATAGRAM_INVALID, ex, bytes.length);
+			return;
+		}
+		HostEntry sender = datagram.getSender();
+		if (sender.getHost().equals(this.self.getHost())) {
+			return;
+		}
+		this.listener.heard(sender);
+		HostId host = HostId.of(sender.getHost());
+		long now = this.ticker.millis();
+		if (this.table.heard(host, sender.getIncarnation(), datagram.getLeaving(), datagram.getJobsCurrent(), now)) {
+			LOG.log(GatewayEvent.HOST_SEEN, host, sender.getIncarnation(), sender.getDomain());
+		}
+		Map<RunnerId, LoadBoard.Load> loads = new HashMap<>();
+		datagram.getLoadsList()
+			.forEach((l) -> loads.put(RunnerId.of(l.getRunner()), new LoadBoard.Load(l.getOnline(), l.getBatch())));
+		this.board.report(host, new LoadBoard.Report(sender.getIncarnation(), datagram.getSequence(), now, loads));
+		List<Preemption> preemptions = datagram.getPreemptionsList();
+		preemptions.forEach((p) -> this.listener.preemptionRequested(RunnerId.of(p.getRunner()), p.getSlots()));
+		datagram.getCrashesList()
+			.forEach((c) -> this.listener.crashReported(c.getFingerprint(), RunnerId.of(c.getRunner()),
+					c.getRunnerStartedMs()));
+	}
+
+	/**
+	 * Receives what other hosts say.
+	 */
+	public interface Listener {
+
+		/**
+		 * Is told of the sender of a datagram before anything else of it.
+		 * @param sender the sender, not null
+		 */
+		void heard(HostEntry sender);
+
+		/**
+		 * Is asked to give back batch slots.
+		 * @param runner the runner, not null
+		 * @param slots the number
+		 */
+		void preemptionRequested(RunnerId runner, int slots);
+
+		/**
+		 * Is told of a runner that was lost with a request in progress.
+		 * @param fingerprint the request
+		 * @param runner the runner, not null
+		 * @param startedMillis the start of the runner's process
+		 */
+		void crashReported(long fingerprint, RunnerId runner, long startedMillis);
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The other hosts: who they are, which are alive, and datagrams that tell the load.
+ */
+package org.wigeonglade.gateway.peer;
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/route/ServiceSpec.java
@@ -0,0 +1,15 @@
+package org.wigeonglade.gateway.route;
+
+import org.wigeonglade.core.id.ServiceName;
+
+/**
+ * A service that requests are sent to.
+ *
+ * @param name the name, not null
+ * @param maxConnections the largest number of connections that one runner accepts from
+ * all callers together
+ * @param generative whether its runners are model engines
+ */
+public record ServiceSpec(ServiceName name, int maxConnections, boolean generative) {
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -0,0 +1,197 @@
+package org.wigeonglade.gateway.runner;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.IntSupplier;
+
+import org.wigeonglade.core.id.FailureDomain;
+import org.wigeonglade.core.id.ServiceName;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.fleet.Candidate;
+import org.wigeonglade.gateway.fleet.HoldTime;
+import org.wigeonglade.gateway.fleet.LoadBoard;
+import org.wigeonglade.gateway.fleet.RunnerDirectory;
+import org.wigeonglade.gateway.fleet.RunnerEntry;
+import org.wigeonglade.gateway.fleet.RunnerHealth;
+import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.route.RoutingTable;
+import org.wigeonglade.gateway.route.ServiceSpec;
+
+/**
+ * What this host knows and holds of the runners: registrations, load, health, and
+ * connections. Confined to the event loop.
+ */
+public final class Fleet {
+
+	/** Connections to a runner of a service that the configuration does not describe. */
+	private static final int DEFAULT_CONNECTIONS = 16;
+
+	/** Connections that a host may always have to a runner. */
+	private static final int FEWEST_CONNECTIONS = 8;
+
+	private final RunnerDirectory directory = new RunnerDirectory();
+
+	private final LoadBoard board = new LoadBoard();
+
+	private final RunnerHealth health = new RunnerHealth();
+
+	private final Map<ServiceName, HoldTime> holdTimes = new HashMap<>();
+
+	private final RunnerPool pool;
+
+	private final RunnerProtocol protocol;
+
+	private final FailureDomain domain;
+
+	private final Ticker ticker;
+
+	private IntSupplier liveHosts = () -> 1;
+
+	private Runnable loadListener = () -> {
+	};
+
+	private RoutingTable table;
+
+	/**
+	 * Creates a fleet without runners.
+	 * @param pool the connections, not null
+	 * @param protocol the headers of runners, not null
+	 * @param domain the failure domain of this host, not null
+	 * @param ticker the clock, not null
+	 */
+	public Fleet(RunnerPool pool, RunnerProtocol protocol, FailureDomain domain, Ticker ticker) {
+		this.pool = pool;
+		this.protocol = protocol;
+		this.domain = domain;
+		this.ticker = ticker;
+	}
+
+	/**
+	 * Sets what tells the number of hosts that share the runners.
+	 * @param supplier the supplier, not null
+	 */
+	public void setLiveHosts(IntSupplier supplier) {
+		this.liveHosts = supplier;
+	}
+
+	/**
+	 * Sets what happens when the number of requests in progress changes.
+	 * @param listener the listener, not null
+	 */
+	public void onLoadChanged(Runnable listener) {
+		this.loadListener = listener;
+	}
+
+	/**
+	 * Puts a configuration in force.
+	 * @param next the configuration, not null
+	 */
+	public void setTable(RoutingTable next) {
+		this.table = next;
+	}
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the configuration, or null while none is known
+	 */
+	public RoutingTable getTable() {
+		return this.table;
+	}
+
+	/**
+	 * Returns the registrations.
+	 * @return the directory, never null
+	 */
+	public RunnerDirectory getDirectory() {
+		return this.directory;
+	}
+
+	/**
+	 * Returns the requests in progress.
+	 * @return the board, never null
+	 */
+	public LoadBoard getBoard() {
+		return this.board;
+	}
+
+	/**
+	 * Returns what outcomes say of the runners.
+	 * @return the health, never null
+	 */
+	public RunnerHealth getHealth() {
+		return this.health;
+	}
+
+	/**
+	 * Returns how long requests hold a slot of a service.
+	 * @param service the service, not null
+	 * @return the learned time, never null
+	 */
+	public HoldTime getHoldTime(ServiceName service) {
+		return this.holdTimes.computeIfAbsent(service, (s) -> new HoldTime());
+	}
+
+	/**
+	 * Returns the runners of a service that may receive work.
+	 * @param service the service, not null
+	 * @param excluded runners that have had the request, not null
+	 * @return the candidates, empty if there are none
+	 */
+	public List<Candidate> candidates(ServiceName service, Set<RunnerId> excluded) {
+		long now = this.ticker.millis();
+		List<Candidate> candidates = new ArrayList<>();
+		for (RunnerEntry entry : this.directory.getEntries()) {
+			if (entry.service().equals(service) && !entry.draining() && !excluded.contains(entry.id())) {
+				candidates.add(new Candidate(entry, this.board.getLoad(entry.id()),
+						this.health.isAvoided(entry.id(), now), entry.domain().equals(this.domain)));
+			}
+		}
+		return candidates;
+	}
+
+	/**
+	 * Drops what is out of date.
+	 */
+	public void maintain() {
+		long now = this.ticker.millis();
+		this.directory.expire(now);
+		this.board.expire(now);
+		this.health.retain(this.directory);
+		this.pool.trim(this.directory);
+	}
+
+	/**
+	 * Returns the mean time that a request holds a slot of a service.
+	 * @param service the service, not null
+	 * @return the mean, never null
+	 */
+	public Duration meanHold(ServiceName service) {
+		return getHoldTime(service).getMean();
+	}
+
+	RunnerPool getPool() {
+		return this.pool;
+	}
+
+	RunnerProtocol getProtocol() {
+		return this.protocol;
+	}
+
+	// A host may use twice its even share, since callers are spread unevenly.
+	int connectionLimit(RunnerEntry runner) {
+		int total = (this.table != null)
+				? this.table.getService(runner.service()).map(ServiceSpec::maxConnections).orElse(DEFAULT_CONNECTIONS)
+				: DEFAULT_CONNECTIONS;
+		return Math.max(FEWEST_CONNECTIONS, 2 * total / Math.max(1, this.liveHosts.getAsInt()));
+	}
+
+	void count(RunnerId runner, boolean batch, int change) {
+		this.board.add(runner, batch ? 0 : change, batch ? change : 0);
+		this.loadListener.run();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/stream/StreamParser.java
@@ -0,0 +1,83 @@
+package org.wigeonglade.gateway.stream;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Splits the bytes of an event stream into complete events. A runner may stop in the
+ * middle of an event, so an incomplete one is never passed on. Not thread-safe.
+ */
+public final class StreamParser {
+
+	/** Largest event in bytes; a longer one is not a proper stream. */
+	private static final int MAX_EVENT_BYTES = 1 << 20;
+
+	private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+
+	private int lineLength;
+
+	/**
+	 * Adds received bytes.
+	 * @param bytes the bytes, not null
+	 * @return the events that these bytes complete, in order
+	 * @throws IllegalStateException if an event is larger than allowed
+	 */
+	public List<StreamEvent> add(byte[] bytes) {
+		List<StreamEvent> events = new ArrayList<>();
+		for (byte next : bytes) {
+			this.pending.write(next);
+			if (next == '\n') {
+				if (this.lineLength == 0) {
+					completeEvent(events);
+				}
+				this.lineLength = 0;
+			}
+			else if (next != '\r') {
+				this.lineLength++;
+			}
+		}
+		if (this.pending.size() > MAX_EVENT_BYTES) {
+			throw new IllegalStateException("an event of a stream is larger than " + MAX_EVENT_BYTES + " bytes");
+		}
+		return events;
+	}
+
+	/**
+	 * Returns whether bytes of an incomplete event are left.
+	 * @return true in the middle of an event
+	 */
+	public boolean isInsideEvent() {
+		return this.pending.size() > 0;
+	}
+
+	private void completeEvent(List<StreamEvent> events) {
+		byte[] bytes = this.pending.toByteArray();
+		this.pending.reset();
+		events.add(new StreamEvent(idOf(bytes), bytes));
+	}
+
+	private static long idOf(byte[] bytes) {
+		for (String line : new String(bytes, StandardCharsets.ISO_8859_1).split("\n", -1)) {
+			String id = valueOf(line, "id");
+			if (id != null && !id.isEmpty() && id.chars().allMatch(Character::isDigit) && id.length() < 18) {
+				return Long.parseLong(id);
+			}
+		}
+		return -1;
+	}
+
+	static String valueOf(String line, String field) {
+		if (!line.startsWith(field + ":")) {
+			return null;
+		}
+		int start = field.length() + 1;
+		if (start < line.length() && line.charAt(start) == ' ') {
+			start++;
+		}
+		int end = line.endsWith("\r") ? line.length() - 1 : line.length();
+		return line.substring(Math.min(start, end), end);
+	}
+
+}
