--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -142,7 +142,8 @@
 	public HttpRequest request() {
 		HttpHeaders headers = new DefaultHttpHeaders().set(this.request.headers());
 		this.fleet.getProtocol()
-			.address(headers, this.request.id(), this.runner.id(), this.request.remaining(), this.request.resumeAfter());
+			.address(headers, this.request.id(), this.runner.id(), this.request.remaining(),
+					this.request.resumeAfter());
 		if (this.request.body().length > 0 || !HttpMethod.GET.equals(this.request.method())) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, this.request.body().length);
 		}
