--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/Candidate.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/Candidate.java
@@ -1,5 +1,7 @@
 package org.wigeonglade.gateway.fleet;
 
+import java.time.Duration;
+
 /**
  * A runner as a placement decision sees it.
  *
@@ -7,8 +9,10 @@
  * @param load the requests in progress over all hosts, not null
  * @param avoided whether recent failures speak against it
  * @param sameDomain whether it is in the failure domain of this host
+ * @param meanHold the mean time that a request holds one of its slots, not null
  */
-public record Candidate(RunnerEntry entry, LoadBoard.Load load, boolean avoided, boolean sameDomain) {
+public record Candidate(RunnerEntry entry, LoadBoard.Load load, boolean avoided, boolean sameDomain,
+		Duration meanHold) {
 
 	/**
 	 * Returns the number of slots without a request.
@@ -26,4 +30,13 @@
 		return this.load.online() - this.entry.slots();
 	}
 
+	/**
+	 * Returns the expected time in the queue of the runner if its slots are all taken by
+	 * online requests.
+	 * @return the time in milliseconds
+	 */
+	public double getQueueMillis() {
+		return this.meanHold.toMillis() * (double) (getOnlineExcess() + 1) / this.entry.slots();
+	}
+
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/HoldTime.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/HoldTime.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 
 /**
- * Learns how long a request holds a slot of a service, as an exponentially weighted mean.
- * Not thread-safe.
+ * Learns how long a request holds a slot, as an exponentially weighted mean. Not
+ * thread-safe.
  */
 public final class HoldTime {
 
@@ -14,7 +14,28 @@
 	/** Assumed until requests have been seen, in milliseconds. */
 	private static final double INITIAL_MILLIS = 500;
 
-	private double millis = INITIAL_MILLIS;
+	private double millis;
+
+	private HoldTime(double millis) {
+		this.millis = millis;
+	}
+
+	/**
+	 * Returns a mean that nothing is known of.
+	 * @return a mean, never null
+	 */
+	public static HoldTime unknown() {
+		return new HoldTime(INITIAL_MILLIS);
+	}
+
+	/**
+	 * Returns a mean that starts at the present value of another one.
+	 * @param other the other mean, not null
+	 * @return a mean, never null
+	 */
+	public static HoldTime startingAt(HoldTime other) {
+		return new HoldTime(other.millis);
+	}
 
 	/**
 	 * Adds the time of one complete request.
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
@@ -55,10 +55,9 @@
 	 * Places an online request.
 	 * @param candidates the usable runners of the service, not null
 	 * @param demand what the request needs, not null
-	 * @param meanHold the mean time that a request holds a slot, not null
 	 * @return the placement, never null
 	 */
-	public Placement place(List<Candidate> candidates, Demand demand, Duration meanHold) {
+	public Placement place(List<Candidate> candidates, Demand demand) {
 		List<Candidate> usable = preferSound(candidates);
 		if (usable.isEmpty()) {
 			return new Placement.Refuse(Placement.Cause.NO_RUNNER, retryAfter(RETRY_WITHOUT_RUNNER));
@@ -71,7 +70,7 @@
 		if (leastOnline.getOnlineExcess() < 0) {
 			return new Placement.SendAndPreempt(leastOnline.entry());
 		}
-		return queueOrRefuse(leastOnline, demand, meanHold);
+		return queueOrRefuse(best(usable, Comparator.comparingDouble(Candidate::getQueueMillis)), demand);
 	}
 
 	/**
@@ -87,11 +86,11 @@
 		return Optional.of(best(idle, Comparator.comparingInt(Candidate::getFreeSlots).reversed()).entry());
 	}
 
-	private Placement queueOrRefuse(Candidate shortest, Demand demand, Duration meanHold) {
+	private Placement queueOrRefuse(Candidate shortest, Demand demand) {
 		int ahead = shortest.getOnlineExcess() + 1;
-		long waitMillis = Math.round(meanHold.toMillis() * (double) ahead / shortest.entry().slots() * WAIT_RESERVE);
+		long waitMillis = Math.round(shortest.getQueueMillis() * WAIT_RESERVE);
 		boolean inTime = waitMillis + FIRST_EVENT_MILLIS <= demand.untilTarget().toMillis();
-		boolean inDeadline = waitMillis + meanHold.toMillis() <= demand.untilDeadline().toMillis()
+		boolean inDeadline = waitMillis + shortest.meanHold().toMillis() <= demand.untilDeadline().toMillis()
 				&& ahead <= LONGEST_QUEUE_PER_SLOT * shortest.entry().slots();
 		if (inTime || (!demand.refusable() && inDeadline)) {
 			return new Placement.Send(shortest.entry(), Duration.ofMillis(waitMillis));
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 import io.netty.channel.EventLoop;
 import org.wigeonglade.core.event.EventLogger;
@@ -45,6 +44,13 @@
 	 */
 	private static final int STARTS_PER_STEP = 2;
 
+	/**
+	 * Time in milliseconds for which no item starts on a runner that gave a slot back for
+	 * another host: until that host's report shows the request that took it, an own count
+	 * would take the slot for idle.
+	 */
+	private static final long PREEMPTED_PAUSE_MILLIS = 60;
+
 	/** Deadline of a run where the route sets no retention. */
 	private static final Duration DEFAULT_RUN_LIMIT = Duration.ofSeconds(60);
 
@@ -70,6 +76,8 @@
 
 	private final Map<ItemKey, ItemOutcome> unwritten = new HashMap<>();
 
+	private final Map<RunnerId, Long> pausedUntil = new HashMap<>();
+
 	private final Map<ItemKey, HostId> owners = new HashMap<>();
 
 	private long ownersVersion = -1;
@@ -155,6 +163,7 @@
 					lastEvent(victim));
 			victim.cancel();
 		}
+		this.pausedUntil.put(runner, this.ticker.millis() + PREEMPTED_PAUSE_MILLIS);
 		return victims.size();
 	}
 
@@ -237,7 +246,10 @@
 			return false;
 		}
 		ServiceName service = route.chooseService(work.item.id().value());
-		Optional<RunnerEntry> runner = this.policy.placeBatch(this.fleet.candidates(service, Set.of()));
+		long now = this.ticker.millis();
+		this.pausedUntil.values().removeIf((until) -> until <= now);
+		Optional<RunnerEntry> runner = this.policy
+			.placeBatch(this.fleet.candidates(service, this.pausedUntil.keySet()));
 		if (runner.isEmpty()) {
 			return false;
 		}
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -48,6 +48,13 @@
 	 */
 	private static final long FIRST_EVENT_PATIENCE_MILLIS = 450;
 
+	/**
+	 * The same while the runner's slots are all taken, in milliseconds: the wait in its
+	 * queue varies by several times its mean, and a second send would start at the end of
+	 * another queue.
+	 */
+	private static final long QUEUED_PATIENCE_MILLIS = 1_200;
+
 	/**
 	 * Silence within a stream after which it goes on at another runner, in milliseconds:
 	 * twice the pause that still counts as in time.
@@ -165,7 +172,7 @@
 		Demand demand = new Demand(Duration.ofMillis(this.targetMillis - now),
 				Duration.ofMillis(this.deadlineMillis - now),
 				this.firstVisit && this.rule.isNotRun() && !this.exchange.isHeadWritten());
-		switch (this.context.policy().place(candidates, demand, this.context.fleet().meanHold(this.service))) {
+		switch (this.context.policy().place(candidates, demand)) {
 			case Placement.Send send -> {
 				logPlaced(send.runner(), send.expectedWait().toMillis());
 				send(send.runner(), send.expectedWait().toMillis());
@@ -566,8 +573,8 @@
 			OnlineRequest.this.call = null;
 			OnlineRequest.this.context.fleet().getHealth().succeeded(this.runner.id());
 			OnlineRequest.this.context.fleet()
-				.getHoldTime(OnlineRequest.this.service)
-				.add(Duration.ofMillis(Math.max(1, now() - this.startedMillis - this.expectedWaitMillis)));
+				.addHold(this.runner,
+						Duration.ofMillis(Math.max(1, now() - this.startedMillis - this.expectedWaitMillis)));
 			OnlineRequest.this.context.metrics().attempt("ANSWERED");
 		}
 
@@ -588,8 +595,14 @@
 				return Math.round(OnlineRequest.this.route.getLatencyTarget().toMillis() * ANSWER_PATIENCE)
 						+ this.expectedWaitMillis;
 			}
-			return (this.progressMillis > this.startedMillis) ? PAUSE_PATIENCE_MILLIS
-					: FIRST_EVENT_PATIENCE_MILLIS + this.expectedWaitMillis;
+			if (this.progressMillis > this.startedMillis) {
+				return PAUSE_PATIENCE_MILLIS;
+			}
+			boolean full = OnlineRequest.this.context.fleet()
+				.getBoard()
+				.getLoad(this.runner.id())
+				.getTotal() > this.runner.slots();
+			return full ? QUEUED_PATIENCE_MILLIS : FIRST_EVENT_PATIENCE_MILLIS;
 		}
 
 		private void checkSilence() {
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -41,6 +41,8 @@
 
 	private final Map<ServiceName, HoldTime> holdTimes = new HashMap<>();
 
+	private final Map<RunnerId, HoldTime> holdTimesOfRunners = new HashMap<>();
+
 	private final RunnerPool pool;
 
 	private final RunnerProtocol protocol;
@@ -127,12 +129,13 @@
 	}
 
 	/**
-	 * Returns how long requests hold a slot of a service.
-	 * @param service the service, not null
-	 * @return the learned time, never null
+	 * Records how long a request held a slot.
+	 * @param runner the runner, not null
+	 * @param hold the time, not null
 	 */
-	public HoldTime getHoldTime(ServiceName service) {
-		return this.holdTimes.computeIfAbsent(service, (s) -> new HoldTime());
+	public void addHold(RunnerEntry runner, Duration hold) {
+		serviceHold(runner.service()).add(hold);
+		runnerHold(runner).add(hold);
 	}
 
 	/**
@@ -146,8 +149,9 @@
 		List<Candidate> candidates = new ArrayList<>();
 		for (RunnerEntry entry : this.directory.getEntries()) {
 			if (entry.service().equals(service) && !entry.draining() && !excluded.contains(entry.id())) {
-				candidates.add(new Candidate(entry, this.board.getLoad(entry.id()),
-						this.health.isAvoided(entry.id(), now), entry.domain().equals(this.domain)));
+				candidates
+					.add(new Candidate(entry, this.board.getLoad(entry.id()), this.health.isAvoided(entry.id(), now),
+							entry.domain().equals(this.domain), runnerHold(entry).getMean()));
 			}
 		}
 		return candidates;
@@ -162,15 +166,7 @@
 		this.board.expire(now);
 		this.health.retain(this.directory);
 		this.pool.trim(this.directory);
-	}
-
-	/**
-	 * Returns the mean time that a request holds a slot of a service.
-	 * @param service the service, not null
-	 * @return the mean, never null
-	 */
-	public Duration meanHold(ServiceName service) {
-		return getHoldTime(service).getMean();
+		this.holdTimesOfRunners.keySet().removeIf((id) -> this.directory.find(id).isEmpty());
 	}
 
 	RunnerPool getPool() {
@@ -189,6 +185,16 @@
 		return Math.max(FEWEST_CONNECTIONS, 2 * total / Math.max(1, this.liveHosts.getAsInt()));
 	}
 
+	// The runners of a service differ in speed; a new one is taken for an average one.
+	private HoldTime runnerHold(RunnerEntry runner) {
+		return this.holdTimesOfRunners.computeIfAbsent(runner.id(),
+				(id) -> HoldTime.startingAt(serviceHold(runner.service())));
+	}
+
+	private HoldTime serviceHold(ServiceName service) {
+		return this.holdTimes.computeIfAbsent(service, (s) -> HoldTime.unknown());
+	}
+
 	void count(RunnerId runner, boolean batch, int change) {
 		this.board.add(runner, batch ? 0 : change, batch ? change : 0);
 		this.loadListener.run();
