--- /dev/null
+++ b/gateway/src/test/java/org/wigeonglade/gateway/fleet/PlacementPolicyTests.java
@@ -0,0 +1,168 @@
+package org.wigeonglade.gateway.fleet;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.wigeonglade.core.id.FailureDomain;
+import org.wigeonglade.core.id.ServiceName;
+
+/**
+ * Guards against online requests that queue behind batch items, that wait where they
+ * cannot be in time, or that are refused while a slot is free.
+ */
+public class PlacementPolicyTests {
+
+	private static final Duration HOLD = Duration.ofMillis(700);
+
+	private static final Demand FIRST_VISIT = new Demand(Duration.ofMillis(300), Duration.ofSeconds(5), true);
+
+	private static final Demand SECOND_VISIT = new Demand(Duration.ofMillis(-100), Duration.ofSeconds(4), false);
+
+	private final PlacementPolicy policy = new PlacementPolicy(new Random(1));
+
+	@Test
+	public void freeSlotIsTakenBeforeABatchItemIsStopped() {
+		Placement placement = this.policy.place(List.of(runner("a", 4, 4), runner("b", 7, 0)), FIRST_VISIT);
+		Assert.assertEquals(((Placement.Send) placement).runner().id(), RunnerId.of("b"));
+		Assert.assertEquals(((Placement.Send) placement).expectedWait(), Duration.ZERO);
+	}
+
+	@Test
+	public void burstTakesSlotsOfBatchItemsInsteadOfQueueing() {
+		Placement placement = this.policy.place(List.of(runner("a", 3, 5), runner("b", 8, 0)), FIRST_VISIT);
+		Assert.assertEquals(((Placement.SendAndPreempt) placement).runner().id(), RunnerId.of("a"));
+	}
+
+	@Test
+	public void shortQueueIsUsedWhileTheRequestIsInTime() {
+		Placement placement = this.policy.place(List.of(runner("a", 9, 0), runner("b", 8, 0)), FIRST_VISIT);
+		Assert.assertEquals(((Placement.Send) placement).runner().id(), RunnerId.of("b"));
+		Assert.assertTrue(((Placement.Send) placement).expectedWait().toMillis() > 0);
+	}
+
+	@Test
+	public void queueOfAFastRunnerBeatsAShorterOneOfASlowRunner() {
+		Candidate fast = runner("fast", 9, 0, Duration.ofMillis(300), false, true);
+		Candidate slow = runner("slow", 8, 0, Duration.ofMillis(1_400), false, true);
+		Placement placement = this.policy.place(List.of(slow, fast), FIRST_VISIT);
+		Assert.assertEquals(((Placement.Send) placement).runner().id(), RunnerId.of("fast"));
+	}
+
+	@Test
+	public void firstVisitIsRefusedAtOnceWhenNoQueueIsInTime() {
+		Placement placement = this.policy.place(List.of(runner("a", 12, 0), runner("b", 11, 0)), FIRST_VISIT);
+		Placement.Refuse refusal = (Placement.Refuse) placement;
+		Assert.assertEquals(refusal.cause(), Placement.Cause.OVERLOADED);
+		Assert.assertTrue(refusal.retryAfter().toMillis() >= 300, refusal.toString());
+	}
+
+	@Test
+	public void secondVisitWaitsRatherThanBeingRefusedAgain() {
+		Placement placement = this.policy.place(List.of(runner("a", 12, 0)), SECOND_VISIT);
+		Assert.assertTrue(placement instanceof Placement.Send, placement.toString());
+	}
+
+	@Test
+	public void secondVisitIsRefusedWhenItsDeadlineCannotBeMet() {
+		Demand late = new Demand(Duration.ofMillis(-2_000), Duration.ofMillis(600), false);
+		Assert.assertTrue(this.policy.place(List.of(runner("a", 12, 0)), late) instanceof Placement.Refuse);
+	}
+
+	@Test
+	public void avoidedRunnerIsUsedOnlyWhereNoOtherIsLeft() {
+		Candidate avoided = runner("a", 0, 0, HOLD, true, true);
+		Placement other = this.policy.place(List.of(avoided, runner("b", 7, 0)), FIRST_VISIT);
+		Assert.assertEquals(((Placement.Send) other).runner().id(), RunnerId.of("b"));
+		Placement only = this.policy.place(List.of(avoided), FIRST_VISIT);
+		Assert.assertEquals(((Placement.Send) only).runner().id(), RunnerId.of("a"));
+	}
+
+	@Test
+	public void ownFailureDomainWinsBetweenEquals() {
+		Candidate far = runner("far", 2, 0, HOLD, false, false);
+		Candidate near = runner("near", 2, 0, HOLD, false, true);
+		Placement placement = this.policy.place(List.of(far, near), FIRST_VISIT);
+		Assert.assertEquals(((Placement.Send) placement).runner().id(), RunnerId.of("near"));
+	}
+
+	@Test
+	public void noRunnerIsARefusalWithATimeToComeBack() {
+		Placement.Refuse refusal = (Placement.Refuse) this.policy.place(List.of(), FIRST_VISIT);
+		Assert.assertEquals(refusal.cause(), Placement.Cause.NO_RUNNER);
+		Assert.assertTrue(refusal.retryAfter().toMillis() > 0);
+	}
+
+	@Test
+	public void batchItemsStartOnIdleSlotsOnly() {
+		Assert.assertTrue(this.policy.placeBatch(List.of(runner("a", 8, 0), runner("b", 3, 5))).isEmpty());
+		Assert.assertEquals(this.policy.placeBatch(List.of(runner("a", 8, 0), runner("b", 3, 2))).get().id(),
+				RunnerId.of("b"));
+	}
+
+	/**
+	 * Replays a burst step as it was recorded on the users' machines: 48 slots, 60 to 65
+	 * arrivals a second for 2.4 s on top of 17 batch items, each holding a slot for 0.7
+	 * s.
+	 */
+	@Test(dataProvider = "burstRates")
+	public void burstIsServedInTimeWhileItFitsTheSlots(int perSecond, double leastInTime) {
+		int runners = 6;
+		int[] batch = new int[runners];
+		Arrays.fill(batch, 3);
+		List<List<Long>> online = new ArrayList<>();
+		for (int i = 0; i < runners; i++) {
+			online.add(new ArrayList<>());
+		}
+		int asked = 0;
+		int inTime = 0;
+		for (long now = 0; now < 2_400; now += 1_000 / perSecond) {
+			List<Candidate> candidates = new ArrayList<>();
+			for (int i = 0; i < runners; i++) {
+				long time = now;
+				online.get(i).removeIf((end) -> end <= time);
+				candidates.add(runner(Integer.toString(i), online.get(i).size(), batch[i]));
+			}
+			asked++;
+			switch (this.policy.place(candidates, FIRST_VISIT)) {
+				case Placement.Send send -> inTime += serve(online, send.runner(), now) ? 1 : 0;
+				case Placement.SendAndPreempt send -> {
+					batch[Integer.parseInt(send.runner().id().value())]--;
+					inTime += serve(online, send.runner(), now) ? 1 : 0;
+				}
+				case Placement.Refuse refusal -> Assert.assertTrue(refusal.retryAfter().toMillis() > 0);
+			}
+		}
+		Assert.assertTrue(inTime >= leastInTime * asked, inTime + " of " + asked + " in time");
+	}
+
+	@DataProvider
+	public Object[][] burstRates() {
+		return new Object[][] { { 50, 1.0 }, { 62, 0.98 }, { 80, 0.85 } };
+	}
+
+	private static boolean serve(List<List<Long>> online, RunnerEntry runner, long now) {
+		List<Long> ends = online.get(Integer.parseInt(runner.id().value()));
+		ends.sort(null);
+		long start = (ends.size() < runner.slots()) ? now : ends.get(ends.size() - runner.slots());
+		ends.add(start + HOLD.toMillis());
+		return start - now <= 300;
+	}
+
+	private static Candidate runner(String id, int online, int batch) {
+		return runner(id, online, batch, HOLD, false, true);
+	}
+
+	private static Candidate runner(String id, int online, int batch, Duration hold, boolean avoided, boolean near) {
+		RunnerEntry entry = new RunnerEntry(RunnerId.of(id), ServiceName.of("llm"),
+				new InetSocketAddress("127.0.0.1", 1), FailureDomain.of("a"), 8, false, 0);
+		return new Candidate(entry, new LoadBoard.Load(online, batch), avoided, near, hold);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/wigeonglade/gateway/fleet/RunnerHealthTests.java
@@ -0,0 +1,36 @@
+package org.wigeonglade.gateway.fleet;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a failing runner that keeps its share of requests, and against a
+ * recovered one that never gets any.
+ */
+public class RunnerHealthTests {
+
+	private static final RunnerId RUNNER = RunnerId.of("r");
+
+	@Test
+	public void avoidanceDoublesUpToItsBound() {
+		RunnerHealth health = new RunnerHealth();
+		Assert.assertEquals(health.failed(RUNNER, 0), 500);
+		Assert.assertEquals(health.failed(RUNNER, 0), 1_000);
+		for (int i = 0; i < 40; i++) {
+			health.failed(RUNNER, 0);
+		}
+		Assert.assertEquals(health.failed(RUNNER, 0), RunnerHealth.LONGEST_AVOIDANCE_MILLIS);
+	}
+
+	@Test
+	public void avoidanceEndsByTimeAndBySuccess() {
+		RunnerHealth health = new RunnerHealth();
+		health.failed(RUNNER, 0);
+		Assert.assertTrue(health.isAvoided(RUNNER, 499));
+		Assert.assertFalse(health.isAvoided(RUNNER, 500));
+		health.failed(RUNNER, 600);
+		health.succeeded(RUNNER);
+		Assert.assertFalse(health.isAvoided(RUNNER, 601));
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/wigeonglade/gateway/job/JobLedgerTests.java
@@ -0,0 +1,140 @@
+package org.wigeonglade.gateway.job;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+import org.wigeonglade.gateway.store.KeyedRecord;
+
+/**
+ * Guards against hosts that see results at different positions, items that stand twice,
+ * and jobs that are lost when the store drops older records.
+ */
+public class JobLedgerTests {
+
+	private static final JobId JOB = JobId.of("job");
+
+	@Test
+	public void firstResultOfAnItemCounts() {
+		JobLedger ledger = new JobLedger();
+		List<KeyedRecord> stream = stream(accepted(3), result("i1", "first", "w1.1"), result("i0", "other", "w1.2"),
+				result("i1", "second", "w2.1"));
+		stream.forEach(ledger::apply);
+		Job job = ledger.find(JOB).orElseThrow();
+		Assert.assertEquals(texts(job), List.of("i1=first", "i0=other"));
+		Assert.assertFalse(job.isOpen(ItemId.of("i1")));
+		Assert.assertTrue(job.isOpen(ItemId.of("i2")));
+	}
+
+	@Test
+	public void repeatedSubmissionChangesNothing() {
+		JobLedger ledger = new JobLedger();
+		stream(accepted(2), result("i1", "x", "w1.1"), accepted(2)).forEach(ledger::apply);
+		Assert.assertEquals(ledger.find(JOB).orElseThrow().getTotal(), 2);
+		Assert.assertEquals(texts(ledger.find(JOB).orElseThrow()), List.of("i1=x"));
+	}
+
+	@Test
+	public void partOfAJobIsNoJob() {
+		JobLedger ledger = new JobLedger();
+		List<KeyedRecord> parts = JobRecords.write(job(40, 8_000));
+		Assert.assertTrue(parts.size() > 1);
+		ledger.apply(parts.get(0));
+		Assert.assertTrue(ledger.find(JOB).isEmpty());
+		parts.forEach(ledger::apply);
+		Assert.assertEquals(ledger.find(JOB).orElseThrow().getTotal(), 40);
+	}
+
+	@Test
+	public void listingAfterDroppedHistoryGivesTheSamePositions() {
+		Random random = new Random(7);
+		for (int round = 0; round < 50; round++) {
+			List<List<KeyedRecord>> groups = new ArrayList<>();
+			for (int i = 0; i < 12; i++) {
+				groups.add(result("i" + random.nextInt(6), "text" + i, "w" + random.nextInt(3) + "." + i));
+			}
+			groups.add(random.nextInt(groups.size()), accepted(6));
+			groups.add(accepted(6));
+			List<KeyedRecord> stream = new ArrayList<>();
+			groups.forEach((g) -> g.forEach((r) -> stream.add(new KeyedRecord(stream.size(), r.key(), r.value()))));
+			JobLedger following = new JobLedger();
+			stream.forEach(following::apply);
+			Map<String, KeyedRecord> newest = new HashMap<>();
+			stream.forEach((r) -> newest.put(r.key(), r));
+			List<KeyedRecord> listing = new ArrayList<>(newest.values());
+			listing.sort((a, b) -> Long.compare(a.offset(), b.offset()));
+			JobLedger listed = new JobLedger();
+			listed.reset(listing);
+			Assert.assertEquals(texts(listed.find(JOB).orElseThrow()), texts(following.find(JOB).orElseThrow()));
+			following.reset(listing);
+			Assert.assertEquals(texts(following.find(JOB).orElseThrow()), texts(listed.find(JOB).orElseThrow()));
+		}
+	}
+
+	@Test
+	public void endedJobKeepsItsResults() {
+		JobLedger ledger = new JobLedger();
+		stream(accepted(2), result("i0", "x", "w.1"), List.of(JobRecords.writeEnd(JOB))).forEach(ledger::apply);
+		Job job = ledger.find(JOB).orElseThrow();
+		Assert.assertTrue(job.isEnded() && job.isDone());
+		Assert.assertEquals(texts(job), List.of("i0=x"));
+	}
+
+	@Test
+	public void resultBeforeItsJobKeepsItsPosition() {
+		JobLedger ledger = new JobLedger();
+		stream(result("i1", "x", "w.1"), accepted(2)).forEach(ledger::apply);
+		Job job = ledger.find(JOB).orElseThrow();
+		Assert.assertEquals(texts(job), List.of("i1=x"));
+		Assert.assertFalse(job.isOpen(ItemId.of("i1")));
+	}
+
+	@Test
+	public void droppedKeysRemoveTheJob() {
+		JobLedger ledger = new JobLedger();
+		stream(accepted(2)).forEach(ledger::apply);
+		ledger.find(JOB).orElseThrow().getKeys().forEach((key) -> ledger.apply(KeyedRecord.of(key, null)));
+		Assert.assertTrue(ledger.find(JOB).isEmpty());
+	}
+
+	private static List<String> texts(Job job) {
+		return job.getResults(0)
+			.stream()
+			.map((r) -> r.item() + "=" + new String(r.output(), StandardCharsets.UTF_8))
+			.toList();
+	}
+
+	@SafeVarargs
+	private static List<KeyedRecord> stream(List<KeyedRecord>... groups) {
+		List<KeyedRecord> stream = new ArrayList<>();
+		for (List<KeyedRecord> group : groups) {
+			group.forEach((r) -> stream.add(new KeyedRecord(stream.size(), r.key(), r.value())));
+		}
+		return stream;
+	}
+
+	private static List<KeyedRecord> accepted(int items) {
+		return JobRecords.write(job(items, 10));
+	}
+
+	private static List<KeyedRecord> result(String item, String text, String attempt) {
+		ItemOutcome outcome = new ItemOutcome(ItemId.of(item), true, text.getBytes(StandardCharsets.UTF_8));
+		return Collections.singletonList(JobRecords.write(JOB, outcome, "", attempt));
+	}
+
+	private static SubmittedJob job(int items, int bodyBytes) {
+		List<SubmittedItem> submitted = new ArrayList<>();
+		for (int i = 0; i < items; i++) {
+			submitted.add(new SubmittedItem(ItemId.of("i" + i), "/p/" + i, List.of(Map.entry("A", "b")),
+					new byte[bodyBytes], 10));
+		}
+		return new SubmittedJob(JOB, "example", "/p/", 1_000, submitted);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/wigeonglade/gateway/peer/PeerTableTests.java
@@ -0,0 +1,68 @@
+package org.wigeonglade.gateway.peer;
+
+import java.net.InetSocketAddress;
+
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.wigeonglade.core.id.FailureDomain;
+import org.wigeonglade.core.id.HostId;
+
+/**
+ * Guards against items that fall to a host that is silent, stopping, or cut off from the
+ * store.
+ */
+public class PeerTableTests {
+
+	private static final HostId HOST = HostId.of("h");
+
+	private PeerTable table;
+
+	@BeforeMethod
+	public void registerHost() {
+		this.table = new PeerTable();
+		register(10);
+	}
+
+	@Test
+	public void registeredHostIsNotAliveBeforeItIsHeard() {
+		Assert.assertFalse(peer().isAlive());
+		this.table.heard(HOST, 10, false, true, 0);
+		Assert.assertTrue(peer().isEligible());
+	}
+
+	@Test
+	public void stoppingOrStaleHostRunsNoItems() {
+		this.table.heard(HOST, 10, true, true, 0);
+		Assert.assertFalse(peer().isEligible());
+		this.table.heard(HOST, 10, false, false, 0);
+		Assert.assertFalse(peer().isEligible());
+		Assert.assertTrue(peer().isAlive());
+	}
+
+	@Test
+	public void silentHostIsLostOnceAndTheVersionTellsIt() {
+		this.table.heard(HOST, 10, false, true, 0);
+		long version = this.table.getVersion();
+		Assert.assertTrue(this.table.expire(PeerTable.LIVENESS_MILLIS).isEmpty());
+		Assert.assertEquals(this.table.expire(PeerTable.LIVENESS_MILLIS + 1).size(), 1);
+		Assert.assertTrue(this.table.expire(PeerTable.LIVENESS_MILLIS + 2).isEmpty());
+		Assert.assertNotEquals(this.table.getVersion(), version);
+	}
+
+	@Test
+	public void datagramOfAnEarlierStartIsIgnored() {
+		register(20);
+		this.table.heard(HOST, 10, false, true, 0);
+		Assert.assertFalse(peer().isAlive());
+	}
+
+	private void register(long incarnation) {
+		this.table.register(HOST, new InetSocketAddress("127.0.0.1", 1), FailureDomain.of("a"), incarnation);
+	}
+
+	private PeerTable.Peer peer() {
+		return this.table.find(HOST).orElseThrow();
+	}
+
+}
