--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -253,6 +253,9 @@
 	 * Ends at once, as a killed process does; for tests.
 	 */
 	public void kill() {
+		if (this.group.isShuttingDown()) {
+			return;
+		}
 		this.loop.submit(this::close).syncUninterruptibly();
 		this.group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).syncUninterruptibly();
 	}
@@ -273,6 +276,16 @@
 		return this.ready;
 	}
 
+	/**
+	 * Returns the number of other hosts that this one can share items with.
+	 * @return the number
+	 */
+	public int getEligiblePeers() {
+		return this.loop.submit(() -> (int) this.peers.getPeers().stream().filter(PeerTable.Peer::isEligible).count())
+			.syncUninterruptibly()
+			.getNow();
+	}
+
 	private void close() {
 		this.configurationFollower.stop();
 		this.runnerFollower.stop();
--- /dev/null
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineStoreStandIn.java
@@ -0,0 +1,256 @@
+package org.wigeonglade.standins.machines;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import org.wigeonglade.standins.StandInServer;
+
+/**
+ * The platform's store: keyed topics with appends, reads that wait, and listings of the
+ * newest records. Its behaviour can be switched to that of an outage. Thread-safe.
+ */
+public final class MachineStoreStandIn {
+
+	/** Topic of the operator's configuration. */
+	public static final String CONFIGURATION_TOPIC = "keyed.op";
+
+	/** Topic of the registrations of runners. */
+	public static final String RUNNER_TOPIC = "keyed.servers";
+
+	/** Time in milliseconds between looks for new records while a read waits. */
+	private static final long POLL_MILLIS = 5;
+
+	private final StandInServer server;
+
+	private final Map<String, Topic> topics = new TreeMap<>();
+
+	private volatile Mode mode = Mode.SERVING;
+
+	private MachineStoreStandIn(StandInServer server) {
+		this.server = server;
+	}
+
+	/**
+	 * Starts a store.
+	 * @param vertx the event loops to share, or null to create own ones
+	 * @param port the port, 0 for a free one
+	 * @return the started stand-in, never null
+	 */
+	public static MachineStoreStandIn start(Vertx vertx, int port) {
+		MachineStoreStandIn store = new MachineStoreStandIn(StandInServer.create(vertx, port));
+		Router router = Router.router(store.server.getVertx());
+		router.route().handler(BodyHandler.create(false));
+		router.route().handler(store::gate);
+		router.post("/api/log-append").handler(store::append);
+		router.get("/api/log-read").handler(store::read);
+		router.get("/api/log-newest").handler(store::newest);
+		store.server.start(router);
+		return store;
+	}
+
+	/**
+	 * Returns the port.
+	 * @return the port of the listener
+	 */
+	public int getPort() {
+		return this.server.getPort();
+	}
+
+	/**
+	 * Returns the event loops.
+	 * @return the event loops, never null
+	 */
+	public Vertx getVertx() {
+		return this.server.getVertx();
+	}
+
+	/**
+	 * Changes how calls are answered.
+	 * @param next the behaviour, not null
+	 */
+	public void setMode(Mode next) {
+		this.mode = next;
+	}
+
+	/**
+	 * Writes a record as the operator or a runner does.
+	 * @param topic the topic, not null
+	 * @param key the key, not null
+	 * @param value the value, or null to drop the key
+	 */
+	public synchronized void put(String topic, String key, byte[] value) {
+		topic(topic).add(key, value);
+	}
+
+	/**
+	 * Drops the records of a topic; the newest record of each key stays listed.
+	 * @param topic the topic, not null
+	 */
+	public synchronized void forgetHistory(String topic) {
+		topic(topic).forget();
+	}
+
+	/**
+	 * Stops the store.
+	 */
+	public void stop() {
+		this.server.stop();
+	}
+
+	private void gate(RoutingContext context) {
+		switch (this.mode) {
+			case SERVING -> context.next();
+			case REFUSING -> context.response().setStatusCode(503).end();
+			case SILENT -> {
+				// The call gets no answer, as behind a cut.
+			}
+			case LOSING_ANSWERS -> {
+				if (context.request().path().equals("/api/log-append")) {
+					add(context);
+					context.request().connection().close();
+				}
+				else {
+					context.next();
+				}
+			}
+		}
+	}
+
+	private void append(RoutingContext context) {
+		long offset = add(context);
+		context.response().end(new JsonObject().put("offset", offset).toBuffer());
+	}
+
+	private synchronized long add(RoutingContext context) {
+		Topic topic = topic(context.request().getParam("topic"));
+		long first = topic.end();
+		ByteBuffer body = ByteBuffer.wrap(context.body().buffer().getBytes());
+		while (body.hasRemaining()) {
+			byte[] record = new byte[body.getInt()];
+			body.get(record);
+			int keyLength = record[0] & 0xff;
+			String key = new String(record, 1, keyLength, StandardCharsets.UTF_8);
+			byte[] value = java.util.Arrays.copyOfRange(record, 1 + keyLength, record.length);
+			topic.add(key, (value.length > 0) ? value : null);
+		}
+		return first;
+	}
+
+	private void read(RoutingContext context) {
+		long deadline = System.nanoTime() + Long.parseLong(context.request().getParam("wait-ms", "0")) * 1_000_000;
+		readWhenPresent(context, Long.parseLong(context.request().getParam("from")), deadline);
+	}
+
+	private void readWhenPresent(RoutingContext context, long from, long deadline) {
+		synchronized (this) {
+			Topic topic = topic(context.request().getParam("topic"));
+			if (from < topic.first) {
+				context.response().setStatusCode(410).end(new JsonObject().put("first", topic.first).toBuffer());
+				return;
+			}
+			if (from < topic.end() || System.nanoTime() >= deadline) {
+				context.response().end(topic.slice(from));
+				return;
+			}
+		}
+		this.server.getVertx().setTimer(POLL_MILLIS, (t) -> readWhenPresent(context, from, deadline));
+	}
+
+	private synchronized void newest(RoutingContext context) {
+		Topic topic = topic(context.request().getParam("topic"));
+		JsonArray items = new JsonArray();
+		topic.newest.forEach((key,
+				record) -> items.add(new JsonObject().put("key", key)
+					.put("value", Base64.getEncoder().encodeToString(record.value))
+					.put("offset", record.offset)));
+		context.response()
+			.end(new JsonObject().put("items", items).put("truncated", false).put("end", topic.end()).toBuffer());
+	}
+
+	private Topic topic(String name) {
+		return this.topics.computeIfAbsent(name, (n) -> new Topic());
+	}
+
+	/**
+	 * How calls are answered.
+	 */
+	public enum Mode {
+
+		/** Every call is served. */
+		SERVING,
+
+		/** Every call is refused with nothing done. */
+		REFUSING,
+
+		/** No call is answered or done. */
+		SILENT,
+
+		/** Appends are done, and their connections are closed without an answer. */
+		LOSING_ANSWERS
+
+	}
+
+	private static final class Topic {
+
+		private final List<Stored> records = new ArrayList<>();
+
+		private final Map<String, Stored> newest = new TreeMap<>();
+
+		private long first;
+
+		private void add(String key, byte[] value) {
+			Stored stored = new Stored(end(), key, value);
+			this.records.add(stored);
+			if (value != null) {
+				this.newest.put(key, stored);
+			}
+			else {
+				this.newest.remove(key);
+			}
+		}
+
+		private long end() {
+			return this.first + this.records.size();
+		}
+
+		private void forget() {
+			this.first = end();
+			this.records.clear();
+		}
+
+		private Buffer slice(long from) {
+			ByteArrayOutputStream body = new ByteArrayOutputStream();
+			body.writeBytes(ByteBuffer.allocate(16).putLong(end()).putLong(this.first).array());
+			for (Stored record : this.records.subList((int) (from - this.first), this.records.size())) {
+				byte[] key = record.key.getBytes(StandardCharsets.UTF_8);
+				int valueLength = (record.value != null) ? record.value.length : 0;
+				body.writeBytes(
+						ByteBuffer.allocate(5).putInt(1 + key.length + valueLength).put((byte) key.length).array());
+				body.writeBytes(key);
+				if (record.value != null) {
+					body.writeBytes(record.value);
+				}
+			}
+			return Buffer.buffer(body.toByteArray());
+		}
+
+	}
+
+	private record Stored(long offset, String key, byte[] value) {
+
+	}
+
+}
