Divide idle slots among hosts in turns and clear items out of queues

An online request that preempted one item then waited behind the others. Ruled out: a wrong mean hold (627 ms learned, about 700 true).

--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/Candidate.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/Candidate.java
@@ -30,6 +30,15 @@
 		return this.load.online() - this.entry.slots();
 	}
 
+	/**
+	 * Returns how many batch items must give their slots back so that a further online
+	 * request need not queue behind any.
+	 * @return the number, at least 0
+	 */
+	public int getNeededPreemptions() {
+		return Math.max(0, Math.min(this.load.batch(), 1 - getFreeSlots()));
+	}
+
 	/**
 	 * Returns the expected time in the queue of the runner if its slots are all taken by
 	 * online requests.
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/LoadBoard.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/LoadBoard.java
@@ -90,6 +90,15 @@
 		return this.own.getOrDefault(runner, Load.NONE).plus(this.others.getOrDefault(runner, Load.NONE));
 	}
 
+	/**
+	 * Returns the age of the oldest report that counts.
+	 * @param nowMillis the monotonic time in milliseconds
+	 * @return the age in milliseconds, 0 if there is no report
+	 */
+	public long getOldestReportAge(long nowMillis) {
+		return this.reports.values().stream().mapToLong((r) -> nowMillis - r.receivedMillis).max().orElse(0);
+	}
+
 	/**
 	 * Returns the host with the most batch items on a runner, other than this one.
 	 * @param runner the runner, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/Placement.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/Placement.java
@@ -12,17 +12,9 @@
 	 *
 	 * @param runner the runner, not null
 	 * @param expectedWait the expected time in the runner's queue, not null
+	 * @param preemptions the number of batch items that give the runner's slots back
 	 */
-	record Send(RunnerEntry runner, Duration expectedWait) implements Placement {
-
-	}
-
-	/**
-	 * Send the request now and have one batch item of the runner give its slot back.
-	 *
-	 * @param runner the runner, not null
-	 */
-	record SendAndPreempt(RunnerEntry runner) implements Placement {
+	record Send(RunnerEntry runner, Duration expectedWait, int preemptions) implements Placement {
 
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -64,11 +65,11 @@
 		}
 		Candidate emptiest = best(usable, Comparator.comparingInt(Candidate::getFreeSlots).reversed());
 		if (emptiest.getFreeSlots() > 0) {
-			return new Placement.Send(emptiest.entry(), Duration.ZERO);
+			return new Placement.Send(emptiest.entry(), Duration.ZERO, 0);
 		}
 		Candidate leastOnline = best(usable, Comparator.comparingInt(Candidate::getOnlineExcess));
 		if (leastOnline.getOnlineExcess() < 0) {
-			return new Placement.SendAndPreempt(leastOnline.entry());
+			return new Placement.Send(leastOnline.entry(), Duration.ZERO, leastOnline.getNeededPreemptions());
 		}
 		return queueOrRefuse(best(usable, Comparator.comparingDouble(Candidate::getQueueMillis)), demand);
 	}
@@ -76,14 +77,16 @@
 	/**
 	 * Places a batch item on an idle slot.
 	 * @param candidates the usable runners of the service, not null
-	 * @return the runner, empty if no slot is idle
+	 * @param slotTaker takes an idle slot of a runner if it falls to this host, not null
+	 * @return the runner, empty if no slot is idle or none falls to this host
 	 */
-	public Optional<RunnerEntry> placeBatch(List<Candidate> candidates) {
-		List<Candidate> idle = candidates.stream().filter((c) -> !c.avoided() && c.getFreeSlots() > 0).toList();
-		if (idle.isEmpty()) {
-			return Optional.empty();
-		}
-		return Optional.of(best(idle, Comparator.comparingInt(Candidate::getFreeSlots).reversed()).entry());
+	public Optional<RunnerEntry> placeBatch(List<Candidate> candidates, Predicate<Candidate> slotTaker) {
+		return candidates.stream()
+			.filter((c) -> !c.avoided() && c.getFreeSlots() > 0)
+			.sorted(Comparator.comparingInt(Candidate::getFreeSlots).reversed())
+			.filter(slotTaker)
+			.findFirst()
+			.map(Candidate::entry);
 	}
 
 	private Placement queueOrRefuse(Candidate shortest, Demand demand) {
@@ -93,7 +96,7 @@
 		boolean inDeadline = waitMillis + shortest.meanHold().toMillis() <= demand.untilDeadline().toMillis()
 				&& ahead <= LONGEST_QUEUE_PER_SLOT * shortest.entry().slots();
 		if (inTime || (!demand.refusable() && inDeadline)) {
-			return new Placement.Send(shortest.entry(), Duration.ofMillis(waitMillis));
+			return new Placement.Send(shortest.entry(), Duration.ofMillis(waitMillis), shortest.getNeededPreemptions());
 		}
 		return new Placement.Refuse(Placement.Cause.OVERLOADED, retryAfter(Duration.ofMillis(waitMillis)));
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -186,10 +187,10 @@
 				this.beliefs.ownListener((job) -> jobChanged(job)));
 		this.exchange = new PeerExchange(this.self, this.loop, ticker, this.fleet.getBoard(), this.peers,
 				new PeerListener());
-		this.exchange.describe(() -> this.stopping, this::isJobsCurrent);
 		this.fleet.onLoadChanged(this.exchange::changed);
 		this.items = ItemScheduler.of(settings.host(), this.self.getIncarnation(), this.ledger, this.peers, this.fleet,
 				policy, this.loop, ticker, this.log);
+		this.exchange.describe(() -> this.stopping, this::isJobsCurrent, this.items::getWaitingCount);
 		this.jobs = new JobService(this.ledger, this.ownFollower, this.log, adapters.getCallerProtocol(), this.loop,
 				ticker);
 		this.online = new OnlineContext(this.loop, ticker, this.fleet, policy, adapters.getCallerProtocol(),
@@ -451,16 +452,21 @@
 	private final class SlotPreemptor implements OnlineContext.Preemptor {
 
 		@Override
-		public String preempt(RunnerEntry runner) {
-			if (GatewayHost.this.items.preempt(runner.id(), 1) > 0) {
-				return GatewayHost.this.settings.host().value();
+		public String preempt(RunnerEntry runner, int slots) {
+			List<String> asked = new ArrayList<>();
+			int own = GatewayHost.this.items.preempt(runner.id(), slots);
+			if (own > 0) {
+				asked.add(GatewayHost.this.settings.host().value());
 			}
-			HostId holder = GatewayHost.this.fleet.getBoard().getBatchHolder(runner.id());
-			if (holder == null) {
-				return null;
+			for (int i = own; i < slots; i++) {
+				HostId holder = GatewayHost.this.fleet.getBoard().getBatchHolder(runner.id());
+				if (holder == null) {
+					break;
+				}
+				GatewayHost.this.exchange.requestPreemption(holder, runner.id());
+				asked.add(holder.value());
 			}
-			GatewayHost.this.exchange.requestPreemption(holder, runner.id());
-			return holder.value();
+			return String.join(" ", asked);
 		}
 
 		@Override
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.netty.channel.EventLoop;
 import org.wigeonglade.core.event.EventLogger;
@@ -14,6 +16,8 @@
 import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.member.Rendezvous;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.fleet.BatchTurns;
+import org.wigeonglade.gateway.fleet.Candidate;
 import org.wigeonglade.gateway.fleet.PlacementPolicy;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
@@ -39,10 +43,13 @@
 	private static final long RETRY_DELAY_MILLIS = 300;
 
 	/**
-	 * Items started in one step, so that the other hosts see each other's choices before
-	 * the next step.
+	 * Shortest length of a turn in milliseconds: what was started in one turn must be
+	 * known to the other hosts in the next.
 	 */
-	private static final int STARTS_PER_STEP = 2;
+	private static final long SHORTEST_TURN_MILLIS = 40;
+
+	/** Length of a turn for each live host in milliseconds, as reports take longer. */
+	private static final long TURN_MILLIS_PER_HOST = 1;
 
 	/**
 	 * Time in milliseconds for which no item starts on a runner that gave a slot back for
@@ -72,6 +79,8 @@
 
 	private final String writerKey;
 
+	private final BatchTurns turns;
+
 	private final Map<ItemKey, ItemRun> runs = new HashMap<>();
 
 	private final Map<ItemKey, ItemOutcome> unwritten = new HashMap<>();
@@ -88,6 +97,8 @@
 
 	private boolean eligible;
 
+	private int waitingCount;
+
 	private ItemScheduler(HostId self, long incarnation, JobLedger ledger, PeerTable peers, Fleet fleet,
 			PlacementPolicy policy, EventLoop loop, Ticker ticker, KeyedLog log) {
 		this.self = self;
@@ -99,6 +110,7 @@
 		this.ticker = ticker;
 		this.writer = new RecordWriter(log, loop, ticker);
 		this.writerKey = self + "." + incarnation;
+		this.turns = new BatchTurns(self);
 	}
 
 	/**
@@ -132,15 +144,20 @@
 		if (this.stopping || this.fleet.getTable() == null) {
 			return;
 		}
-		int started = 0;
-		for (Work work : waiting()) {
-			if (started >= STARTS_PER_STEP) {
-				return;
-			}
-			if (start(work)) {
-				started++;
-			}
+		List<Work> waiting = waiting();
+		int left = waiting.size();
+		for (Work work : waiting) {
+			left -= start(work) ? 1 : 0;
 		}
+		this.waitingCount = left;
+	}
+
+	/**
+	 * Returns the number of items that wait for a slot.
+	 * @return the number at the last step
+	 */
+	public int getWaitingCount() {
+		return this.waitingCount;
 	}
 
 	/**
@@ -248,8 +265,8 @@
 		ServiceName service = route.chooseService(work.item.id().value());
 		long now = this.ticker.millis();
 		this.pausedUntil.values().removeIf((until) -> until <= now);
-		Optional<RunnerEntry> runner = this.policy
-			.placeBatch(this.fleet.candidates(service, this.pausedUntil.keySet()));
+		Optional<RunnerEntry> runner = this.policy.placeBatch(this.fleet.candidates(service, this.pausedUntil.keySet()),
+				this::takeSlot);
 		if (runner.isEmpty()) {
 			return false;
 		}
@@ -262,6 +279,17 @@
 		return true;
 	}
 
+	private boolean takeSlot(Candidate candidate) {
+		Set<HostId> contenders = new HashSet<>(Set.of(this.self));
+		this.peers.getPeers()
+			.stream()
+			.filter(PeerTable.Peer::isContender)
+			.forEach((peer) -> contenders.add(peer.getHost()));
+		long length = Math.max(SHORTEST_TURN_MILLIS, TURN_MILLIS_PER_HOST * this.peers.getLiveCount());
+		return this.turns.tryTake(candidate.entry().id(), candidate.getFreeSlots(), this.ticker.wallMillis() / length,
+				contenders);
+	}
+
 	private void release() {
 		long now = this.ticker.millis();
 		this.unwritten.keySet()
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -32,12 +32,8 @@
 	LINES_DROPPED(1507, Level.WARNING, "log lines were left out", "event", "count"),
 
 	/** A request was placed on a runner. */
-	PLACED(2501, Level.INFO, "request placed", "request_id", "route", "service", "runner", "attempt", "occupancy",
-			"slots", "expected_wait_ms", "load_age_ms", "config_version"),
-
-	/** A request was placed and a batch slot is given back for it. */
-	PLACED_BY_PREEMPTION(2502, Level.INFO, "request placed; a batch item gives its slot back", "request_id", "route",
-			"service", "runner", "attempt", "batch", "slots", "victim_host", "load_age_ms", "config_version"),
+	PLACED(2501, Level.INFO, "request placed", "request_id", "route", "service", "runner", "attempt", "online", "batch",
+			"slots", "expected_wait_ms", "preempted_hosts", "load_age_ms", "config_version"),
 
 	/** A request was refused and has not run. */
 	REFUSED(2503, Level.WARNING, "request refused; it has not run", "request_id", "route", "cause", "status", "runners",
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
@@ -28,12 +28,12 @@
 	public interface Preemptor {
 
 		/**
-		 * Has one batch item of a runner give its slot back, wherever it runs.
+		 * Has batch items of a runner give their slots back, wherever they run.
 		 * @param runner the runner, not null
-		 * @return the host that was asked, for the log, or null if none runs an item
-		 * there
+		 * @param slots the number of items
+		 * @return the hosts that were asked, for the log
 		 */
-		String preempt(RunnerEntry runner);
+		String preempt(RunnerEntry runner, int slots);
 
 		/**
 		 * Tells the other hosts that a runner was lost with a request in progress.
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -174,17 +174,9 @@
 				this.firstVisit && this.rule.isNotRun() && !this.exchange.isHeadWritten());
 		switch (this.context.policy().place(candidates, demand)) {
 			case Placement.Send send -> {
-				logPlaced(send.runner(), send.expectedWait().toMillis());
+				logPlaced(send);
 				send(send.runner(), send.expectedWait().toMillis());
 			}
-			case Placement.SendAndPreempt send -> {
-				LoadBoard.Load load = this.context.fleet().getBoard().getLoad(send.runner().id());
-				String victim = this.context.preemptor().preempt(send.runner());
-				LOG.log(GatewayEvent.PLACED_BY_PREEMPTION, this.id, this.route.getName(), this.service,
-						send.runner().id(), this.rule.getAttempts() + 1, load.batch(), send.runner().slots(), victim,
-						null, configVersion());
-				send(send.runner(), 0);
-			}
 			case Placement.Refuse refusal -> refuse(refusal, candidates);
 		}
 	}
@@ -317,10 +309,15 @@
 		finish();
 	}
 
-	private void logPlaced(RunnerEntry runner, long waitMillis) {
-		LoadBoard.Load load = this.context.fleet().getBoard().getLoad(runner.id());
-		LOG.log(GatewayEvent.PLACED, this.id, this.route.getName(), this.service, runner.id(),
-				this.rule.getAttempts() + 1, load.getTotal(), runner.slots(), waitMillis, null, configVersion());
+	private void logPlaced(Placement.Send send) {
+		RunnerId runner = send.runner().id();
+		LoadBoard.Load load = this.context.fleet().getBoard().getLoad(runner);
+		long reportAge = this.context.fleet().getBoard().getOldestReportAge(this.context.ticker().millis());
+		String victims = (send.preemptions() > 0) ? this.context.preemptor().preempt(send.runner(), send.preemptions())
+				: null;
+		LOG.log(GatewayEvent.PLACED, this.id, this.route.getName(), this.service, runner, this.rule.getAttempts() + 1,
+				load.online(), load.batch(), send.runner().slots(), send.expectedWait().toMillis(), victims, reportAge,
+				configVersion());
 	}
 
 	private long configVersion() {
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerExchange.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
@@ -76,6 +77,8 @@
 
 	private BooleanSupplier jobsCurrent = () -> false;
 
+	private IntSupplier waitingItems = () -> 0;
+
 	/**
 	 * Creates an exchange without a socket.
 	 * @param self this host, not null
@@ -99,10 +102,12 @@
 	 * Sets what this host says of itself.
 	 * @param isLeaving tells whether it is stopping, not null
 	 * @param isJobsCurrent tells whether it knows the present state of jobs, not null
+	 * @param waiting tells how many items wait for a slot, not null
 	 */
-	public void describe(BooleanSupplier isLeaving, BooleanSupplier isJobsCurrent) {
+	public void describe(BooleanSupplier isLeaving, BooleanSupplier isJobsCurrent, IntSupplier waiting) {
 		this.leaving = isLeaving;
 		this.jobsCurrent = isJobsCurrent;
+		this.waitingItems = waiting;
 	}
 
 	/**
@@ -184,7 +189,8 @@
 			.setSender(this.self)
 			.setSequence(++this.sequence)
 			.setLeaving(this.leaving.getAsBoolean())
-			.setJobsCurrent(this.jobsCurrent.getAsBoolean());
+			.setJobsCurrent(this.jobsCurrent.getAsBoolean())
+			.setWaitingItems(this.waitingItems.getAsInt());
 		this.board.getOwn()
 			.forEach((runner, load) -> builder.addLoads(
 					RunnerLoad.newBuilder().setRunner(runner.value()).setOnline(load.online()).setBatch(load.batch())));
@@ -228,6 +234,7 @@
 		if (this.table.heard(host, sender.getIncarnation(), datagram.getLeaving(), datagram.getJobsCurrent(), now)) {
 			LOG.log(GatewayEvent.HOST_SEEN, host, sender.getIncarnation(), sender.getDomain());
 		}
+		this.table.find(host).ifPresent((peer) -> peer.setWaitingItems(datagram.getWaitingItems()));
 		Map<RunnerId, LoadBoard.Load> loads = new HashMap<>();
 		datagram.getLoadsList()
 			.forEach((l) -> loads.put(RunnerId.of(l.getRunner()), new LoadBoard.Load(l.getOnline(), l.getBatch())));
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
@@ -144,6 +144,8 @@
 
 		private boolean jobsCurrent;
 
+		private int waitingItems;
+
 		private long lastHeardMillis;
 
 		private Peer(HostId host, InetSocketAddress address, FailureDomain domain, long incarnation) {
@@ -201,6 +203,18 @@
 			return this.alive && !this.leaving && this.jobsCurrent;
 		}
 
+		/**
+		 * Returns whether the host has items that wait for a slot.
+		 * @return true if it is alive and has any
+		 */
+		public boolean isContender() {
+			return this.alive && this.waitingItems > 0;
+		}
+
+		void setWaitingItems(int count) {
+			this.waitingItems = count;
+		}
+
 		/**
 		 * Returns for how long the host has been silent.
 		 * @param nowMillis the monotonic time in milliseconds
