--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -54,8 +54,12 @@
 
 	private RunnerCall call;
 
+	private Receiver receiver;
+
 	private long notBeforeMillis;
 
+	private long runMillis;
+
 	ItemRun(Job job, SubmittedItem item, Listener listener) {
 		this.job = job;
 		this.item = item;
@@ -90,6 +94,10 @@
 		return this.failures;
 	}
 
+	long getRunMillis() {
+		return this.runMillis;
+	}
+
 	int getAttempts() {
 		return this.attempts;
 	}
@@ -119,16 +127,18 @@
 		headers.set(HttpHeaderNames.HOST, this.job.getHostName());
 		RunnerRequest request = new RunnerRequest(this.item.id().value(), HttpMethod.POST, this.item.path(), headers,
 				this.item.body(), remaining, this.lastEvent, true);
-		Receiver receiver = new Receiver(loop, ticker, runner);
-		RunnerCall started = RunnerCall.start(fleet, runner, request, receiver);
-		if (!receiver.over) {
+		Receiver current = new Receiver(loop, ticker, runner);
+		this.receiver = current;
+		RunnerCall started = RunnerCall.start(fleet, runner, request, current);
+		if (!current.over) {
 			this.call = started;
-			receiver.watch();
+			current.watch();
 		}
 	}
 
 	void cancel() {
 		if (this.call != null) {
+			this.receiver.countTime();
 			this.call.cancel();
 			this.call = null;
 		}
@@ -159,6 +169,8 @@
 
 		private RunnerAnswer answer;
 
+		private final long startedMillis;
+
 		private long progressMillis;
 
 		private boolean over;
@@ -169,7 +181,12 @@
 			this.loop = loop;
 			this.ticker = ticker;
 			this.runner = runner;
-			this.progressMillis = ticker.millis();
+			this.startedMillis = ticker.millis();
+			this.progressMillis = this.startedMillis;
+		}
+
+		private void countTime() {
+			ItemRun.this.runMillis += this.ticker.millis() - this.startedMillis;
 		}
 
 		@Override
@@ -237,6 +254,7 @@
 		}
 
 		private void finish() {
+			countTime();
 			this.over = true;
 			ItemRun.this.call = null;
 			if (this.timer != null) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -81,6 +81,8 @@
 
 	private final BatchTurns turns;
 
+	private final ItemOrder order = new ItemOrder();
+
 	private final Map<ItemKey, ItemRun> runs = new HashMap<>();
 
 	private final Map<ItemKey, ItemOutcome> unwritten = new HashMap<>();
@@ -170,9 +172,7 @@
 		List<ItemRun> victims = this.runs.values()
 			.stream()
 			.filter((run) -> run.isRunning() && run.getRunner().id().equals(runner))
-			.sorted(Comparator.comparingLong((ItemRun run) -> run.getJob().getSubmittedAtMillis())
-				.reversed()
-				.thenComparingInt(ItemRun::getEvents))
+			.sorted(Comparator.comparing(this::entryOf, this.order.startOrder(this.ticker.wallMillis()).reversed()))
 			.limit(slots)
 			.toList();
 		for (ItemRun victim : victims) {
@@ -218,6 +218,9 @@
 	@Override
 	public void completed(ItemRun run, RunnerEntry runner) {
 		this.fleet.getHealth().succeeded(runner.id());
+		if (run.getEvents() > 0) {
+			this.order.learn(run.getEvents(), run.getRunMillis());
+		}
 		finish(run, new ItemOutcome(run.getItem().id(), true, run.getOutput()), "", runner);
 	}
 
@@ -273,7 +276,7 @@
 		ItemRun run = this.runs.computeIfAbsent(work.key, (k) -> new ItemRun(work.job, work.item, this));
 		Duration remaining = route.getRetention().isZero() ? DEFAULT_RUN_LIMIT : route.getRetention().minus(age);
 		LOG.log(GatewayEvent.ITEM_STARTED, work.job.getId(), work.item.id(), runner.get().id(), lastEvent(run),
-				run.getAttempts() + 1, work.dueMillis - wallMillis,
+				run.getAttempts() + 1, work.entry.dueMillis() - wallMillis,
 				this.fleet.getBoard().getLoad(runner.get().id()).getTotal());
 		run.start(this.fleet, this.loop, this.ticker, runner.get(), remaining);
 		return true;
@@ -338,11 +341,12 @@
 				ItemRun run = this.runs.get(key);
 				if (run == null || (!run.isRunning() && !run.isDelayed(now))) {
 					long due = job.getSubmittedAtMillis() + route.get().getCompletionTarget().toMillis();
-					waiting.add(new Work(key, job, item, route.get(), due));
+					waiting.add(new Work(key, job, item, route.get(),
+							new ItemOrder.Entry(due, (run != null) ? run.getEvents() : 0)));
 				}
 			}
 		}
-		waiting.sort(Comparator.comparingLong(Work::dueMillis));
+		waiting.sort(Comparator.comparing(Work::entry, this.order.startOrder(this.ticker.wallMillis())));
 		return waiting;
 	}
 
@@ -385,6 +389,11 @@
 				? JobRecords.write(job, outcome, reason, this.writerKey + "." + ++this.attempts) : null);
 	}
 
+	private ItemOrder.Entry entryOf(ItemRun run) {
+		long target = routeOf(run.getJob()).map((r) -> r.getCompletionTarget().toMillis()).orElse(0L);
+		return new ItemOrder.Entry(run.getJob().getSubmittedAtMillis() + target, run.getEvents());
+	}
+
 	private static Long lastEvent(ItemRun run) {
 		return run.getLastEvent().isPresent() ? run.getLastEvent().getAsLong() : null;
 	}
@@ -393,7 +402,7 @@
 
 	}
 
-	private record Work(ItemKey key, Job job, SubmittedItem item, Route route, long dueMillis) {
+	private record Work(ItemKey key, Job job, SubmittedItem item, Route route, ItemOrder.Entry entry) {
 
 	}
 
