--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -81,6 +81,12 @@
 	/** Time between checks of what has grown old, in milliseconds. */
 	private static final long MAINTENANCE_MILLIS = 250;
 
+	/**
+	 * Time in milliseconds after the first listing of jobs until items start here: hosts
+	 * that were started together must have heard each other, or each would run all items.
+	 */
+	private static final long SETTLING_MILLIS = 1_200;
+
 	/**
 	 * Age in milliseconds up to which the state of jobs is recent enough to run items.
 	 */
@@ -150,6 +156,8 @@
 
 	private boolean registered;
 
+	private long settledMillis = -1;
+
 	private long stopMillis;
 
 	/**
@@ -177,6 +185,7 @@
 		this.fleet = new Fleet(new RunnerPool(connector, ticker), adapters.getRunnerProtocol(), settings.domain(),
 				ticker);
 		this.fleet.setLiveHosts(() -> this.peers.getLiveCount() + 1);
+		this.fleet.setDomainSilent((domain) -> this.peers.isDomainSilent(domain, ticker.millis()));
 		PlacementPolicy policy = new PlacementPolicy(random);
 		this.beliefs = new Beliefs(adapters, this.fleet, this.ledger, this.peers, ticker, this.self);
 		this.configurationFollower = new StreamFollower(this.log, KeyedStream.CONFIGURATION, CONFIGURATION_PACE,
@@ -216,8 +225,8 @@
 			register();
 			this.loop.scheduleWithFixedDelay(guarded(this::maintain), MAINTENANCE_MILLIS, MAINTENANCE_MILLIS,
 					TimeUnit.MILLISECONDS);
-			this.loop.scheduleWithFixedDelay(guarded(() -> this.items.step(isJobsCurrent())), ITEM_STEP_MILLIS,
-					ITEM_STEP_MILLIS, TimeUnit.MILLISECONDS);
+			this.loop.scheduleWithFixedDelay(guarded(() -> this.items.step(isSettled(), isJobsCurrent())),
+					ITEM_STEP_MILLIS, ITEM_STEP_MILLIS, TimeUnit.MILLISECONDS);
 		}).syncUninterruptibly();
 		LOG.log(GatewayEvent.STARTED, this.settings.host(), this.settings.domain(), this.self.getIncarnation(),
 				this.ticker.millis() - startMillis);
@@ -359,8 +368,15 @@
 		}
 	}
 
+	private boolean isSettled() {
+		if (this.settledMillis < 0 && this.ownFollower.isListed()) {
+			this.settledMillis = this.ticker.millis() + SETTLING_MILLIS;
+		}
+		return this.settledMillis >= 0 && this.ticker.millis() >= this.settledMillis;
+	}
+
 	private boolean isJobsCurrent() {
-		return this.registered && this.ownFollower.getAgeMillis() <= JOBS_CURRENT_MILLIS;
+		return this.registered && isSettled() && this.ownFollower.getAgeMillis() <= JOBS_CURRENT_MILLIS;
 	}
 
 	private CallerLimits callerLimits() {
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -14,7 +14,6 @@
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.ServiceName;
-import org.wigeonglade.core.member.Rendezvous;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.BatchTurns;
 import org.wigeonglade.gateway.fleet.Candidate;
@@ -89,16 +88,12 @@
 
 	private final Map<RunnerId, Long> pausedUntil = new HashMap<>();
 
-	private final Map<ItemKey, HostId> owners = new HashMap<>();
-
-	private long ownersVersion = -1;
+	private final ItemOwnership ownership;
 
 	private long attempts;
 
 	private boolean stopping;
 
-	private boolean eligible;
-
 	private int waitingCount;
 
 	private ItemScheduler(HostId self, long incarnation, JobLedger ledger, PeerTable peers, Fleet fleet,
@@ -113,6 +108,7 @@
 		this.writer = new RecordWriter(log, loop, ticker);
 		this.writerKey = self + "." + incarnation;
 		this.turns = new BatchTurns(self);
+		this.ownership = new ItemOwnership(self, peers);
 	}
 
 	/**
@@ -135,15 +131,13 @@
 
 	/**
 	 * Starts items on idle slots and drops those that no longer fall to this host.
-	 * @param current whether the state of jobs is recent enough to act on
+	 * @param settled whether the host has run for long enough to know the others
+	 * @param current whether it knows the present jobs
 	 */
-	public void step(boolean current) {
-		if (this.eligible != current) {
-			this.eligible = current;
-			this.ownersVersion = -1;
-		}
+	public void step(boolean settled, boolean current) {
+		this.ownership.setSelfCurrent(current);
 		release();
-		if (this.stopping || this.fleet.getTable() == null) {
+		if (this.stopping || !settled || this.fleet.getTable() == null) {
 			return;
 		}
 		List<Work> waiting = waiting();
@@ -355,21 +349,7 @@
 	}
 
 	private boolean isOwn(ItemKey key) {
-		if (this.ownersVersion != this.peers.getVersion()) {
-			this.owners.clear();
-			this.ownersVersion = this.peers.getVersion();
-		}
-		return this.owners.computeIfAbsent(key, this::owner).equals(this.self);
-	}
-
-	// Hosts without a recent state of jobs run items only where no host has one.
-	private HostId owner(ItemKey key) {
-		List<HostId> hosts = new ArrayList<>();
-		this.peers.getPeers().stream().filter(PeerTable.Peer::isEligible).forEach((p) -> hosts.add(p.getHost()));
-		if (this.eligible || hosts.isEmpty()) {
-			hosts.add(this.self);
-		}
-		return Rendezvous.first(key.job + "/" + key.item, hosts, HostId::value).orElse(this.self);
+		return this.ownership.isOwn(key.job + "/" + key.item);
 	}
 
 	private void giveUp(Job job, SubmittedItem item, String reason) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -599,7 +599,8 @@
 				.getBoard()
 				.getLoad(this.runner.id())
 				.getTotal() > this.runner.slots();
-			return full ? QUEUED_PATIENCE_MILLIS : FIRST_EVENT_PATIENCE_MILLIS;
+			boolean suspected = OnlineRequest.this.context.fleet().isAvoided(this.runner);
+			return (full && !suspected) ? QUEUED_PATIENCE_MILLIS : FIRST_EVENT_PATIENCE_MILLIS;
 		}
 
 		private void checkSilence() {
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
@@ -16,6 +16,12 @@
  */
 public final class PeerTable {
 
+	/**
+	 * Silence in milliseconds of all hosts of a failure domain after which the domain
+	 * counts as cut off: two regular datagrams and a half, of several hosts.
+	 */
+	public static final long DOMAIN_SILENCE_MILLIS = 650;
+
 	/**
 	 * Silence in milliseconds after which a host counts as lost: six regular datagrams.
 	 */
@@ -109,6 +115,31 @@
 		return this.peers.values();
 	}
 
+	/**
+	 * Returns whether a failure domain seems to be cut off from this host: all of its
+	 * hosts that were alive fell silent, while others are heard.
+	 * @param domain the domain, not null
+	 * @param nowMillis the monotonic time in milliseconds
+	 * @return true if runners there are better avoided
+	 */
+	public boolean isDomainSilent(FailureDomain domain, long nowMillis) {
+		int silent = 0;
+		boolean othersHeard = false;
+		for (Peer peer : this.peers.values()) {
+			boolean heard = peer.alive && peer.getSilence(nowMillis) <= DOMAIN_SILENCE_MILLIS;
+			if (!peer.domain.equals(domain)) {
+				othersHeard |= heard;
+			}
+			else if (heard) {
+				return false;
+			}
+			else if (peer.lastHeardMillis > 0) {
+				silent++;
+			}
+		}
+		return silent > 1 && othersHeard;
+	}
+
 	/**
 	 * Returns the number of other hosts that are alive.
 	 * @return the number
@@ -203,6 +234,14 @@
 			return this.alive && !this.leaving && this.jobsCurrent;
 		}
 
+		/**
+		 * Returns whether the host serves requests.
+		 * @return true if it is alive and not stopping
+		 */
+		public boolean isServing() {
+			return this.alive && !this.leaving;
+		}
+
 		/**
 		 * Returns whether the host has items that wait for a slot.
 		 * @return true if it is alive and has any
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.ServiceName;
@@ -53,6 +54,8 @@
 
 	private IntSupplier liveHosts = () -> 1;
 
+	private Predicate<FailureDomain> domainSilent = (d) -> false;
+
 	private Runnable loadListener = () -> {
 	};
 
@@ -80,6 +83,24 @@
 		this.liveHosts = supplier;
 	}
 
+	/**
+	 * Sets what tells whether a failure domain seems to be cut off.
+	 * @param test the test, not null
+	 */
+	public void setDomainSilent(Predicate<FailureDomain> test) {
+		this.domainSilent = test;
+	}
+
+	/**
+	 * Returns whether a runner is better avoided.
+	 * @param runner the runner, not null
+	 * @return true if recent failures or the silence of its failure domain speak against
+	 * it
+	 */
+	public boolean isAvoided(RunnerEntry runner) {
+		return this.health.isAvoided(runner.id(), this.ticker.millis()) || this.domainSilent.test(runner.domain());
+	}
+
 	/**
 	 * Sets what happens when the number of requests in progress changes.
 	 * @param listener the listener, not null
@@ -145,13 +166,11 @@
 	 * @return the candidates, empty if there are none
 	 */
 	public List<Candidate> candidates(ServiceName service, Set<RunnerId> excluded) {
-		long now = this.ticker.millis();
 		List<Candidate> candidates = new ArrayList<>();
 		for (RunnerEntry entry : this.directory.getEntries()) {
 			if (entry.service().equals(service) && !entry.draining() && !excluded.contains(entry.id())) {
-				candidates
-					.add(new Candidate(entry, this.board.getLoad(entry.id()), this.health.isAvoided(entry.id(), now),
-							entry.domain().equals(this.domain), runnerHold(entry).getMean()));
+				candidates.add(new Candidate(entry, this.board.getLoad(entry.id()), isAvoided(entry),
+						entry.domain().equals(this.domain), runnerHold(entry).getMean()));
 			}
 		}
 		return candidates;
--- a/gateway/src/test/java/org/wigeonglade/gateway/peer/PeerTableTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/peer/PeerTableTests.java
@@ -57,6 +57,21 @@
 		Assert.assertFalse(peer().isAlive());
 	}
 
+	@Test
+	public void domainIsSilentOnlyWhenAllOfItIsAndOthersAreHeard() {
+		FailureDomain cut = FailureDomain.of("cut");
+		for (String name : new String[] { "c1", "c2" }) {
+			this.table.register(HostId.of(name), new InetSocketAddress("127.0.0.1", 1), cut, 1);
+			this.table.heard(HostId.of(name), 1, false, true, 1_000);
+		}
+		this.table.heard(HOST, 10, false, true, 1_900);
+		Assert.assertFalse(this.table.isDomainSilent(cut, 1_000 + PeerTable.DOMAIN_SILENCE_MILLIS));
+		Assert.assertTrue(this.table.isDomainSilent(cut, 1_001 + PeerTable.DOMAIN_SILENCE_MILLIS));
+		this.table.heard(HostId.of("c2"), 1, false, true, 1_700);
+		Assert.assertFalse(this.table.isDomainSilent(cut, 1_750));
+		Assert.assertFalse(this.table.isDomainSilent(cut, 9_000), "a host that hears nobody is cut off itself");
+	}
+
 	private void register(long incarnation) {
 		this.table.register(HOST, new InetSocketAddress("127.0.0.1", 1), FailureDomain.of("a"), incarnation);
 	}
