Drop old jobs and hosts from the stream, and lose no log line at the end

Cause: the keyed stream keeps the newest record of every key for good, so jobs and registrations of replaced hosts would pile up. Jobs are dropped when nothing is left to do and their results have been readable for the promised time; hosts after two minutes of silence. A test of the log handler failed first: the line that its thread had taken was lost when the process ended.

--- a/core/src/main/java/org/wigeonglade/core/logging/AsyncLineHandler.java
+++ b/core/src/main/java/org/wigeonglade/core/logging/AsyncLineHandler.java
@@ -6,8 +6,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
+import java.util.logging.Level;
 import java.util.logging.LogRecord;
 
 import org.wigeonglade.core.event.LoggedEvent;
@@ -31,6 +33,8 @@
 
 	private final BlockingQueue<byte[]> lines = new ArrayBlockingQueue<>(QUEUE_LINES);
 
+	private final Semaphore waiting = new Semaphore(0);
+
 	private final LineBudget budget;
 
 	private final OutputStream output;
@@ -63,13 +67,24 @@
 		if (!this.budget.tryTake(number)) {
 			return;
 		}
-		if (!this.lines.offer(getFormatter().format(record).getBytes(StandardCharsets.UTF_8))) {
+		if (!offer(record)) {
 			this.budget.countDropped(number);
 		}
-		String dropped = this.budget.takeReport();
-		if (dropped != null) {
-			this.lines.offer(dropped.getBytes(StandardCharsets.UTF_8));
-		}
+		this.budget.takeReport().forEach(this::reportDropped);
+	}
+
+	private void reportDropped(int number, int count) {
+		LogRecord record = new LogRecord(Level.WARNING, LoggingEvent.LINES_DROPPED.getText());
+		record.setLoggerName(AsyncLineHandler.class.getName());
+		Object[] values = { "WGE-" + number, count };
+		record.setParameters(new Object[] { new LoggedEvent(LoggingEvent.LINES_DROPPED, values, null) });
+		offer(record);
+	}
+
+	private boolean offer(LogRecord record) {
+		boolean taken = this.lines.offer(getFormatter().format(record).getBytes(StandardCharsets.UTF_8));
+		this.waiting.release();
+		return taken;
 	}
 
 	@Override
@@ -86,9 +101,10 @@
 	private void run() {
 		try {
 			while (!this.closed) {
-				byte[] first = this.lines.take();
+				this.waiting.acquire();
 				Thread.sleep(COLLECT_MILLIS);
-				write(first);
+				this.waiting.drainPermits();
+				writeWaiting();
 			}
 		}
 		catch (InterruptedException ex) {
@@ -98,14 +114,13 @@
 
 	private void writeWaiting() {
 		while (!this.lines.isEmpty()) {
-			write(new byte[0]);
+			writeGroup();
 		}
 	}
 
 	// The lock keeps groups of the writer and of a flush apart.
-	private synchronized void write(byte[] first) {
+	private synchronized void writeGroup() {
 		try {
-			this.output.write(first);
 			for (int i = 0; i < GROUP_LINES; i++) {
 				byte[] line = this.lines.poll();
 				if (line == null) {
--- a/core/src/main/java/org/wigeonglade/core/logging/LineBudget.java
+++ b/core/src/main/java/org/wigeonglade/core/logging/LineBudget.java
@@ -26,7 +26,7 @@
 
 	private long windowMillis;
 
-	private String report;
+	private Map<Integer, Integer> report = Map.of();
 
 	LineBudget(Ticker ticker) {
 		this.ticker = ticker;
@@ -50,25 +50,20 @@
 	}
 
 	/**
-	 * Returns a line that tells what was left out in the last window, once.
-	 * @return a JSON line, or null if nothing was left out
+	 * Returns what was left out in the last complete window, once.
+	 * @return the number of lines by event number, empty if nothing was left out
 	 */
-	synchronized String takeReport() {
-		String line = this.report;
-		this.report = null;
-		return line;
+	synchronized Map<Integer, Integer> takeReport() {
+		Map<Integer, Integer> taken = this.report;
+		this.report = Map.of();
+		return taken;
 	}
 
 	private void closeWindow(long now) {
 		this.windowMillis = now;
 		this.taken.clear();
 		if (!this.dropped.isEmpty()) {
-			StringBuilder line = new StringBuilder("{\"event\":\"WGE-1507\",\"message\":\"log lines were left out\"");
-			line.append(",\"figures\":{");
-			this.dropped.forEach(
-					(number, count) -> line.append("\"WGE-").append(number).append("\":").append(count).append(','));
-			line.setLength(line.length() - 1);
-			this.report = line.append("}}\n").toString();
+			this.report = Map.copyOf(this.dropped);
 			this.dropped.clear();
 		}
 	}
--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/logging/LoggingEvent.java
@@ -0,0 +1,27 @@
+package org.wigeonglade.core.logging;
+
+import java.lang.System.Logger.Level;
+
+import org.wigeonglade.core.event.EventDescription;
+import org.wigeonglade.core.event.LogEvent;
+
+/**
+ * Log events of the log output itself.
+ */
+public enum LoggingEvent implements LogEvent {
+
+	/** Lines were left out of the log. */
+	LINES_DROPPED(1901, Level.WARNING, "log lines were left out in the last second", "dropped_event", "count");
+
+	private final EventDescription description;
+
+	LoggingEvent(int number, Level level, String text, String... fields) {
+		this.description = EventDescription.of(number, level, text, fields);
+	}
+
+	@Override
+	public EventDescription getDescription() {
+		return this.description;
+	}
+
+}
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/Beliefs.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/Beliefs.java
@@ -47,13 +47,17 @@
 
 	private final HostEntry self;
 
-	Beliefs(GatewayAdapters adapters, Fleet fleet, JobLedger ledger, PeerTable peers, Ticker ticker, HostEntry self) {
+	private final Runnable registrar;
+
+	Beliefs(GatewayAdapters adapters, Fleet fleet, JobLedger ledger, PeerTable peers, Ticker ticker, HostEntry self,
+			Runnable registrar) {
 		this.adapters = adapters;
 		this.fleet = fleet;
 		this.ledger = ledger;
 		this.peers = peers;
 		this.ticker = ticker;
 		this.self = self;
+		this.registrar = registrar;
 	}
 
 	StreamFollower.Listener configurationListener() {
@@ -82,7 +86,7 @@
 	void register(HostEntry entry) {
 		if (!entry.getHost().equals(this.self.getHost())) {
 			this.peers.register(HostId.of(entry.getHost()), new InetSocketAddress(entry.getIp(), entry.getPort()),
-					FailureDomain.of(entry.getDomain()), entry.getIncarnation());
+					FailureDomain.of(entry.getDomain()), entry.getIncarnation(), this.ticker.millis());
 		}
 	}
 
@@ -203,7 +207,11 @@
 				return;
 			}
 			if (record.value() == null) {
-				Beliefs.this.peers.remove(HostId.of(record.key().substring(HOST_PREFIX.length())));
+				HostId dropped = HostId.of(record.key().substring(HOST_PREFIX.length()));
+				Beliefs.this.peers.remove(dropped);
+				if (dropped.value().equals(Beliefs.this.self.getHost())) {
+					Beliefs.this.registrar.run();
+				}
 				return;
 			}
 			try {
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -30,6 +30,7 @@
 import org.wigeonglade.gateway.http.Connector;
 import org.wigeonglade.gateway.job.ItemScheduler;
 import org.wigeonglade.gateway.job.JobLedger;
+import org.wigeonglade.gateway.job.JobRetention;
 import org.wigeonglade.gateway.job.JobService;
 import org.wigeonglade.gateway.log.GatewayEvent;
 import org.wigeonglade.gateway.online.CrashLedger;
@@ -98,6 +99,12 @@
 	 */
 	private static final long CLOSE_IDLE_AFTER_MILLIS = 2_800;
 
+	/** Time between looks for jobs and hosts that can be dropped, in milliseconds. */
+	private static final long CLEANING_MILLIS = 5_000;
+
+	/** Silence in milliseconds after which the registration of a host is dropped. */
+	private static final long FORGET_HOST_MILLIS = 120_000;
+
 	/** Part of the grace time after which requests in progress are given up. */
 	private static final double DRAIN_SHARE = 0.9;
 
@@ -150,6 +157,8 @@
 
 	private final CallerServer metrics;
 
+	private final JobRetention retention;
+
 	private boolean stopping;
 
 	private boolean ready;
@@ -169,6 +178,7 @@
 	 */
 	public GatewayHost(GatewaySettings settings, GatewayAdapters adapters, Ticker ticker, RandomGenerator random) {
 		this.settings = settings;
+		this.retention = new JobRetention(settings.resultRetention());
 		this.adapters = adapters;
 		this.ticker = ticker;
 		this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -187,7 +197,7 @@
 		this.fleet.setLiveHosts(() -> this.peers.getLiveCount() + 1);
 		this.fleet.setDomainSilent((domain) -> this.peers.isDomainSilent(domain, ticker.millis()));
 		PlacementPolicy policy = new PlacementPolicy(random);
-		this.beliefs = new Beliefs(adapters, this.fleet, this.ledger, this.peers, ticker, this.self);
+		this.beliefs = new Beliefs(adapters, this.fleet, this.ledger, this.peers, ticker, this.self, this::register);
 		this.configurationFollower = new StreamFollower(this.log, KeyedStream.CONFIGURATION, CONFIGURATION_PACE,
 				this.loop, ticker, this.beliefs.configurationListener());
 		this.runnerFollower = new StreamFollower(this.log, KeyedStream.RUNNERS, RUNNER_PACE, this.loop, ticker,
@@ -225,6 +235,8 @@
 			register();
 			this.loop.scheduleWithFixedDelay(guarded(this::maintain), MAINTENANCE_MILLIS, MAINTENANCE_MILLIS,
 					TimeUnit.MILLISECONDS);
+			this.loop.scheduleWithFixedDelay(guarded(this::clean), CLEANING_MILLIS, CLEANING_MILLIS,
+					TimeUnit.MILLISECONDS);
 			this.loop.scheduleWithFixedDelay(guarded(() -> this.items.step(isSettled(), isJobsCurrent())),
 					ITEM_STEP_MILLIS, ITEM_STEP_MILLIS, TimeUnit.MILLISECONDS);
 		}).syncUninterruptibly();
@@ -351,6 +363,34 @@
 		updateReadiness();
 	}
 
+	private void clean() {
+		if (!isJobsCurrent()) {
+			return;
+		}
+		this.items.dropOld(this.retention);
+		long now = this.ticker.millis();
+		for (PeerTable.Peer peer : List.copyOf(this.peers.getPeers())) {
+			long silence = peer.getSilence(now);
+			if (!peer.isAlive() && silence > FORGET_HOST_MILLIS && isFirst()) {
+				LOG.log(GatewayEvent.HOST_FORGOTTEN, peer.getHost(), silence);
+				this.log
+					.append(KeyedStream.OWN,
+							List.of(KeyedRecord.of(Beliefs.HOST_PREFIX + peer.getHost().value(), null)))
+					.subscribe()
+					.with((offset) -> {
+					}, (failure) -> LOG.log(GatewayEvent.RESULTS_DELAYED, 1, failure.getMessage()));
+			}
+		}
+	}
+
+	// One host does what needs doing once; a second one would only repeat it.
+	private boolean isFirst() {
+		return this.peers.getPeers()
+			.stream()
+			.filter(PeerTable.Peer::isEligible)
+			.noneMatch((p) -> p.getHost().compareTo(this.settings.host()) < 0);
+	}
+
 	private void updateReadiness() {
 		String reason = null;
 		if (this.stopping) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewaySettings.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewaySettings.java
@@ -16,8 +16,10 @@
  * @param peers where it takes datagrams of other hosts, not null
  * @param metrics where it serves metrics, not null
  * @param grace the time from SIGTERM until the process is killed, not null
+ * @param resultRetention how long results of a job stay readable after its submission,
+ * not null
  */
 public record GatewaySettings(HostId host, FailureDomain domain, InetSocketAddress callers, InetSocketAddress readiness,
-		InetSocketAddress peers, InetSocketAddress metrics, Duration grace) {
+		InetSocketAddress peers, InetSocketAddress metrics, Duration grace, Duration resultRetention) {
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -27,6 +27,7 @@
 import org.wigeonglade.gateway.runner.RunnerAnswer;
 import org.wigeonglade.gateway.runner.RunnerFailure;
 import org.wigeonglade.gateway.store.KeyedLog;
+import org.wigeonglade.gateway.store.KeyedRecord;
 
 /**
  * Runs the items that fall to this host on idle slots, the most urgent first, and gives
@@ -156,6 +157,19 @@
 		return this.waitingCount;
 	}
 
+	/**
+	 * Drops jobs whose results need not be readable any more.
+	 * @param retention decides which, not null
+	 */
+	public void dropOld(JobRetention retention) {
+		List<KeyedRecord> records = retention.select(this.ledger.getJobs(), this.ticker.wallMillis(),
+				(job) -> this.ownership.isOwn(job.value()));
+		if (!records.isEmpty()) {
+			LOG.log(GatewayEvent.JOBS_DROPPED, records.size());
+			records.forEach((record) -> this.writer.add(() -> record));
+		}
+	}
+
 	/**
 	 * Gives slots of a runner back.
 	 * @param runner the runner, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -25,12 +25,6 @@
 	/** Readiness changed. */
 	READINESS(1505, Level.INFO, "readiness changed", "ready", "reason"),
 
-	/** The process was suspended. */
-	SUSPENDED(1506, Level.WARNING, "the process was suspended; beliefs are checked again", "pause_ms"),
-
-	/** Lines were left out of the log. */
-	LINES_DROPPED(1507, Level.WARNING, "log lines were left out", "event", "count"),
-
 	/** A request was placed on a runner. */
 	PLACED(2501, Level.INFO, "request placed", "request_id", "route", "service", "runner", "attempt", "online", "batch",
 			"slots", "expected_wait_ms", "preempted_hosts", "load_age_ms", "config_version"),
@@ -92,6 +86,9 @@
 	/** A host is silent. */
 	HOST_LOST(3508, Level.WARNING, "host is silent", "host", "silent_ms"),
 
+	/** The registration of a silent host is dropped. */
+	HOST_FORGOTTEN(3509, Level.INFO, "registration of a silent host is dropped", "host", "silent_ms"),
+
 	/** A job was accepted. */
 	JOB_ACCEPTED(4501, Level.INFO, "job accepted", "job", "items", "offset", "append_ms"),
 
@@ -134,6 +131,9 @@
 	/** Items are no longer run here. */
 	ITEM_RELEASED(4513, Level.INFO, "item is no longer run here", "job", "item", "cause"),
 
+	/** Jobs are dropped after their retention. */
+	JOBS_DROPPED(4514, Level.INFO, "records of jobs are dropped after their retention", "records"),
+
 	/** The store answers. */
 	STORE_REACHABLE(5501, Level.INFO, "store answers", "stream", "next_offset"),
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
@@ -37,11 +37,15 @@
 	 * @param address where it takes datagrams, not null
 	 * @param domain its failure domain, not null
 	 * @param incarnation its start, which rises with each start
+	 * @param nowMillis the monotonic time in milliseconds
 	 */
-	public void register(HostId host, InetSocketAddress address, FailureDomain domain, long incarnation) {
+	public void register(HostId host, InetSocketAddress address, FailureDomain domain, long incarnation,
+			long nowMillis) {
 		Peer known = this.peers.get(host);
 		if (known == null || incarnation > known.incarnation) {
-			this.peers.put(host, new Peer(host, address, domain, incarnation));
+			Peer peer = new Peer(host, address, domain, incarnation);
+			peer.lastHeardMillis = nowMillis;
+			this.peers.put(host, peer);
 			this.version++;
 		}
 	}
@@ -75,6 +79,7 @@
 			this.version++;
 		}
 		peer.alive = true;
+		peer.everHeard = true;
 		peer.leaving = leaving;
 		peer.jobsCurrent = jobsCurrent;
 		peer.lastHeardMillis = nowMillis;
@@ -133,7 +138,7 @@
 			else if (heard) {
 				return false;
 			}
-			else if (peer.lastHeardMillis > 0) {
+			else if (peer.everHeard) {
 				silent++;
 			}
 		}
@@ -171,6 +176,8 @@
 
 		private boolean alive;
 
+		private boolean everHeard;
+
 		private boolean leaving;
 
 		private boolean jobsCurrent;
--- a/gateway/src/test/java/org/wigeonglade/gateway/job/ItemOwnershipTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/job/ItemOwnershipTests.java
@@ -70,7 +70,7 @@
 		for (int i = 0; i < HOSTS.size(); i++) {
 			if (!HOSTS.get(i).equals(self)) {
 				HostId host = HostId.of(HOSTS.get(i));
-				peers.register(host, new InetSocketAddress("127.0.0.1", 1), FailureDomain.of("d"), 1);
+				peers.register(host, new InetSocketAddress("127.0.0.1", 1), FailureDomain.of("d"), 1, 0);
 				peers.heard(host, 1, false, current.get(i), 0);
 			}
 		}
--- /dev/null
+++ b/gateway/src/test/java/org/wigeonglade/gateway/job/JobRetentionTests.java
@@ -0,0 +1,48 @@
+package org.wigeonglade.gateway.job;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+import org.wigeonglade.gateway.store.KeyedRecord;
+
+/**
+ * Guards against a stream that grows without bound, and against results that vanish while
+ * they must be readable.
+ */
+public class JobRetentionTests {
+
+	private static final JobId JOB = JobId.of("job");
+
+	private static final long SUBMITTED = 1_000_000;
+
+	private final JobRetention retention = new JobRetention(Duration.ofSeconds(120));
+
+	@Test
+	public void openJobIsKeptForEver() {
+		Assert.assertTrue(this.retention.select(ledger(false).getJobs(), SUBMITTED + 900_000, (j) -> true).isEmpty());
+	}
+
+	@Test
+	public void finishedJobIsKeptForThePromisedTime() {
+		JobLedger ledger = ledger(true);
+		Assert.assertTrue(this.retention.select(ledger.getJobs(), SUBMITTED + 120_000, (j) -> true).isEmpty());
+		Assert.assertTrue(this.retention.select(ledger.getJobs(), SUBMITTED + 140_000, (j) -> false).isEmpty());
+		List<KeyedRecord> dropped = this.retention.select(ledger.getJobs(), SUBMITTED + 140_000, (j) -> true);
+		Assert.assertEquals(dropped.size(), 2);
+		dropped.forEach(ledger::apply);
+		Assert.assertTrue(ledger.find(JOB).isEmpty());
+	}
+
+	private static JobLedger ledger(boolean done) {
+		JobLedger ledger = new JobLedger();
+		SubmittedItem item = new SubmittedItem(ItemId.of("i"), "/p/", List.of(), new byte[0], 1);
+		JobRecords.write(new SubmittedJob(JOB, "h", "/p/", SUBMITTED, List.of(item))).forEach(ledger::apply);
+		if (done) {
+			ledger.apply(JobRecords.write(JOB, new ItemOutcome(ItemId.of("i"), true, new byte[0]), "", "w.1"));
+		}
+		return ledger;
+	}
+
+}
--- a/gateway/src/test/java/org/wigeonglade/gateway/peer/PeerTableTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/peer/PeerTableTests.java
@@ -61,7 +61,7 @@
 	public void domainIsSilentOnlyWhenAllOfItIsAndOthersAreHeard() {
 		FailureDomain cut = FailureDomain.of("cut");
 		for (String name : new String[] { "c1", "c2" }) {
-			this.table.register(HostId.of(name), new InetSocketAddress("127.0.0.1", 1), cut, 1);
+			this.table.register(HostId.of(name), new InetSocketAddress("127.0.0.1", 1), cut, 1, 0);
 			this.table.heard(HostId.of(name), 1, false, true, 1_000);
 		}
 		this.table.heard(HOST, 10, false, true, 1_900);
@@ -73,7 +73,7 @@
 	}
 
 	private void register(long incarnation) {
-		this.table.register(HOST, new InetSocketAddress("127.0.0.1", 1), FailureDomain.of("a"), incarnation);
+		this.table.register(HOST, new InetSocketAddress("127.0.0.1", 1), FailureDomain.of("a"), incarnation, 0);
 	}
 
 	private PeerTable.Peer peer() {
