Answer for unknown jobs without waiting for a read in progress

The answer waited for a read that began after the call, but the read in progress waits up to 1 s for records, longer than the 900 ms allowed. A read of its own without a wait now makes the state certain. Also: waiting result calls as a class of their own, and a metrics address that cannot be bound no longer ends the start.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/Beliefs.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/Beliefs.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.wigeonglade.core.error.WigeongladeException;
@@ -78,7 +79,7 @@
 		return new RunnerListener();
 	}
 
-	StreamFollower.Listener ownListener(java.util.function.Consumer<Job> jobListener) {
+	StreamFollower.Listener ownListener(Consumer<Job> jobListener) {
 		return new OwnListener(jobListener);
 	}
 
@@ -176,9 +177,9 @@
 
 	private final class OwnListener implements StreamFollower.Listener {
 
-		private final java.util.function.Consumer<Job> jobListener;
+		private final Consumer<Job> jobListener;
 
-		private OwnListener(java.util.function.Consumer<Job> jobListener) {
+		private OwnListener(Consumer<Job> jobListener) {
 			this.jobListener = jobListener;
 		}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -29,6 +30,7 @@
 import org.wigeonglade.gateway.http.CallerServer;
 import org.wigeonglade.gateway.http.Connector;
 import org.wigeonglade.gateway.job.ItemScheduler;
+import org.wigeonglade.gateway.job.Job;
 import org.wigeonglade.gateway.job.JobLedger;
 import org.wigeonglade.gateway.job.JobRetention;
 import org.wigeonglade.gateway.job.JobService;
@@ -203,7 +205,7 @@
 		this.runnerFollower = new StreamFollower(this.log, KeyedStream.RUNNERS, RUNNER_PACE, this.loop, ticker,
 				this.beliefs.runnerListener());
 		this.ownFollower = new StreamFollower(this.log, KeyedStream.OWN, OWN_PACE, this.loop, ticker,
-				this.beliefs.ownListener((job) -> jobChanged(job)));
+				this.beliefs.ownListener(this::jobChanged));
 		this.exchange = new PeerExchange(this.self, this.loop, ticker, this.fleet.getBoard(), this.peers,
 				new PeerListener());
 		this.fleet.onLoadChanged(this.exchange::changed);
@@ -227,7 +229,11 @@
 		this.readiness.listen(this.settings.readiness()).syncUninterruptibly();
 		this.callers.listen(this.settings.callers()).syncUninterruptibly();
 		this.exchange.listen(this.settings.peers()).syncUninterruptibly();
-		this.metrics.listen(this.settings.metrics()).syncUninterruptibly();
+		this.metrics.listen(this.settings.metrics()).addListener((bound) -> {
+			if (!bound.isSuccess()) {
+				LOG.log(GatewayEvent.METRICS_UNAVAILABLE, this.settings.metrics(), bound.cause().getMessage());
+			}
+		});
 		this.loop.submit(() -> {
 			this.configurationFollower.start();
 			this.runnerFollower.start();
@@ -286,7 +292,7 @@
 	 * Returns where the host takes requests.
 	 * @return the address, never null after {@link #start()}
 	 */
-	public java.net.InetSocketAddress getCallerAddress() {
+	public InetSocketAddress getCallerAddress() {
 		return this.callers.getAddress();
 	}
 
@@ -424,7 +430,7 @@
 		return (table != null) ? table.getLimits() : CallerLimits.DEFAULTS;
 	}
 
-	private void jobChanged(org.wigeonglade.gateway.job.Job job) {
+	private void jobChanged(Job job) {
 		this.jobs.changed(job);
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/Connector.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/Connector.java
@@ -5,6 +5,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -54,7 +55,7 @@
 				}
 			})
 			.connect(address)
-			.addListener((io.netty.channel.ChannelFuture future) -> {
+			.addListener((ChannelFuture future) -> {
 				if (future.isSuccess()) {
 					listener.connected(future.channel().attr(CONNECTION).get());
 				}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -3,11 +3,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 import org.wigeonglade.core.error.InvalidRequestException;
@@ -57,7 +57,7 @@
 
 	private final Ticker ticker;
 
-	private final Map<JobId, List<Runnable>> resultWaiters = new HashMap<>();
+	private final Map<JobId, List<ResultWait>> resultWaits = new HashMap<>();
 
 	/**
 	 * Creates the service.
@@ -128,9 +128,9 @@
 	 * @param job the job, not null
 	 */
 	public void changed(Job job) {
-		List<Runnable> waiters = this.resultWaiters.remove(job.getId());
-		if (waiters != null) {
-			waiters.forEach(Runnable::run);
+		List<ResultWait> waits = this.resultWaits.get(job.getId());
+		if (waits != null) {
+			waits.removeIf(ResultWait::check);
 		}
 	}
 
@@ -151,7 +151,7 @@
 		exchange.respond(status, this.protocol.refusalHeaders((status == 503) ? STORE_RETRY_MILLIS : -1), new byte[0]);
 	}
 
-	private void withJob(CallerExchange exchange, JobId id, java.util.function.Consumer<Job> action) {
+	private void withJob(CallerExchange exchange, JobId id, Consumer<Job> action) {
 		Optional<Job> job = this.ledger.find(id);
 		if (job.isPresent()) {
 			action.accept(job.get());
@@ -182,27 +182,14 @@
 	}
 
 	private void readResults(CallerExchange exchange, Job job, CallerCall.ReadResults read) {
-		if (!job.getResults(read.from()).isEmpty() || read.waitMillis() <= 0 || job.isDone()) {
-			writeResults(exchange, job, read);
-			return;
+		ResultWait wait = new ResultWait(exchange, job, read, (caller, call) -> writeResults(caller, job, call));
+		if (read.waitMillis() <= 0) {
+			wait.end();
+		}
+		else if (!wait.check()) {
+			this.resultWaits.computeIfAbsent(job.getId(), (j) -> new ArrayList<>()).add(wait);
+			this.loop.schedule(wait::end, read.waitMillis(), TimeUnit.MILLISECONDS);
 		}
-		boolean[] answered = new boolean[1];
-		Runnable answer = () -> {
-			if (!answered[0]) {
-				answered[0] = true;
-				writeResults(exchange, job, read);
-			}
-		};
-		this.resultWaiters.computeIfAbsent(job.getId(), (j) -> new ArrayList<>()).add(() -> {
-			if (!answered[0] && job.getResults(read.from()).isEmpty() && !job.isDone()) {
-				readResults(exchange, job, read);
-				answered[0] = true;
-			}
-			else {
-				answer.run();
-			}
-		});
-		this.loop.schedule(answer, read.waitMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	private void writeResults(CallerExchange exchange, Job job, CallerCall.ReadResults read) {
@@ -242,14 +229,11 @@
 	}
 
 	/**
-	 * Drops the waits of callers that have left.
+	 * Drops the waits that are over.
 	 */
 	public void maintain() {
-		for (Iterator<JobId> i = this.resultWaiters.keySet().iterator(); i.hasNext();) {
-			if (this.ledger.find(i.next()).isEmpty()) {
-				i.remove();
-			}
-		}
+		this.resultWaits.values().forEach((waits) -> waits.removeIf(ResultWait::check));
+		this.resultWaits.values().removeIf(List::isEmpty);
 	}
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/RecordWriter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/RecordWriter.java
@@ -37,7 +37,7 @@
 
 	private final Ticker ticker;
 
-	private final List<Pending> pending = new ArrayList<>();
+	private final List<Supplier<KeyedRecord>> pending = new ArrayList<>();
 
 	private boolean busy;
 
@@ -53,7 +53,7 @@
 	 * needed
 	 */
 	void add(Supplier<KeyedRecord> record) {
-		this.pending.add(new Pending(record));
+		this.pending.add(record);
 		schedule(COLLECT_MILLIS);
 	}
 
@@ -69,12 +69,12 @@
 	}
 
 	private void append() {
-		List<Pending> group = new ArrayList<>();
+		List<Supplier<KeyedRecord>> group = new ArrayList<>();
 		List<KeyedRecord> records = new ArrayList<>();
-		List<Pending> needless = new ArrayList<>();
+		List<Supplier<KeyedRecord>> needless = new ArrayList<>();
 		int bytes = 0;
-		for (Pending next : this.pending) {
-			KeyedRecord record = next.record.get();
+		for (Supplier<KeyedRecord> next : this.pending) {
+			KeyedRecord record = next.get();
 			if (record == null) {
 				needless.add(next);
 				continue;
@@ -106,14 +106,4 @@
 		}));
 	}
 
-	private static final class Pending {
-
-		private final Supplier<KeyedRecord> record;
-
-		private Pending(Supplier<KeyedRecord> record) {
-			this.record = record;
-		}
-
-	}
-
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -25,6 +25,10 @@
 	/** Readiness changed. */
 	READINESS(1505, Level.INFO, "readiness changed", "ready", "reason"),
 
+	/** The metrics address cannot be used. */
+	METRICS_UNAVAILABLE(1508, Level.WARNING, "metrics address cannot be used; requests are served without metrics",
+			"address", "reason"),
+
 	/** A request was placed on a runner. */
 	PLACED(2501, Level.INFO, "request placed", "request_id", "route", "service", "runner", "attempt", "online", "batch",
 			"slots", "expected_wait_ms", "preempted_hosts", "load_age_ms", "config_version"),
--- a/gateway/src/main/java/org/wigeonglade/gateway/route/ServiceSpec.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/route/ServiceSpec.java
@@ -8,8 +8,7 @@
  * @param name the name, not null
  * @param maxConnections the largest number of connections that one runner accepts from
  * all callers together
- * @param generative whether its runners are model engines
  */
-public record ServiceSpec(ServiceName name, int maxConnections, boolean generative) {
+public record ServiceSpec(ServiceName name, int maxConnections) {
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
@@ -110,11 +110,31 @@
 
 	/**
 	 * Calls back after a read that began after this call has reached the end of the
-	 * stream.
+	 * stream. A read that waits for records does not delay it.
 	 * @param callback the callback, not null
 	 */
 	public void onNextRead(Runnable callback) {
-		this.waiters.add(callback);
+		if (!this.reading || this.next < 0) {
+			this.waiters.add(callback);
+			return;
+		}
+		long startMillis = this.ticker.millis();
+		this.log.read(this.stream, this.next, Duration.ZERO)
+			.subscribe()
+			.with((slice) -> this.loop.execute(() -> probed(slice, startMillis, callback)),
+					(failure) -> this.loop.execute(() -> this.waiters.add(callback)));
+	}
+
+	// Records that the probe found are applied by the read in progress, which returns
+	// now.
+	private void probed(KeyedSlice slice, long startMillis, Runnable callback) {
+		if (slice.end() <= this.next) {
+			this.currentAsOfMillis = Math.max(this.currentAsOfMillis, startMillis);
+			callback.run();
+		}
+		else {
+			this.waiters.add(callback);
+		}
 	}
 
 	private void step() {
