Use a fresh connection after one that had been reset

Ruled out: failing runners (they served the next requests on new connections). The test failed first with 502.

--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -52,6 +52,8 @@
 
 	private int attempts;
 
+	private boolean freshConnection;
+
 	private RunnerCall call;
 
 	private Receiver receiver;
@@ -126,7 +128,7 @@
 		}
 		headers.set(HttpHeaderNames.HOST, this.job.getHostName());
 		RunnerRequest request = new RunnerRequest(this.item.id().value(), HttpMethod.POST, this.item.path(), headers,
-				this.item.body(), remaining, this.lastEvent, true);
+				this.item.body(), remaining, this.lastEvent, true, this.freshConnection);
 		Receiver current = new Receiver(loop, ticker, runner);
 		this.receiver = current;
 		RunnerCall started = RunnerCall.start(fleet, runner, request, current);
@@ -242,6 +244,7 @@
 
 		@Override
 		public void failed(RunnerFailure failure) {
+			ItemRun.this.freshConnection = failure.kind() == RunnerFailure.Kind.STALE_CONNECTION;
 			finish();
 			ItemRun.this.listener.broken(ItemRun.this, this.runner, failure);
 		}
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -107,6 +107,8 @@
 
 	private RunnerCall call;
 
+	private boolean freshConnection;
+
 	private Attempt attempt;
 
 	private ScheduledFuture<?> deadlineTimer;
@@ -186,7 +188,7 @@
 		long now = this.context.ticker().millis();
 		RunnerRequest request = new RunnerRequest(this.id, this.exchange.getRequest().method(),
 				this.exchange.getRequest().uri(), this.headers, this.exchange.getBody(),
-				Duration.ofMillis(Math.max(1, this.deadlineMillis - now)), this.lastEvent, false);
+				Duration.ofMillis(Math.max(1, this.deadlineMillis - now)), this.lastEvent, false, this.freshConnection);
 		this.attempt = new Attempt(runner, now, expectedWaitMillis);
 		Attempt current = this.attempt;
 		RunnerCall started = RunnerCall.start(this.context.fleet(), runner, request, current);
@@ -416,7 +418,10 @@
 					OnlineRequest.this.rule.getAttempts() + 1, failure.kind(), failure.reason(),
 					now() - this.startedMillis, lastEventNumber(), notRun, avoided);
 			OnlineRequest.this.context.metrics().attempt(failure.kind().name());
-			if (failure.kind() != RunnerFailure.Kind.STALE_CONNECTION) {
+			if (failure.kind() == RunnerFailure.Kind.STALE_CONNECTION) {
+				OnlineRequest.this.freshConnection = true;
+			}
+			else {
 				OnlineRequest.this.tried.add(this.runner.id());
 			}
 			if (notRun) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -54,7 +54,8 @@
 	public static RunnerCall start(Fleet fleet, RunnerEntry runner, RunnerRequest request, Listener listener) {
 		RunnerCall call = new RunnerCall(fleet, runner, request, listener);
 		fleet.count(runner.id(), request.batch(), 1);
-		fleet.getPool().acquire(runner, fleet.connectionLimit(runner), call.new Acquisition());
+		fleet.getPool()
+			.acquire(runner, request.freshConnection(), fleet.connectionLimit(runner), call.new Acquisition());
 		return call;
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPool.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPool.java
@@ -55,14 +55,16 @@
 	/**
 	 * Takes an idle connection or opens one.
 	 * @param runner the runner, not null
+	 * @param fresh whether to open one and drop the idle ones: where one idle connection
+	 * had been reset, the others have been too
 	 * @param limit the largest number of connections of this host to the runner
 	 * @param listener receives the connection, not null
 	 */
-	void acquire(RunnerEntry runner, int limit, Listener listener) {
+	void acquire(RunnerEntry runner, boolean fresh, int limit, Listener listener) {
 		Deque<ClientConnection> kept = this.idle.get(runner.id());
 		while (kept != null && !kept.isEmpty()) {
 			ClientConnection connection = kept.pop();
-			if (connection.isReusable(this.ticker.millis())) {
+			if (!fresh && connection.isReusable(this.ticker.millis())) {
 				this.inUse.merge(runner.id(), 1, Integer::sum);
 				listener.acquired(connection, true);
 				return;
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
@@ -17,8 +17,9 @@
  * @param remaining the time that the caller still waits, not null
  * @param resumeAfter the last event that the caller has, empty to start at the first
  * @param batch whether it is a batch item
+ * @param freshConnection whether it must not use a connection that has been idle
  */
 public record RunnerRequest(String id, HttpMethod method, String uri, HttpHeaders headers, byte[] body,
-		Duration remaining, OptionalLong resumeAfter, boolean batch) {
+		Duration remaining, OptionalLong resumeAfter, boolean batch, boolean freshConnection) {
 
 }
--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
@@ -29,6 +32,8 @@
 
 	private final List<Run> runs = new ArrayList<>();
 
+	private final Set<HttpConnection> used = ConcurrentHashMap.newKeySet();
+
 	private final AtomicInteger running = new AtomicInteger();
 
 	private volatile int events = 5;
@@ -148,7 +153,7 @@
 		if (now == Fault.SILENT) {
 			return;
 		}
-		if (now == Fault.RESET) {
+		if (now == Fault.RESET || (now == Fault.RESET_IF_KEPT && !this.used.add(request.connection()))) {
 			request.connection().close();
 			return;
 		}
@@ -225,6 +230,9 @@
 		/** The connection ends without an answer. */
 		RESET,
 
+		/** As {@link #RESET} on connections that have had such an answer before. */
+		RESET_IF_KEPT,
+
 		/** No answer at all. */
 		SILENT,
 
