Stop the silence timer of a run that gave its slot back

Ruled out: a silent runner (it answered others in the same second). Also logged: the belief that a failure domain is cut off, and the avoided runners of a refusal, which the course of a refused request did not tell.

--- a/cli/src/main/java/org/wigeonglade/cli/Main.java
+++ b/cli/src/main/java/org/wigeonglade/cli/Main.java
@@ -6,8 +6,8 @@
 import java.util.stream.Collectors;
 
 import com.google.common.base.Throwables;
-import org.wigeonglade.core.logging.LogSetup;
 import org.wigeonglade.core.error.WigeongladeException;
+import org.wigeonglade.core.logging.LogSetup;
 import org.wigeonglade.schema.generated.settings.LogSettings;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -18,8 +18,8 @@
 @Command(name = "wigeonglade", mixinStandardHelpOptions = true, versionProvider = VersionProvider.class,
 		description = "Serves online and batch inference on one fleet.",
 		subcommands = { EntryCommand.class, DemoCommand.class, BatchCommand.class, ConfigCommand.class,
-				ProfileCommand.class, ExplainCommand.class, StatusCommand.class, StandInCommand.class,
-				BenchCommand.class, CatalogueCommand.class },
+				ProfileCommand.class, ExplainCommand.class, LogsCommand.class, StatusCommand.class,
+				StandInCommand.class, BenchCommand.class, CatalogueCommand.class },
 		exitCodeListHeading = "%nExit codes:%n",
 		exitCodeList = { "0:success", "1:a promise was broken, a check failed, or a request was turned down",
 				"2:wrong usage", "3:settings or configuration not valid", "4:conflict with another change",
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -7,8 +7,10 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -19,6 +21,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.wigeonglade.core.error.InvalidRequestException;
 import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.caller.CallerCall;
@@ -161,6 +164,8 @@
 
 	private final JobRetention retention;
 
+	private Set<FailureDomain> silentDomains = Set.of();
+
 	private boolean stopping;
 
 	private boolean ready;
@@ -365,10 +370,27 @@
 		for (PeerTable.Peer peer : this.peers.expire(this.ticker.millis())) {
 			LOG.log(GatewayEvent.HOST_LOST, peer.getHost(), peer.getSilence(this.ticker.millis()));
 		}
+		logSilentDomains();
 		this.exchange.tick();
 		updateReadiness();
 	}
 
+	private void logSilentDomains() {
+		Set<FailureDomain> silent = new HashSet<>();
+		for (PeerTable.Peer peer : this.peers.getPeers()) {
+			if (this.peers.isDomainSilent(peer.getDomain(), this.ticker.millis())) {
+				silent.add(peer.getDomain());
+			}
+		}
+		silent.stream()
+			.filter((domain) -> !this.silentDomains.contains(domain))
+			.forEach((domain) -> LOG.log(GatewayEvent.DOMAIN_SILENT, domain));
+		this.silentDomains.stream()
+			.filter((domain) -> !silent.contains(domain))
+			.forEach((domain) -> LOG.log(GatewayEvent.DOMAIN_HEARD, domain));
+		this.silentDomains = silent;
+	}
+
 	private void clean() {
 		if (!isJobsCurrent()) {
 			return;
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -140,9 +140,9 @@
 
 	void cancel() {
 		if (this.call != null) {
-			this.receiver.countTime();
-			this.call.cancel();
-			this.call = null;
+			RunnerCall cancelled = this.call;
+			this.receiver.finish();
+			cancelled.cancel();
 		}
 	}
 
@@ -270,7 +270,7 @@
 		}
 
 		private void checkSilence() {
-			if (this.over || ItemRun.this.call == null) {
+			if (this.over) {
 				return;
 			}
 			long left = this.progressMillis + PATIENCE_MILLIS - this.ticker.millis();
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -35,7 +35,7 @@
 
 	/** A request was refused and has not run. */
 	REFUSED(2503, Level.WARNING, "request refused; it has not run", "request_id", "route", "cause", "status", "runners",
-			"occupancy", "slots", "retry_after_ms", "waited_ms", "config_version"),
+			"avoided", "occupancy", "slots", "retry_after_ms", "waited_ms", "config_version"),
 
 	/** A request was answered. */
 	ANSWERED(2504, Level.INFO, "request answered", "request_id", "route", "runner", "status", "attempts", "first_ms",
@@ -93,6 +93,12 @@
 	/** The registration of a silent host is dropped. */
 	HOST_FORGOTTEN(3509, Level.INFO, "registration of a silent host is dropped", "host", "silent_ms"),
 
+	/** All hosts of a failure domain fell silent. */
+	DOMAIN_SILENT(3510, Level.WARNING, "failure domain seems to be cut off; its runners are avoided", "domain"),
+
+	/** A failure domain is heard again. */
+	DOMAIN_HEARD(3511, Level.INFO, "failure domain is heard again", "domain"),
+
 	/** A job was accepted. */
 	JOB_ACCEPTED(4501, Level.INFO, "job accepted", "job", "items", "offset", "append_ms"),
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -206,9 +206,10 @@
 		long now = this.context.ticker().millis();
 		long retryMillis = Math.min(refusal.retryAfter().toMillis(), (this.deadlineMillis - now) / 3);
 		int occupancy = candidates.stream().mapToInt((c) -> c.load().getTotal()).sum();
+		long avoided = candidates.stream().filter(Candidate::avoided).count();
 		int slots = candidates.stream().mapToInt((c) -> c.entry().slots()).sum();
-		LOG.log(GatewayEvent.REFUSED, this.id, this.route.getName(), refusal.cause(), 503, candidates.size(), occupancy,
-				slots, retryMillis, now - this.exchange.getArrivedMillis(), configVersion());
+		LOG.log(GatewayEvent.REFUSED, this.id, this.route.getName(), refusal.cause(), 503, candidates.size(), avoided,
+				occupancy, slots, retryMillis, now - this.exchange.getArrivedMillis(), configVersion());
 		this.context.metrics().request("refused");
 		end(503, null, Math.max(0, retryMillis));
 	}
