--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -4,13 +4,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -19,15 +15,9 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import org.wigeonglade.core.error.InvalidRequestException;
 import org.wigeonglade.core.event.EventLogger;
-import org.wigeonglade.core.id.FailureDomain;
-import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.time.Ticker;
-import org.wigeonglade.gateway.caller.CallerCall;
-import org.wigeonglade.gateway.caller.CallerProtocol;
 import org.wigeonglade.gateway.fleet.PlacementPolicy;
-import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
 import org.wigeonglade.gateway.http.CallerExchange;
 import org.wigeonglade.gateway.http.CallerServer;
@@ -41,12 +31,9 @@
 import org.wigeonglade.gateway.online.CrashLedger;
 import org.wigeonglade.gateway.online.OnlineContext;
 import org.wigeonglade.gateway.online.OnlineMetrics;
-import org.wigeonglade.gateway.online.OnlineRequest;
 import org.wigeonglade.gateway.peer.PeerExchange;
 import org.wigeonglade.gateway.peer.PeerTable;
 import org.wigeonglade.gateway.route.CallerLimits;
-import org.wigeonglade.gateway.route.Route;
-import org.wigeonglade.gateway.route.RouteKind;
 import org.wigeonglade.gateway.route.RoutingTable;
 import org.wigeonglade.gateway.runner.Fleet;
 import org.wigeonglade.gateway.runner.RunnerPool;
@@ -107,9 +94,6 @@
 	/** Time between looks for jobs and hosts that can be dropped, in milliseconds. */
 	private static final long CLEANING_MILLIS = 5_000;
 
-	/** Silence in milliseconds after which the registration of a host is dropped. */
-	private static final long FORGET_HOST_MILLIS = 120_000;
-
 	/** Part of the grace time after which requests in progress are given up. */
 	private static final double DRAIN_SHARE = 0.9;
 
@@ -154,8 +138,6 @@
 
 	private final JobService jobs;
 
-	private final OnlineContext online;
-
 	private final CallerServer callers;
 
 	private final CallerServer readiness;
@@ -164,7 +146,7 @@
 
 	private final JobRetention retention;
 
-	private Set<FailureDomain> silentDomains = Set.of();
+	private final HostWatch hostWatch;
 
 	private boolean stopping;
 
@@ -204,6 +186,7 @@
 		this.fleet.setLiveHosts(() -> this.peers.getLiveCount() + 1);
 		this.fleet.setDomainSilent((domain) -> this.peers.isDomainSilent(domain, ticker.millis()));
 		PlacementPolicy policy = new PlacementPolicy(random);
+		this.hostWatch = new HostWatch(settings.host(), this.peers, this.log, ticker);
 		this.beliefs = new Beliefs(adapters, this.fleet, this.ledger, this.peers, ticker, this.self, this::register);
 		this.configurationFollower = new StreamFollower(this.log, KeyedStream.CONFIGURATION, CONFIGURATION_PACE,
 				this.loop, ticker, this.beliefs.configurationListener());
@@ -219,9 +202,11 @@
 		this.exchange.describe(() -> this.stopping, this::isJobsCurrent, this.items::getWaitingCount);
 		this.jobs = new JobService(this.ledger, this.ownFollower, this.log, adapters.getCallerProtocol(), this.loop,
 				ticker);
-		this.online = new OnlineContext(this.loop, ticker, this.fleet, policy, adapters.getCallerProtocol(),
-				this.crashes, new SlotPreemptor(), new OnlineMetrics(this.registry));
-		this.callers = new CallerServer(this.group, ticker, this::callerLimits, this::handle);
+		OnlineContext online = new OnlineContext(this.loop, ticker, this.fleet, policy, adapters.getCallerProtocol(),
+				this.crashes, new SlotPreemptor(settings.host(), this.items, this.fleet.getBoard(), this.exchange),
+				new OnlineMetrics(this.registry));
+		this.callers = new CallerServer(this.group, ticker, this::callerLimits,
+				new CallRouter(this.jobs, online, this.configurationFollower)::handle);
 		this.readiness = new CallerServer(this.group, ticker, () -> CallerLimits.DEFAULTS, this::answerReadiness);
 		this.metrics = new CallerServer(this.group, ticker, () -> CallerLimits.DEFAULTS, this::answerMetrics);
 	}
@@ -367,56 +352,16 @@
 		this.fleet.maintain();
 		this.crashes.expire(this.ticker.millis());
 		this.jobs.maintain();
-		for (PeerTable.Peer peer : this.peers.expire(this.ticker.millis())) {
-			LOG.log(GatewayEvent.HOST_LOST, peer.getHost(), peer.getSilence(this.ticker.millis()));
-		}
-		logSilentDomains();
+		this.hostWatch.expire();
 		this.exchange.tick();
 		updateReadiness();
 	}
 
-	private void logSilentDomains() {
-		Set<FailureDomain> silent = new HashSet<>();
-		for (PeerTable.Peer peer : this.peers.getPeers()) {
-			if (this.peers.isDomainSilent(peer.getDomain(), this.ticker.millis())) {
-				silent.add(peer.getDomain());
-			}
-		}
-		silent.stream()
-			.filter((domain) -> !this.silentDomains.contains(domain))
-			.forEach((domain) -> LOG.log(GatewayEvent.DOMAIN_SILENT, domain));
-		this.silentDomains.stream()
-			.filter((domain) -> !silent.contains(domain))
-			.forEach((domain) -> LOG.log(GatewayEvent.DOMAIN_HEARD, domain));
-		this.silentDomains = silent;
-	}
-
 	private void clean() {
-		if (!isJobsCurrent()) {
-			return;
+		if (isJobsCurrent()) {
+			this.items.dropOld(this.retention);
+			this.hostWatch.forgetSilent();
 		}
-		this.items.dropOld(this.retention);
-		long now = this.ticker.millis();
-		for (PeerTable.Peer peer : List.copyOf(this.peers.getPeers())) {
-			long silence = peer.getSilence(now);
-			if (!peer.isAlive() && silence > FORGET_HOST_MILLIS && isFirst()) {
-				LOG.log(GatewayEvent.HOST_FORGOTTEN, peer.getHost(), silence);
-				this.log
-					.append(KeyedStream.OWN,
-							List.of(KeyedRecord.of(Beliefs.HOST_PREFIX + peer.getHost().value(), null)))
-					.subscribe()
-					.with((offset) -> {
-					}, (failure) -> LOG.log(GatewayEvent.RESULTS_DELAYED, 1, failure.getMessage()));
-			}
-		}
-	}
-
-	// One host does what needs doing once; a second one would only repeat it.
-	private boolean isFirst() {
-		return this.peers.getPeers()
-			.stream()
-			.filter(PeerTable.Peer::isEligible)
-			.noneMatch((p) -> p.getHost().compareTo(this.settings.host()) < 0);
 	}
 
 	private void updateReadiness() {
@@ -456,56 +401,6 @@
 		this.jobs.changed(job);
 	}
 
-	private void handle(CallerExchange call) {
-		try {
-			route(call);
-		}
-		catch (RuntimeException ex) {
-			LOG.log(GatewayEvent.UNEXPECTED, ex,
-					this.adapters.getCallerProtocol().requestId(call.getRequest().headers()).orElse(null));
-			if (call.isHeadWritten()) {
-				call.abort();
-			}
-			else {
-				call.respond(500, List.of(), new byte[0]);
-			}
-		}
-	}
-
-	private void route(CallerExchange call) {
-		CallerProtocol protocol = this.adapters.getCallerProtocol();
-		CallerCall asked;
-		try {
-			asked = protocol.read(call.getRequest().method(), call.getRequest().uri(), call.getRequest().headers());
-		}
-		catch (InvalidRequestException ex) {
-			call.respond(400, List.of(), ex.getMessage().getBytes(StandardCharsets.UTF_8));
-			return;
-		}
-		if (!(asked instanceof CallerCall.Routed)) {
-			this.jobs.handle(call, asked);
-			return;
-		}
-		RoutingTable table = this.fleet.getTable();
-		if (table == null) {
-			call.respond(503, protocol.refusalHeaders(MAINTENANCE_MILLIS), new byte[0]);
-			return;
-		}
-		Route route = table.find(call.getRequest().headers().get("Host"), call.getPath()).orElse(null);
-		if (route == null) {
-			LOG.log(GatewayEvent.NO_ROUTE, protocol.requestId(call.getRequest().headers()).orElse(null),
-					call.getRequest().headers().get("Host"), call.getPath(), table.getVersion(),
-					this.configurationFollower.getAgeMillis());
-			call.respond(404, List.of(), new byte[0]);
-		}
-		else if (route.getKind() == RouteKind.BATCH) {
-			this.jobs.submit(call, route);
-		}
-		else {
-			OnlineRequest.start(this.online, call, route);
-		}
-	}
-
 	private void answerReadiness(CallerExchange call) {
 		updateReadiness();
 		call.respond(this.ready ? 200 : 503, List.of(), new byte[0]);
@@ -533,33 +428,6 @@
 		};
 	}
 
-	private final class SlotPreemptor implements OnlineContext.Preemptor {
-
-		@Override
-		public String preempt(RunnerEntry runner, int slots) {
-			List<String> asked = new ArrayList<>();
-			int own = GatewayHost.this.items.preempt(runner.id(), slots);
-			if (own > 0) {
-				asked.add(GatewayHost.this.settings.host().value());
-			}
-			for (int i = own; i < slots; i++) {
-				HostId holder = GatewayHost.this.fleet.getBoard().getBatchHolder(runner.id());
-				if (holder == null) {
-					break;
-				}
-				GatewayHost.this.exchange.requestPreemption(holder, runner.id());
-				asked.add(holder.value());
-			}
-			return String.join(" ", asked);
-		}
-
-		@Override
-		public void reportCrash(long fingerprint, RunnerEntry runner) {
-			GatewayHost.this.exchange.reportCrash(fingerprint, runner);
-		}
-
-	}
-
 	private final class PeerListener implements PeerExchange.Listener {
 
 		@Override
