--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -142,9 +142,10 @@
 			return;
 		}
 		List<Work> waiting = waiting();
+		Set<HostId> contenders = contenders();
 		int left = waiting.size();
 		for (Work work : waiting) {
-			left -= start(work) ? 1 : 0;
+			left -= start(work, contenders) ? 1 : 0;
 		}
 		this.waitingCount = left;
 	}
@@ -264,7 +265,7 @@
 		}
 	}
 
-	private boolean start(Work work) {
+	private boolean start(Work work, Set<HostId> contenders) {
 		long wallMillis = this.ticker.wallMillis();
 		Duration age = Duration.ofMillis(wallMillis - work.job.getSubmittedAtMillis());
 		Route route = work.route;
@@ -277,7 +278,7 @@
 		long now = this.ticker.millis();
 		this.pausedUntil.values().removeIf((until) -> until <= now);
 		Optional<RunnerEntry> runner = this.policy.placeBatch(this.fleet.candidates(service, this.pausedUntil.keySet()),
-				this::takeSlot);
+				(candidate) -> takeSlot(candidate, contenders));
 		if (runner.isEmpty()) {
 			return false;
 		}
@@ -290,12 +291,13 @@
 		return true;
 	}
 
-	private boolean takeSlot(Candidate candidate) {
-		Set<HostId> contenders = new HashSet<>(Set.of(this.self));
-		this.peers.getPeers()
-			.stream()
-			.filter(PeerTable.Peer::isContender)
-			.forEach((peer) -> contenders.add(peer.getHost()));
+	private Set<HostId> contenders() {
+		Set<HostId> hosts = new HashSet<>(Set.of(this.self));
+		this.peers.getPeers().stream().filter(PeerTable.Peer::isContender).forEach((peer) -> hosts.add(peer.getHost()));
+		return hosts;
+	}
+
+	private boolean takeSlot(Candidate candidate, Set<HostId> contenders) {
 		long length = Math.max(SHORTEST_TURN_MILLIS, TURN_MILLIS_PER_HOST * this.peers.getLiveCount());
 		return this.turns.tryTake(candidate.entry().id(), candidate.getFreeSlots(), this.ticker.wallMillis() / length,
 				contenders);
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -157,7 +157,6 @@
 			action.accept(job.get());
 			return;
 		}
-		long deadline = this.ticker.millis() + CERTAINTY_WAIT_MILLIS;
 		this.follower.onNextRead(() -> {
 			if (!exchange.isEnded()) {
 				this.ledger.find(id).ifPresentOrElse(action, () -> unknownJob(exchange, id));
@@ -167,7 +166,7 @@
 			if (!exchange.isEnded() && this.ledger.find(id).isEmpty()) {
 				unknownJob(exchange, id);
 			}
-		}, deadline - this.ticker.millis(), TimeUnit.MILLISECONDS);
+		}, CERTAINTY_WAIT_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void unknownJob(CallerExchange exchange, JobId id) {
