--- a/entry/src/main/java/org/wigeonglade/entry/online/ArrivalNotices.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/ArrivalNotices.java
@@ -19,6 +19,7 @@
 
 	void changed(RunnerState runner) {
 		HostId dispatcher = runner.getDispatcher();
+		runner.setToldDispatcher(dispatcher);
 		if (dispatcher.equals(this.links.getSelf())) {
 			this.local.onArrival(runner, dispatcher, runner.getAnnouncedCount());
 		}
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
@@ -255,6 +255,7 @@
 			stream.check(now, STALL_NANOS);
 		}
 		this.admissions.values().forEach(ServiceAdmission::pump);
+		introduceArrivals();
 		Map<ServiceName, ServiceView.Builder> views = new HashMap<>();
 		for (ServiceAdmission admission : this.admissions.values()) {
 			ServiceName service = admission.getPool().getService();
@@ -268,6 +269,19 @@
 		this.serviceViews = views.values().stream().map(ServiceView.Builder::build).toList();
 	}
 
+	// Sends a first count to each new dispatcher of this domain. It opens the connection,
+	// so that
+	// the notice of the first request does not wait for a handshake, and tells a
+	// successor
+	// what is already in flight.
+	private void introduceArrivals() {
+		for (RunnerState runner : this.runners.getStates()) {
+			if (!runner.isDispatcherTold() && runner.getMember().domain().equals(this.domain)) {
+				this.parts.arrivals().changed(runner);
+			}
+		}
+	}
+
 	// Counts that were announced and lost are corrected here.
 	private void repeatArrivals() {
 		for (RunnerState runner : this.runners.getStates()) {
--- a/entry/src/main/java/org/wigeonglade/entry/online/RunnerState.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/RunnerState.java
@@ -55,6 +55,8 @@
 
 	private volatile boolean dispatchedHere;
 
+	private volatile HostId toldDispatcher;
+
 	RunnerState(UpstreamMember member, EngineClient onlineClient, EngineClient batchClient, ConcurrencyLimit limit,
 			IntSupplier digested) {
 		this.member = member;
@@ -193,6 +195,15 @@
 		return this.dispatchedHere;
 	}
 
+	// Returns whether the current dispatcher has got a count from this host.
+	boolean isDispatcherTold() {
+		return this.dispatcher.equals(this.toldDispatcher);
+	}
+
+	void setToldDispatcher(HostId host) {
+		this.toldDispatcher = host;
+	}
+
 	boolean mayDispatch(long nowNanos) {
 		return this.breaker.get().allows(nowNanos);
 	}
--- a/entry/src/test/java/org/wigeonglade/entry/online/BatchDispatcherTests.java
+++ b/entry/src/test/java/org/wigeonglade/entry/online/BatchDispatcherTests.java
@@ -63,6 +63,8 @@
 
 	private Vertx vertx;
 
+	private EventLoop batchLoop;
+
 	private OnlineRuntime online;
 
 	private Owner owner;
@@ -89,7 +91,8 @@
 			})
 			.build();
 		this.online.start();
-		new BatchDispatcher(loop(), Ticker.system(), this.online, this.owner).start();
+		this.batchLoop = loop();
+		new BatchDispatcher(this.batchLoop, Ticker.system(), this.online, this.owner).start();
 		await(() -> this.open.size() == SLOTS);
 	}
 
@@ -187,8 +190,9 @@
 				member.address(), member.runner(), member.models(), true);
 	}
 
+	// Takes effect after the tokens that were emitted before, which pass the same loop.
 	private void announce(RunnerState runner, int count) {
-		runner.setOthersOnline(OTHER, count, Ticker.system().millis());
+		this.batchLoop.execute(() -> runner.setOthersOnline(OTHER, count, Ticker.system().millis()));
 	}
 
 	private void finishAll() {
