Run suspected requests on runners that came back, and tell lost attempts

Cause 1: a suspected request ran alone only on a runner whose breaker was closed and on which it had not failed. The history of a failed cell shows the request queued once, at 362 ms, and never again until its connection closed at 5,465 ms.

Ruled out: reservations that meet (no other suspect was in flight).

--- a/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
@@ -130,9 +130,14 @@
 	static final class Faults implements Callable<Integer> {
 
 		@Option(names = "--cells", paramLabel = "SET", defaultValue = "all",
-				description = "all, fast, singles or pairs (default: ${DEFAULT-VALUE}); all takes about 15 minutes.")
+				description = "all, fast, singles, pairs or the name of one cell, such as "
+						+ "'runner-lost at dispatch' (default: ${DEFAULT-VALUE}); all takes about 15 minutes.")
 		private String cells;
 
+		@Option(names = "--repeat", paramLabel = "N", defaultValue = "1",
+				description = "Runs of each cell, 1 or more (default: ${DEFAULT-VALUE}).")
+		private int repeat;
+
 		@Option(names = "--parallel", paramLabel = "N", defaultValue = "2",
 				description = "Fleets at once, 1 to 4 (default: ${DEFAULT-VALUE}).")
 		private int parallel;
@@ -154,17 +159,26 @@
 		@Override
 		public Integer call() {
 			LogSetup.apply(LogSettings.Level.ERROR, LogSettings.Format.TEXT);
+			if (this.repeat < 1) {
+				throw new InvalidRequestException(ErrorCode.ARGUMENT_INVALID,
+						"--repeat is " + this.repeat + ", but must be 1 or more");
+			}
+			List<FaultCell> all = Stream
+				.concat(FaultMatrix.singles(this.seed).stream(), FaultMatrix.pairs(this.seed).stream())
+				.toList();
 			List<FaultCell> chosen = switch (this.cells) {
-				case "all" ->
-					Stream.concat(FaultMatrix.singles(this.seed).stream(), FaultMatrix.pairs(this.seed).stream())
-						.toList();
+				case "all" -> all;
 				case "fast" -> FaultMatrix.fast();
 				case "singles" -> FaultMatrix.singles(this.seed);
 				case "pairs" -> FaultMatrix.pairs(this.seed);
-				default -> throw new InvalidRequestException(ErrorCode.ARGUMENT_INVALID,
-						"--cells is '" + this.cells + "', but must be all, fast, singles or pairs");
+				default -> all.stream().filter((cell) -> cell.getText().equals(this.cells)).toList();
 			};
-			return FaultMatrix.of(chosen, this.parallel, this.histories, this.page)
+			if (chosen.isEmpty()) {
+				throw new InvalidRequestException(ErrorCode.ARGUMENT_INVALID,
+						"--cells is '" + this.cells + "', but must be all, fast, singles, pairs or the name of a cell");
+			}
+			List<FaultCell> runs = Stream.generate(() -> chosen).limit(this.repeat).flatMap(List::stream).toList();
+			return FaultMatrix.of(runs, this.parallel, this.histories, this.page)
 				.run(System.out, this.console.isJson());
 		}
 
--- a/core/src/main/java/org/wigeonglade/core/error/RanState.java
+++ b/core/src/main/java/org/wigeonglade/core/error/RanState.java
@@ -20,6 +20,18 @@
 		this.text = text;
 	}
 
+	/**
+	 * Returns the state after several attempts at the same work.
+	 * @param other the state of the other attempts, not null
+	 * @return {@link #NOT_RUN} only if no attempt may have run, never null
+	 */
+	public RanState plus(RanState other) {
+		if (this == RAN || other == RAN) {
+			return RAN;
+		}
+		return (this == UNKNOWN || other == UNKNOWN) ? UNKNOWN : NOT_RUN;
+	}
+
 	/**
 	 * Returns the text used in error bodies.
 	 * @return the lower-case text, never null
--- a/core/src/main/java/org/wigeonglade/core/error/UpstreamException.java
+++ b/core/src/main/java/org/wigeonglade/core/error/UpstreamException.java
@@ -22,6 +22,17 @@
 		this.crashed = crashed;
 	}
 
+	/**
+	 * Returns this failure as the outcome of several attempts.
+	 * @param earlier whether one of the earlier attempts ran, not null
+	 * @return this failure, or one that does not claim that nothing ran
+	 */
+	public UpstreamException plusEarlier(RanState earlier) {
+		RanState all = getRan().plus(earlier);
+		return (all == getRan()) ? this : new UpstreamException(getCode(), all, this.crashed,
+				getMessage() + "; an earlier attempt was lost", this);
+	}
+
 	/**
 	 * Returns whether the connection to the upstream was lost during the work.
 	 * @return true if the upstream may have crashed
--- a/entry/src/main/java/org/wigeonglade/entry/online/Isolation.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/Isolation.java
@@ -110,12 +110,14 @@
 			.stream()
 			.filter(this::isFit)
 			.filter((r) -> r.getOthersOnline(now) < RunnerState.RESERVED)
-			.filter((r) -> !stream.getFailedOn().contains(r.getMember().id()))
-			.min(Comparator.comparingInt((r) -> r.getOnline() + r.getOthersOnline(now)));
+			.min(Comparator.<RunnerState, Boolean>comparing((r) -> stream.getFailedOn().contains(r.getMember().id()))
+				.thenComparingInt((r) -> r.getOnline() + r.getOthersOnline(now)));
 	}
 
+	// A runner whose breaker lets a probe through is fit: on a host that drains, no other
+	// request comes that could close the breaker.
 	private boolean isFit(RunnerState runner) {
-		return !runner.getMember().leaving() && !runner.isBreakerOpen();
+		return !runner.getMember().leaving() && runner.mayDispatch(this.ticker.nanos());
 	}
 
 	private static boolean isIdle(RunnerState runner, long nowMillis) {
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineStream.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineStream.java
@@ -45,6 +45,8 @@
 
 	private int attempts;
 
+	private RanState earlier = RanState.NOT_RUN;
+
 	private boolean alone;
 
 	private boolean written;
@@ -256,9 +258,10 @@
 				failure.isCrashed(), this.tokens.size());
 		if (failure.getCode() == ErrorCode.UPSTREAM_REJECTED) {
 			runner.abandoned();
-			finish(failure);
+			finish(failure.plusEarlier(this.earlier));
 			return;
 		}
+		this.earlier = this.earlier.plus(failure.getRan());
 		runner.failed(failure.isCrashed(), this.parts.ticker().nanos());
 		this.failedOn.add(runner.getMember().id());
 		leaveRunner();
@@ -276,7 +279,7 @@
 		boolean repeatable = this.request.profile().getIdempotent() || failure.getRan() == RanState.NOT_RUN;
 		if (!repeatable || this.attempts >= this.request.profile().getMaxAttempts() || getRemainingMillis() == 0
 				|| !this.admission.takeRetry()) {
-			finish(failure);
+			finish(failure.plusEarlier(this.earlier));
 			return;
 		}
 		if (failure.isCrashed()) {
@@ -330,6 +333,7 @@
 		}
 		if (this.attempt != null) {
 			this.attempt.cancel();
+			this.earlier = this.earlier.plus(RanState.UNKNOWN);
 			this.attempt.getRunner().abandoned();
 			leaveRunner();
 		}
--- a/entry/src/main/java/org/wigeonglade/entry/online/ServiceCalls.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/ServiceCalls.java
@@ -86,7 +86,7 @@
 	 */
 	public Uni<ServiceReply> call(ServiceName service, Profile profile, ServiceCall call, Fingerprint fingerprint) {
 		CompletableFuture<ServiceReply> reply = new CompletableFuture<>();
-		Pending pending = new Pending(service, profile, call, fingerprint, new HashSet<>(), reply);
+		Pending pending = new Pending(service, profile, call, fingerprint, new HashSet<>(), new ArrayList<>(), reply);
 		this.loop.execute(() -> begin(pending));
 		return Uni.createFrom().completionStage(reply);
 	}
@@ -113,9 +113,12 @@
 		Optional<Instance> chosen = choose(pending);
 		if (chosen.isEmpty()) {
 			end(pending);
+			String message = "service " + pending.service() + " has no instance";
 			pending.reply()
-				.completeExceptionally(new RefusedException(ErrorCode.NO_UPSTREAM,
-						"service " + pending.service() + " has no instance", Duration.ofSeconds(1)));
+				.completeExceptionally((pending.earlier() == RanState.NOT_RUN)
+						? new RefusedException(ErrorCode.NO_UPSTREAM, message, Duration.ofSeconds(1))
+						: new UpstreamException(ErrorCode.NO_UPSTREAM, pending.earlier(), false,
+								message + " left; an earlier attempt was lost", null));
 			return;
 		}
 		Instance instance = chosen.orElseThrow();
@@ -144,6 +147,7 @@
 		instance.inFlight--;
 		instance.breaker = instance.breaker.plusFailure(failure.isCrashed(), this.ticker.nanos());
 		pending.failedOn().add(instance.member.id());
+		pending.failures().add(failure);
 		if (failure.isCrashed()) {
 			this.suspects.report(pending.fingerprint(), instance.member.id() + "@" + instance.member.incarnation());
 			this.suspectsInFlight.add(pending.fingerprint());
@@ -163,7 +167,7 @@
 			return;
 		}
 		end(pending);
-		pending.reply().completeExceptionally(failure);
+		pending.reply().completeExceptionally(failure.plusEarlier(pending.earlier()));
 	}
 
 	private void end(Pending pending) {
@@ -252,7 +256,13 @@
 	}
 
 	private record Pending(ServiceName service, Profile profile, ServiceCall call, Fingerprint fingerprint,
-			Set<UpstreamId> failedOn, CompletableFuture<ServiceReply> reply) {
+			Set<UpstreamId> failedOn, List<UpstreamException> failures, CompletableFuture<ServiceReply> reply) {
+
+		// Returns whether one of the lost attempts ran.
+		RanState earlier() {
+			return this.failures.stream().map(UpstreamException::getRan).reduce(RanState.NOT_RUN, RanState::plus);
+		}
+
 	}
 
 }
--- a/entry/src/test/java/org/wigeonglade/entry/online/OnlineFailureTests.java
+++ b/entry/src/test/java/org/wigeonglade/entry/online/OnlineFailureTests.java
@@ -17,6 +17,7 @@
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
 import org.testng.Assert;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.wigeonglade.core.engine.EngineEvent;
 import org.wigeonglade.core.engine.EngineRequest;
@@ -63,6 +64,17 @@
 		Assert.assertEquals(runs.get(), 2);
 	}
 
+	// Guards against a refusal that says "not run" after an earlier attempt was started.
+	@Test
+	public void lostAttemptIsToldAlthoughTheLastOneDidNotRun() {
+		AtomicInteger runs = new AtomicInteger();
+		HostFixture fixture = new HostFixture().withEngine("runner-1", (request) -> Multi.createFrom()
+			.failure(lost((runs.incrementAndGet() == 1) ? RanState.UNKNOWN : RanState.NOT_RUN, false)));
+		HttpResponse<String> response = once(fixture, BODY.formatted("Halla", "false"));
+		Assert.assertTrue(runs.get() > 1, "the request was not tried again");
+		Assert.assertTrue(response.body().contains("\"ran\":\"unknown\""), response.body());
+	}
+
 	@Test
 	public void incompleteStreamEndsAsErrorEvent() {
 		HostFixture fixture = new HostFixture().withEngine("runner-1", (request) -> cutAfter(request, 1, false));
@@ -86,6 +98,38 @@
 		}
 	}
 
+	@DataProvider
+	public Object[][] runnerCounts() {
+		return new Object[][] { { 1 }, { 2 } };
+	}
+
+	// Guards against a suspected request that waits until its deadline because every
+	// runner has crashed once and no other request comes that would probe them.
+	@Test(dataProvider = "runnerCounts")
+	public void suspectedRequestRunsOnARunnerThatCameBack(int runners) {
+		Set<String> crashedOnce = ConcurrentHashMap.newKeySet();
+		HostFixture fixture = new HostFixture();
+		for (int i = 1; i <= runners; i++) {
+			fixture.withEngine("runner-" + i, (request) -> crashedOnce.add(request.prompt())
+					? Multi.createFrom().failure(lost(RanState.UNKNOWN, true)) : HostFixture.answer(request));
+		}
+		EntryHost host = fixture.builder().build();
+		host.start();
+		try {
+			for (String prompt : List.of("Kevat", "Kesa")) {
+				long start = System.nanoTime();
+				HttpResponse<String> response = fixture.post(host, "/v1/completions", BODY.formatted(prompt, "false"));
+				Assert.assertEquals(response.statusCode(), 200, response.body());
+				// Less than the drain limit of 5 s: a host that stops must finish such
+				// requests.
+				Assert.assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(4), "the answer came late");
+			}
+		}
+		finally {
+			host.kill();
+		}
+	}
+
 	@Test
 	public void poisonRequestTakesAtMostTwoRunners() throws Exception {
 		Set<String> lostRunners = ConcurrentHashMap.newKeySet();
