Keep the output of items that fall to another host and back

Cause: a run that had given its slot back was dropped when another host became the owner of its item. The run is now kept until the item has a result; memory is bounded by the open items.

Registrations and the removal of silent hosts go through RecordWriter, which moves to `store`: a failed registration was tried again without a log line, and a failed removal was logged as delayed results. The regular tick of PeerExchange encodes a datagram only when a host is due one.

Before: JobTests.itemThatFallsBackGoesOnAfterItsLastEvent: 5 runs from the start for 4 items. After: 4; tests of gateway and platform pass.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -41,6 +41,7 @@
 import org.wigeonglade.gateway.store.KeyedLog;
 import org.wigeonglade.gateway.store.KeyedRecord;
 import org.wigeonglade.gateway.store.KeyedStream;
+import org.wigeonglade.gateway.store.RecordWriter;
 import org.wigeonglade.gateway.store.StreamFollower;
 import org.wigeonglade.schema.generated.gateway.HostEntry;
 
@@ -122,7 +123,7 @@
 
 	private final HostEntry self;
 
-	private final KeyedLog log;
+	private final RecordWriter writer;
 
 	private final Beliefs beliefs;
 
@@ -173,7 +174,8 @@
 		this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 		this.loop = (EventLoop) this.group.next();
 		Connector connector = new Connector(this.loop);
-		this.log = adapters.openLog(connector, this.loop);
+		KeyedLog log = adapters.openLog(connector, this.loop);
+		this.writer = new RecordWriter(log, this.loop, ticker);
 		this.self = HostEntry.newBuilder()
 			.setHost(settings.host().value())
 			.setIp(settings.peers().getAddress().getHostAddress())
@@ -186,22 +188,21 @@
 		this.fleet.setLiveHosts(() -> this.peers.getLiveCount() + 1);
 		this.fleet.setDomainSilent((domain) -> this.peers.isDomainSilent(domain, ticker.millis()));
 		PlacementPolicy policy = new PlacementPolicy(random);
-		this.hostWatch = new HostWatch(settings.host(), this.peers, this.log, ticker);
+		this.hostWatch = new HostWatch(settings.host(), this.peers, this.writer, ticker);
 		this.beliefs = new Beliefs(adapters, this.fleet, this.ledger, this.peers, ticker, this.self, this::register);
-		this.configurationFollower = new StreamFollower(this.log, KeyedStream.CONFIGURATION, CONFIGURATION_PACE,
-				this.loop, ticker, this.beliefs.configurationListener());
-		this.runnerFollower = new StreamFollower(this.log, KeyedStream.RUNNERS, RUNNER_PACE, this.loop, ticker,
+		this.configurationFollower = new StreamFollower(log, KeyedStream.CONFIGURATION, CONFIGURATION_PACE, this.loop,
+				ticker, this.beliefs.configurationListener());
+		this.runnerFollower = new StreamFollower(log, KeyedStream.RUNNERS, RUNNER_PACE, this.loop, ticker,
 				this.beliefs.runnerListener());
-		this.ownFollower = new StreamFollower(this.log, KeyedStream.OWN, OWN_PACE, this.loop, ticker,
+		this.ownFollower = new StreamFollower(log, KeyedStream.OWN, OWN_PACE, this.loop, ticker,
 				this.beliefs.ownListener(this::jobChanged));
 		this.exchange = new PeerExchange(this.self, this.loop, ticker, this.fleet.getBoard(), this.peers,
 				new PeerListener());
 		this.fleet.onLoadChanged(this.exchange::changed);
 		this.items = ItemScheduler.of(settings.host(), this.self.getIncarnation(), this.ledger, this.peers, this.fleet,
-				policy, this.loop, ticker, this.log);
+				policy, this.loop, ticker, this.writer);
 		this.exchange.describe(() -> this.stopping, this::isJobsCurrent, this.items::getWaitingCount);
-		this.jobs = new JobService(this.ledger, this.ownFollower, this.log, adapters.getCallerProtocol(), this.loop,
-				ticker);
+		this.jobs = new JobService(this.ledger, this.ownFollower, log, adapters.getCallerProtocol(), this.loop, ticker);
 		OnlineContext online = new OnlineContext(this.loop, ticker, this.fleet, policy, adapters.getCallerProtocol(),
 				this.crashes, new SlotPreemptor(settings.host(), this.items, this.fleet.getBoard(), this.exchange),
 				new OnlineMetrics(this.registry));
@@ -325,7 +326,7 @@
 		}
 		this.callers.closeIdle();
 		boolean idle = this.callers.getBusyCount() == 0 && this.items.getRunningCount() == 0
-				&& this.items.getUnwrittenCount() == 0;
+				&& this.writer.getPending() == 0;
 		return idle || since >= grace * DRAIN_SHARE;
 	}
 
@@ -340,12 +341,8 @@
 	}
 
 	private void register() {
-		this.log
-			.append(KeyedStream.OWN,
-					List.of(KeyedRecord.of(Beliefs.HOST_PREFIX + this.settings.host(), this.self.toByteArray())))
-			.subscribe()
-			.with((offset) -> this.registered = true,
-					(failure) -> this.loop.schedule(this::register, MAINTENANCE_MILLIS, TimeUnit.MILLISECONDS));
+		KeyedRecord entry = KeyedRecord.of(Beliefs.HOST_PREFIX + this.settings.host(), this.self.toByteArray());
+		this.writer.add(() -> entry, () -> this.registered = true);
 	}
 
 	private void maintain() {
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/HostWatch.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/HostWatch.java
@@ -10,9 +10,8 @@
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.log.GatewayEvent;
 import org.wigeonglade.gateway.peer.PeerTable;
-import org.wigeonglade.gateway.store.KeyedLog;
 import org.wigeonglade.gateway.store.KeyedRecord;
-import org.wigeonglade.gateway.store.KeyedStream;
+import org.wigeonglade.gateway.store.RecordWriter;
 
 /**
  * Watches the other hosts: tells which fell silent, and drops the registrations of those
@@ -29,16 +28,16 @@
 
 	private final PeerTable peers;
 
-	private final KeyedLog log;
+	private final RecordWriter writer;
 
 	private final Ticker ticker;
 
 	private Set<FailureDomain> silentDomains = Set.of();
 
-	HostWatch(HostId self, PeerTable peers, KeyedLog log, Ticker ticker) {
+	HostWatch(HostId self, PeerTable peers, RecordWriter writer, Ticker ticker) {
 		this.self = self;
 		this.peers = peers;
-		this.log = log;
+		this.writer = writer;
 		this.ticker = ticker;
 	}
 
@@ -56,17 +55,15 @@
 			long silence = peer.getSilence(now);
 			if (!peer.isAlive() && silence > FORGET_MILLIS && isFirst()) {
 				LOG.log(GatewayEvent.HOST_FORGOTTEN, peer.getHost(), silence);
-				forget(peer.getHost());
+				this.writer.add(() -> removal(peer));
 			}
 		}
 	}
 
-	// A failed append is repeated with the next look.
-	private void forget(HostId host) {
-		this.log.append(KeyedStream.OWN, List.of(KeyedRecord.of(Beliefs.HOST_PREFIX + host, null)))
-			.subscribe()
-			.with((offset) -> {
-			}, (failure) -> LOG.log(GatewayEvent.RESULTS_DELAYED, 1, failure.getMessage()));
+	// A host that came back meanwhile keeps its registration.
+	private KeyedRecord removal(PeerTable.Peer peer) {
+		boolean known = this.peers.find(peer.getHost()).filter((p) -> p == peer && !p.isAlive()).isPresent();
+		return known ? KeyedRecord.of(Beliefs.HOST_PREFIX + peer.getHost(), null) : null;
 	}
 
 	// One host does what needs doing once; a second one would only repeat it.
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -26,8 +26,8 @@
 import org.wigeonglade.gateway.runner.Fleet;
 import org.wigeonglade.gateway.runner.RunnerAnswer;
 import org.wigeonglade.gateway.runner.RunnerFailure;
-import org.wigeonglade.gateway.store.KeyedLog;
 import org.wigeonglade.gateway.store.KeyedRecord;
+import org.wigeonglade.gateway.store.RecordWriter;
 
 /**
  * Runs the items that fall to this host on idle slots, the most urgent first, and gives
@@ -98,7 +98,7 @@
 	private int waitingCount;
 
 	private ItemScheduler(HostId self, long incarnation, JobLedger ledger, PeerTable peers, Fleet fleet,
-			PlacementPolicy policy, EventLoop loop, Ticker ticker, KeyedLog log) {
+			PlacementPolicy policy, EventLoop loop, Ticker ticker, RecordWriter writer) {
 		this.self = self;
 		this.ledger = ledger;
 		this.peers = peers;
@@ -106,7 +106,7 @@
 		this.policy = policy;
 		this.loop = loop;
 		this.ticker = ticker;
-		this.writer = new RecordWriter(log, loop, ticker);
+		this.writer = writer;
 		this.writerKey = self + "." + incarnation;
 		this.turns = new BatchTurns(self);
 		this.ownership = new ItemOwnership(self, peers);
@@ -122,12 +122,12 @@
 	 * @param policy places items, not null
 	 * @param loop the event loop, not null
 	 * @param ticker the clock, not null
-	 * @param log the store, not null
+	 * @param writer appends results, not null
 	 * @return a scheduler, never null
 	 */
 	public static ItemScheduler of(HostId self, long incarnation, JobLedger ledger, PeerTable peers, Fleet fleet,
-			PlacementPolicy policy, EventLoop loop, Ticker ticker, KeyedLog log) {
-		return new ItemScheduler(self, incarnation, ledger, peers, fleet, policy, loop, ticker, log);
+			PlacementPolicy policy, EventLoop loop, Ticker ticker, RecordWriter writer) {
+		return new ItemScheduler(self, incarnation, ledger, peers, fleet, policy, loop, ticker, writer);
 	}
 
 	/**
@@ -216,14 +216,6 @@
 		return (int) this.runs.values().stream().filter(ItemRun::isRunning).count();
 	}
 
-	/**
-	 * Returns the number of results that are not durable yet.
-	 * @return the number
-	 */
-	public int getUnwrittenCount() {
-		return this.writer.getPending();
-	}
-
 	@Override
 	public void completed(ItemRun run, RunnerEntry runner) {
 		this.fleet.getHealth().succeeded(runner.id());
@@ -317,11 +309,8 @@
 			else if (!job.get().isOpen(key.item)) {
 				cause = "the item has a result";
 			}
-			else if (!entry.getValue().isRunning() && !entry.getValue().isDelayed(now) && !isOwn(key)) {
-				cause = "another host runs it";
-			}
 			if (cause == null) {
-				return false;
+				return isForgettable(entry.getValue(), now) && !isOwn(key);
 			}
 			if (entry.getValue().isRunning()) {
 				LOG.log(GatewayEvent.ITEM_RELEASED, key.job, key.item, cause);
@@ -331,6 +320,12 @@
 		});
 	}
 
+	// A run that has received events is kept until the item has a result: when the item
+	// falls to this host again, it goes on from there.
+	private static boolean isForgettable(ItemRun run, long nowMillis) {
+		return !run.isRunning() && !run.isDelayed(nowMillis) && run.getEvents() == 0;
+	}
+
 	private List<Work> waiting() {
 		long now = this.ticker.millis();
 		List<Work> waiting = new ArrayList<>();
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -126,10 +126,10 @@
 	ITEM_DONE(4508, Level.INFO, "item has a result", "job", "item", "state", "reason", "events", "runner"),
 
 	/** Results are durable. */
-	RESULTS_APPENDED(4509, Level.DEBUG, "results appended", "count", "offset", "append_ms"),
+	RECORDS_APPENDED(4509, Level.DEBUG, "records appended", "count", "offset", "append_ms"),
 
-	/** Results are not durable yet. */
-	RESULTS_DELAYED(4510, Level.WARNING, "results could not be appended; they are kept and tried again", "count",
+	/** Results, a registration or removals are not durable yet. */
+	RECORDS_DELAYED(4510, Level.WARNING, "records could not be appended; they are kept and tried again", "count",
 			"reason"),
 
 	/** A record of the own stream cannot be read. */
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerExchange.java
@@ -152,7 +152,8 @@
 	 * Sends what is due to hosts that have not had a datagram for a while.
 	 */
 	public void tick() {
-		if (this.channel != null) {
+		long now = this.ticker.millis();
+		if (this.channel != null && this.table.getPeers().stream().anyMatch((peer) -> isDue(peer, false, now))) {
 			sendToAll(datagram().build(), false);
 		}
 	}
@@ -201,15 +202,18 @@
 		byte[] bytes = datagram.toByteArray();
 		long now = this.ticker.millis();
 		for (PeerTable.Peer peer : new ArrayList<>(this.table.getPeers())) {
-			long since = now - this.lastSent.getOrDefault(peer.getHost(), -SILENT_MILLIS);
-			long pause = peer.isAlive() ? (atOnce ? 0 : REGULAR_MILLIS) : SILENT_MILLIS;
-			if (since >= pause) {
+			if (isDue(peer, atOnce, now)) {
 				send(peer, bytes);
 			}
 		}
 		this.channel.flush();
 	}
 
+	private boolean isDue(PeerTable.Peer peer, boolean atOnce, long now) {
+		long since = now - this.lastSent.getOrDefault(peer.getHost(), -SILENT_MILLIS);
+		return since >= (peer.isAlive() ? (atOnce ? 0 : REGULAR_MILLIS) : SILENT_MILLIS);
+	}
+
 	private void send(PeerTable.Peer peer, byte[] bytes) {
 		this.lastSent.put(peer.getHost(), this.ticker.millis());
 		this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.getAddress()));
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/RecordWriter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/RecordWriter.java
@@ -1,4 +1,4 @@
-package org.wigeonglade.gateway.job;
+package org.wigeonglade.gateway.store;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -9,16 +9,13 @@
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.log.GatewayEvent;
-import org.wigeonglade.gateway.store.KeyedLog;
-import org.wigeonglade.gateway.store.KeyedRecord;
-import org.wigeonglade.gateway.store.KeyedStream;
 
 /**
  * Appends records that must become durable sooner or later, in groups, with one append in
- * flight. After a failure all of them are tried again, until the ledger shows that they
- * are no longer needed. Confined to the event loop.
+ * flight. After a failure all of them are tried again while they are needed. Confined to
+ * the event loop.
  */
-final class RecordWriter {
+public final class RecordWriter {
 
 	private static final EventLogger LOG = EventLogger.of(RecordWriter.class);
 
@@ -37,11 +34,17 @@
 
 	private final Ticker ticker;
 
-	private final List<Supplier<KeyedRecord>> pending = new ArrayList<>();
+	private final List<Pending> pending = new ArrayList<>();
 
 	private boolean busy;
 
-	RecordWriter(KeyedLog log, EventLoop loop, Ticker ticker) {
+	/**
+	 * Creates a writer.
+	 * @param log the store, not null
+	 * @param loop the event loop, not null
+	 * @param ticker the clock, not null
+	 */
+	public RecordWriter(KeyedLog log, EventLoop loop, Ticker ticker) {
 		this.log = log;
 		this.loop = loop;
 		this.ticker = ticker;
@@ -52,12 +55,27 @@
 	 * @param record makes the record for each try, or returns null if it is no longer
 	 * needed
 	 */
-	void add(Supplier<KeyedRecord> record) {
-		this.pending.add(record);
+	public void add(Supplier<KeyedRecord> record) {
+		add(record, () -> {
+		});
+	}
+
+	/**
+	 * Adds a record.
+	 * @param record makes the record for each try, or returns null if it is no longer
+	 * needed
+	 * @param onDurable is run once the store has acknowledged it, not null
+	 */
+	public void add(Supplier<KeyedRecord> record, Runnable onDurable) {
+		this.pending.add(new Pending(record, onDurable));
 		schedule(COLLECT_MILLIS);
 	}
 
-	int getPending() {
+	/**
+	 * Returns the number of records that are not durable yet.
+	 * @return the number
+	 */
+	public int getPending() {
 		return this.pending.size();
 	}
 
@@ -69,12 +87,12 @@
 	}
 
 	private void append() {
-		List<Supplier<KeyedRecord>> group = new ArrayList<>();
+		List<Pending> group = new ArrayList<>();
 		List<KeyedRecord> records = new ArrayList<>();
-		List<Supplier<KeyedRecord>> needless = new ArrayList<>();
+		List<Pending> needless = new ArrayList<>();
 		int bytes = 0;
-		for (Supplier<KeyedRecord> next : this.pending) {
-			KeyedRecord record = next.get();
+		for (Pending next : this.pending) {
+			KeyedRecord record = next.record().get();
 			if (record == null) {
 				needless.add(next);
 				continue;
@@ -93,17 +111,22 @@
 		}
 		long start = this.ticker.millis();
 		this.log.append(KeyedStream.OWN, records).subscribe().with((offset) -> this.loop.execute(() -> {
-			LOG.log(GatewayEvent.RESULTS_APPENDED, records.size(), offset, this.ticker.millis() - start);
+			LOG.log(GatewayEvent.RECORDS_APPENDED, records.size(), offset, this.ticker.millis() - start);
 			this.pending.removeAll(group);
+			group.forEach((written) -> written.onDurable().run());
 			this.busy = false;
 			if (!this.pending.isEmpty()) {
 				schedule(0);
 			}
 		}), (failure) -> this.loop.execute(() -> {
-			LOG.log(GatewayEvent.RESULTS_DELAYED, records.size(), failure.getMessage());
+			LOG.log(GatewayEvent.RECORDS_DELAYED, records.size(), failure.getMessage());
 			this.busy = false;
 			schedule(RETRY_MILLIS);
 		}));
 	}
 
+	private record Pending(Supplier<KeyedRecord> record, Runnable onDurable) {
+
+	}
+
 }
