Try to avoid runners by the outcomes that all hosts see

Cause looked for: in a large fleet each host sends a runner a request every few seconds, so a runner that fails part of its requests keeps its share: no host alone sees enough failures. Hosts now report weighted outcomes of doubtful runners in their datagrams, and a runner with at least two failures and a fifth of all outcomes is avoided for 3 s or more.

On six runners, avoiding two for seconds takes a third of the slots in a burst, which costs more than the retries.

--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -218,7 +218,7 @@
 
 	@Override
 	public void completed(ItemRun run, RunnerEntry runner) {
-		this.fleet.getHealth().succeeded(runner.id());
+		this.fleet.recordSuccess(runner);
 		if (run.getEvents() > 0) {
 			this.order.learn(run.getEvents(), run.getRunMillis());
 		}
@@ -234,7 +234,7 @@
 		LOG.log(GatewayEvent.ITEM_FAILED, run.getJob().getId(), run.getItem().id(), runner.id(),
 				"status " + answer.status(), run.getFailures(), lastEvent(run));
 		if (answer.wrongRunner()) {
-			this.fleet.getHealth().failed(runner.id(), this.ticker.millis());
+			this.fleet.recordFailure(runner, "WRONG_RUNNER");
 		}
 		int maxAttempts = routeOf(run.getJob()).map(Route::getMaxAttempts).orElse(1);
 		Optional<String> reason = ran ? ItemPolicy.giveUpAfter(answer.status(), run.getFailures(), maxAttempts)
@@ -253,7 +253,7 @@
 				failure.kind() + ": " + failure.reason(), run.getFailures(), lastEvent(run));
 		if (failure.kind() != RunnerFailure.Kind.STALE_CONNECTION
 				&& failure.kind() != RunnerFailure.Kind.NO_CONNECTION) {
-			this.fleet.getHealth().failed(runner.id(), this.ticker.millis());
+			this.fleet.recordFailure(runner, failure.kind().name());
 		}
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -99,6 +99,10 @@
 	/** A failure domain is heard again. */
 	DOMAIN_HEARD(3511, Level.INFO, "failure domain is heard again", "domain"),
 
+	/** A runner fails more requests than chance explains. */
+	RUNNER_OUTLIER(3512, Level.WARNING, "runner fails many requests over all hosts and is avoided", "runner", "for_ms",
+			"failed", "answered"),
+
 	/** A job was accepted. */
 	JOB_ACCEPTED(4501, Level.INFO, "job accepted", "job", "items", "offset", "append_ms"),
 
@@ -144,6 +148,10 @@
 	/** Jobs are dropped after their retention. */
 	JOBS_DROPPED(4514, Level.INFO, "records of jobs are dropped after their retention", "records"),
 
+	/** It is not known whether a job was stored. */
+	JOB_APPENDED_AGAIN(4515, Level.WARNING, "append of a job got no answer and is tried again", "job", "reason",
+			"elapsed_ms"),
+
 	/** The store answers. */
 	STORE_REACHABLE(5501, Level.INFO, "store answers", "stream", "next_offset"),
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -143,7 +143,7 @@
 			.stream()
 			.anyMatch((c) -> !c.avoided() && !c.entry().id().equals(silent.getRunner().id()));
 		if (!elsewhere) {
-			avoid(silent.getRunner(), RunnerFailure.Kind.SILENT.name());
+			this.context.fleet().recordFailure(silent.getRunner(), RunnerFailure.Kind.SILENT.name());
 		}
 		return elsewhere;
 	}
@@ -196,7 +196,7 @@
 	}
 
 	private void served(Attempt ended, AttemptOutcome.Served outcome) {
-		this.context.fleet().getHealth().succeeded(ended.getRunner().id());
+		this.context.fleet().recordSuccess(ended.getRunner());
 		this.context.fleet().addHold(ended.getRunner(), Duration.ofMillis(ended.getHoldMillis()));
 		this.context.metrics().attempt("ANSWERED");
 		this.context.metrics().request("answered");
@@ -208,7 +208,7 @@
 
 	private void declined(Attempt ended, AttemptOutcome.Declined outcome) {
 		if (outcome.answer().wrongRunner()) {
-			avoid(ended.getRunner(), "WRONG_RUNNER");
+			this.context.fleet().recordFailure(ended.getRunner(), "WRONG_RUNNER");
 		}
 		logFailedAttempt(ended, "DECLINED", "status " + outcome.answer().status(), true, null);
 		this.tried.add(ended.getRunner().id());
@@ -226,7 +226,7 @@
 			this.lastError = outcome;
 		}
 		if (status >= 500) {
-			avoid(ended.getRunner(), "STATUS_" + status);
+			this.context.fleet().recordFailure(ended.getRunner(), "STATUS_" + status);
 			tryAgainOrFail("the runner answered status " + status);
 		}
 		else {
@@ -238,7 +238,7 @@
 		RunnerEntry runner = ended.getRunner();
 		Long avoided = switch (failure.kind()) {
 			case STALE_CONNECTION, NO_CONNECTION -> null;
-			case UNREACHABLE, BROKEN, SILENT -> avoid(runner, failure.kind().name());
+			case UNREACHABLE, BROKEN, SILENT -> this.context.fleet().recordFailure(runner, failure.kind().name());
 		};
 		logFailedAttempt(ended, failure.kind().name(), failure.reason(), failure.isNotRun(), avoided);
 		if (failure.kind() == RunnerFailure.Kind.STALE_CONNECTION) {
@@ -336,13 +336,6 @@
 		}
 	}
 
-	private long avoid(RunnerEntry runner, String kind) {
-		long now = this.context.ticker().millis();
-		long millis = this.context.fleet().getHealth().failed(runner.id(), now) - now;
-		LOG.log(GatewayEvent.RUNNER_AVOIDED, runner.id(), millis, kind);
-		return millis;
-	}
-
 	private void logPlaced(Placement.Send send) {
 		RunnerId runner = send.runner().id();
 		LoadBoard.Load load = this.context.fleet().getBoard().getLoad(runner);
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerExchange.java
@@ -21,17 +21,21 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.LoadBoard;
+import org.wigeonglade.gateway.fleet.Outcomes;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
 import org.wigeonglade.gateway.log.GatewayEvent;
+import org.wigeonglade.gateway.runner.Fleet;
 import org.wigeonglade.schema.generated.gateway.CrashReport;
 import org.wigeonglade.schema.generated.gateway.Datagram;
 import org.wigeonglade.schema.generated.gateway.HostEntry;
 import org.wigeonglade.schema.generated.gateway.Preemption;
 import org.wigeonglade.schema.generated.gateway.RunnerLoad;
+import org.wigeonglade.schema.generated.gateway.RunnerOutcomes;
 
 /**
  * Tells the other hosts, by datagrams, what this one has in progress, and hears the same
@@ -59,7 +63,7 @@
 
 	private final Ticker ticker;
 
-	private final LoadBoard board;
+	private final Fleet fleet;
 
 	private final PeerTable table;
 
@@ -84,16 +88,16 @@
 	 * @param self this host, not null
 	 * @param loop the event loop, not null
 	 * @param ticker the clock, not null
-	 * @param board the requests in progress, not null
+	 * @param fleet the runners with the requests in progress, not null
 	 * @param table the other hosts, not null
 	 * @param listener receives what others ask for, not null
 	 */
-	public PeerExchange(HostEntry self, EventLoop loop, Ticker ticker, LoadBoard board, PeerTable table,
+	public PeerExchange(HostEntry self, EventLoop loop, Ticker ticker, Fleet fleet, PeerTable table,
 			Listener listener) {
 		this.self = self;
 		this.loop = loop;
 		this.ticker = ticker;
-		this.board = board;
+		this.fleet = fleet;
 		this.table = table;
 		this.listener = listener;
 	}
@@ -167,7 +171,7 @@
 		this.table.find(host).ifPresent((peer) -> {
 			Preemption preemption = Preemption.newBuilder().setRunner(runner.value()).setSlots(1).build();
 			send(peer, datagram().addPreemptions(preemption).build().toByteArray());
-			this.board.expectPreemption(host, runner);
+			this.fleet.getBoard().expectPreemption(host, runner);
 		});
 	}
 
@@ -192,9 +196,17 @@
 			.setLeaving(this.leaving.getAsBoolean())
 			.setJobsCurrent(this.jobsCurrent.getAsBoolean())
 			.setWaitingItems(this.waitingItems.getAsInt());
-		this.board.getOwn()
+		this.fleet.getBoard()
+			.getOwn()
 			.forEach((runner, load) -> builder.addLoads(
 					RunnerLoad.newBuilder().setRunner(runner.value()).setOnline(load.online()).setBatch(load.batch())));
+		this.fleet.getOutliers()
+			.getReport(this.ticker.millis())
+			.forEach((runner,
+					outcomes) -> builder.addOutcomes(RunnerOutcomes.newBuilder()
+						.setRunner(runner.value())
+						.setFailed((float) outcomes.failed())
+						.setAnswered((float) outcomes.answered())));
 		return builder;
 	}
 
@@ -242,7 +254,10 @@
 		Map<RunnerId, LoadBoard.Load> loads = new HashMap<>();
 		datagram.getLoadsList()
 			.forEach((l) -> loads.put(RunnerId.of(l.getRunner()), new LoadBoard.Load(l.getOnline(), l.getBatch())));
-		this.board.report(host, new LoadBoard.Report(sender.getIncarnation(), datagram.getSequence(), now, loads));
+		LoadBoard.Report report = new LoadBoard.Report(sender.getIncarnation(), datagram.getSequence(), now, loads);
+		if (this.fleet.getBoard().report(host, report)) {
+			receiveOutcomes(host, FailureDomain.of(sender.getDomain()), datagram.getOutcomesList(), now);
+		}
 		List<Preemption> preemptions = datagram.getPreemptionsList();
 		preemptions.forEach((p) -> this.listener.preemptionRequested(RunnerId.of(p.getRunner()), p.getSlots()));
 		datagram.getCrashesList()
@@ -250,6 +265,13 @@
 					c.getRunnerStartedMs()));
 	}
 
+	private void receiveOutcomes(HostId host, FailureDomain domain, List<RunnerOutcomes> received, long now) {
+		Map<RunnerId, Outcomes> outcomes = new HashMap<>();
+		received.forEach((o) -> outcomes.put(RunnerId.of(o.getRunner()), new Outcomes(o.getFailed(), o.getAnswered())));
+		this.fleet.getOutliers().report(host, domain, outcomes, now);
+		outcomes.keySet().forEach(this.fleet::judge);
+	}
+
 	/**
 	 * Receives what other hosts say.
 	 */
