Revert the avoidance by the outcomes of all hosts

What stays: Fleet.recordFailure and recordSuccess, so that each failure that makes a host avoid a runner has a log line, those of items too.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -196,7 +196,8 @@
 				this.beliefs.runnerListener());
 		this.ownFollower = new StreamFollower(log, KeyedStream.OWN, OWN_PACE, this.loop, ticker,
 				this.beliefs.ownListener(this::jobChanged));
-		this.exchange = new PeerExchange(this.self, this.loop, ticker, this.fleet, this.peers, new PeerListener());
+		this.exchange = new PeerExchange(this.self, this.loop, ticker, this.fleet.getBoard(), this.peers,
+				new PeerListener());
 		this.fleet.onLoadChanged(this.exchange::changed);
 		this.items = ItemScheduler.of(settings.host(), this.self.getIncarnation(), this.ledger, this.peers, this.fleet,
 				policy, this.loop, ticker, this.writer);
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -99,10 +99,6 @@
 	/** A failure domain is heard again. */
 	DOMAIN_HEARD(3511, Level.INFO, "failure domain is heard again", "domain"),
 
-	/** A runner fails more requests than chance explains. */
-	RUNNER_OUTLIER(3512, Level.WARNING, "runner fails many requests over all hosts and is avoided", "runner", "for_ms",
-			"failed", "answered"),
-
 	/** A job was accepted. */
 	JOB_ACCEPTED(4501, Level.INFO, "job accepted", "job", "items", "offset", "append_ms"),
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerExchange.java
@@ -21,21 +21,17 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import org.wigeonglade.core.event.EventLogger;
-import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.LoadBoard;
-import org.wigeonglade.gateway.fleet.Outcomes;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
 import org.wigeonglade.gateway.log.GatewayEvent;
-import org.wigeonglade.gateway.runner.Fleet;
 import org.wigeonglade.schema.generated.gateway.CrashReport;
 import org.wigeonglade.schema.generated.gateway.Datagram;
 import org.wigeonglade.schema.generated.gateway.HostEntry;
 import org.wigeonglade.schema.generated.gateway.Preemption;
 import org.wigeonglade.schema.generated.gateway.RunnerLoad;
-import org.wigeonglade.schema.generated.gateway.RunnerOutcomes;
 
 /**
  * Tells the other hosts, by datagrams, what this one has in progress, and hears the same
@@ -63,7 +59,7 @@
 
 	private final Ticker ticker;
 
-	private final Fleet fleet;
+	private final LoadBoard board;
 
 	private final PeerTable table;
 
@@ -88,16 +84,16 @@
 	 * @param self this host, not null
 	 * @param loop the event loop, not null
 	 * @param ticker the clock, not null
-	 * @param fleet the runners with the requests in progress, not null
+	 * @param board the requests in progress, not null
 	 * @param table the other hosts, not null
 	 * @param listener receives what others ask for, not null
 	 */
-	public PeerExchange(HostEntry self, EventLoop loop, Ticker ticker, Fleet fleet, PeerTable table,
+	public PeerExchange(HostEntry self, EventLoop loop, Ticker ticker, LoadBoard board, PeerTable table,
 			Listener listener) {
 		this.self = self;
 		this.loop = loop;
 		this.ticker = ticker;
-		this.fleet = fleet;
+		this.board = board;
 		this.table = table;
 		this.listener = listener;
 	}
@@ -171,7 +167,7 @@
 		this.table.find(host).ifPresent((peer) -> {
 			Preemption preemption = Preemption.newBuilder().setRunner(runner.value()).setSlots(1).build();
 			send(peer, datagram().addPreemptions(preemption).build().toByteArray());
-			this.fleet.getBoard().expectPreemption(host, runner);
+			this.board.expectPreemption(host, runner);
 		});
 	}
 
@@ -196,17 +192,9 @@
 			.setLeaving(this.leaving.getAsBoolean())
 			.setJobsCurrent(this.jobsCurrent.getAsBoolean())
 			.setWaitingItems(this.waitingItems.getAsInt());
-		this.fleet.getBoard()
-			.getOwn()
+		this.board.getOwn()
 			.forEach((runner, load) -> builder.addLoads(
 					RunnerLoad.newBuilder().setRunner(runner.value()).setOnline(load.online()).setBatch(load.batch())));
-		this.fleet.getOutliers()
-			.getReport(this.ticker.millis())
-			.forEach((runner,
-					outcomes) -> builder.addOutcomes(RunnerOutcomes.newBuilder()
-						.setRunner(runner.value())
-						.setFailed((float) outcomes.failed())
-						.setAnswered((float) outcomes.answered())));
 		return builder;
 	}
 
@@ -254,10 +242,7 @@
 		Map<RunnerId, LoadBoard.Load> loads = new HashMap<>();
 		datagram.getLoadsList()
 			.forEach((l) -> loads.put(RunnerId.of(l.getRunner()), new LoadBoard.Load(l.getOnline(), l.getBatch())));
-		LoadBoard.Report report = new LoadBoard.Report(sender.getIncarnation(), datagram.getSequence(), now, loads);
-		if (this.fleet.getBoard().report(host, report)) {
-			receiveOutcomes(host, FailureDomain.of(sender.getDomain()), datagram.getOutcomesList(), now);
-		}
+		this.board.report(host, new LoadBoard.Report(sender.getIncarnation(), datagram.getSequence(), now, loads));
 		List<Preemption> preemptions = datagram.getPreemptionsList();
 		preemptions.forEach((p) -> this.listener.preemptionRequested(RunnerId.of(p.getRunner()), p.getSlots()));
 		datagram.getCrashesList()
@@ -265,13 +250,6 @@
 					c.getRunnerStartedMs()));
 	}
 
-	private void receiveOutcomes(HostId host, FailureDomain domain, List<RunnerOutcomes> received, long now) {
-		Map<RunnerId, Outcomes> outcomes = new HashMap<>();
-		received.forEach((o) -> outcomes.put(RunnerId.of(o.getRunner()), new Outcomes(o.getFailed(), o.getAnswered())));
-		this.fleet.getOutliers().report(host, domain, outcomes, now);
-		outcomes.keySet().forEach(this.fleet::judge);
-	}
-
 	/**
 	 * Receives what other hosts say.
 	 */
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
@@ -17,8 +16,6 @@
 import org.wigeonglade.gateway.fleet.Candidate;
 import org.wigeonglade.gateway.fleet.HoldTime;
 import org.wigeonglade.gateway.fleet.LoadBoard;
-import org.wigeonglade.gateway.fleet.Outcomes;
-import org.wigeonglade.gateway.fleet.OutlierDetector;
 import org.wigeonglade.gateway.fleet.RunnerDirectory;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerHealth;
@@ -41,21 +38,12 @@
 	/** Connections that a host may always have to a runner. */
 	private static final int FEWEST_CONNECTIONS = 8;
 
-	/**
-	 * Part of a service's runners that may be avoided as outliers. If more of them fail,
-	 * the requests or the way are at fault, and avoiding runners would only take slots
-	 * away.
-	 */
-	private static final double LARGEST_OUTLIER_SHARE = 0.34;
-
 	private final RunnerDirectory directory = new RunnerDirectory();
 
 	private final LoadBoard board = new LoadBoard();
 
 	private final RunnerHealth health = new RunnerHealth();
 
-	private final OutlierDetector outliers;
-
 	private final Map<ServiceName, HoldTime> holdTimes = new HashMap<>();
 
 	private final Map<RunnerId, HoldTime> holdTimesOfRunners = new HashMap<>();
@@ -88,7 +76,6 @@
 		this.pool = pool;
 		this.protocol = protocol;
 		this.domain = domain;
-		this.outliers = new OutlierDetector(domain);
 		this.ticker = ticker;
 	}
 
@@ -115,10 +102,6 @@
 	 * it
 	 */
 	public boolean isAvoided(RunnerEntry runner) {
-		return isDoubted(runner) || this.outliers.isOutlier(runner.id(), this.ticker.millis());
-	}
-
-	private boolean isDoubted(RunnerEntry runner) {
 		return this.health.isAvoided(runner.id(), this.ticker.millis()) || this.domainSilent.test(runner.domain());
 	}
 
@@ -162,21 +145,12 @@
 		return this.board;
 	}
 
-	/**
-	 * Returns what the outcomes of all hosts say of the runners.
-	 * @return the detector, never null
-	 */
-	public OutlierDetector getOutliers() {
-		return this.outliers;
-	}
-
 	/**
 	 * Records a complete answer.
 	 * @param runner the runner, not null
 	 */
 	public void recordSuccess(RunnerEntry runner) {
 		this.health.succeeded(runner.id());
-		this.outliers.add(runner.id(), false, this.ticker.millis());
 	}
 
 	/**
@@ -189,25 +163,9 @@
 		long now = this.ticker.millis();
 		long millis = this.health.failed(runner.id(), now) - now;
 		LOG.log(GatewayEvent.RUNNER_AVOIDED, runner.id(), millis, kind);
-		this.outliers.add(runner.id(), true, now);
-		judge(runner.id());
 		return millis;
 	}
 
-	/**
-	 * Judges a runner after another host reported outcomes.
-	 * @param runner the runner, not null
-	 */
-	public void judge(RunnerId runner) {
-		long now = this.ticker.millis();
-		OptionalLong begun = this.outliers.judge(runner, now);
-		if (begun.isPresent()) {
-			Outcomes outcomes = this.outliers.getOutcomes(runner, now);
-			LOG.log(GatewayEvent.RUNNER_OUTLIER, runner, begun.getAsLong(), Math.round(outcomes.failed() * 10) / 10.0,
-					Math.round(outcomes.answered() * 10) / 10.0);
-		}
-	}
-
 	/**
 	 * Records how long a request held a slot.
 	 * @param runner the runner, not null
@@ -225,18 +183,10 @@
 	 * @return the candidates, empty if there are none
 	 */
 	public List<Candidate> candidates(ServiceName service, Set<RunnerId> excluded) {
-		long now = this.ticker.millis();
-		List<RunnerEntry> entries = this.directory.getEntries()
-			.stream()
-			.filter((entry) -> entry.service().equals(service) && !entry.draining())
-			.toList();
-		long outlierCount = entries.stream().filter((entry) -> this.outliers.isOutlier(entry.id(), now)).count();
-		boolean believed = outlierCount <= LARGEST_OUTLIER_SHARE * entries.size();
 		List<Candidate> candidates = new ArrayList<>();
-		for (RunnerEntry entry : entries) {
-			if (!excluded.contains(entry.id())) {
-				boolean avoided = isDoubted(entry) || (believed && this.outliers.isOutlier(entry.id(), now));
-				candidates.add(new Candidate(entry, this.board.getLoad(entry.id()), avoided,
+		for (RunnerEntry entry : this.directory.getEntries()) {
+			if (entry.service().equals(service) && !entry.draining() && !excluded.contains(entry.id())) {
+				candidates.add(new Candidate(entry, this.board.getLoad(entry.id()), isAvoided(entry),
 						entry.domain().equals(this.domain), runnerHold(entry).getMean()));
 			}
 		}
@@ -251,7 +201,6 @@
 		this.directory.expire(now);
 		this.board.expire(now);
 		this.health.retain(this.directory);
-		this.outliers.retain(this.directory, now);
 		this.pool.trim(this.directory);
 		this.holdTimesOfRunners.keySet().removeIf((id) -> this.directory.find(id).isEmpty());
 	}
