Let a step of the item scheduler cost as much as the own items

A profile of 24 hosts with 24 stand-in runners in one process shows a third of the samples in ItemScheduler.step: every 25 ms each host went through all open items of all jobs, built their names and looked up their owners, and asked for all runners again for each item that waits, also after the first one had found no slot. Placing a request asked every host for each runner whether a domain is silent.

Own items of a job are now found once for each change of the hosts, a service without a slot is asked once a step, and the silence of a domain is looked up once for each placement.

Tests of gateway and platform pass.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/HostWatch.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/HostWatch.java
@@ -76,11 +76,8 @@
 
 	private void logSilentDomains(long now) {
 		Set<FailureDomain> silent = new HashSet<>();
-		for (PeerTable.Peer peer : this.peers.getPeers()) {
-			if (this.peers.isDomainSilent(peer.getDomain(), now)) {
-				silent.add(peer.getDomain());
-			}
-		}
+		this.peers.getPeers().forEach((peer) -> silent.add(peer.getDomain()));
+		silent.removeIf((domain) -> !this.peers.isDomainSilent(domain, now));
 		silent.stream()
 			.filter((domain) -> !this.silentDomains.contains(domain))
 			.forEach((domain) -> LOG.log(GatewayEvent.DOMAIN_SILENT, domain));
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemOwnership.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemOwnership.java
@@ -1,9 +1,12 @@
 package org.wigeonglade.gateway.job;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.member.Rendezvous;
@@ -22,7 +25,7 @@
 
 	private final PeerTable peers;
 
-	private final Map<String, HostId> owners = new HashMap<>();
+	private final Map<JobId, List<SubmittedItem>> ownItems = new HashMap<>();
 
 	private long version = -1;
 
@@ -45,19 +48,41 @@
 	}
 
 	/**
-	 * Returns whether an item falls to this host.
-	 * @param item names the item over all jobs, not null
-	 * @return true if this host runs it
+	 * Returns the items of a job that fall to this host. They are kept until the set of
+	 * hosts changes, so that a step costs as much as the own items, not as all items.
+	 * @param job a complete job, not null
+	 * @return the items, also those that have a result, never null
 	 */
-	boolean isOwn(String item) {
+	List<SubmittedItem> getOwnItems(Job job) {
 		if (this.version != this.peers.getVersion()) {
-			this.owners.clear();
+			this.ownItems.clear();
 			this.version = this.peers.getVersion();
 		}
-		return this.owners.computeIfAbsent(item, this::owner).equals(this.self);
+		return this.ownItems.computeIfAbsent(job.getId(),
+				(id) -> job.getItems().stream().filter((item) -> isOwn(id + "/" + item.id())).toList());
+	}
+
+	/**
+	 * Forgets the items of jobs that are no longer kept.
+	 * @param jobs the jobs that are kept, not null
+	 */
+	void retain(Collection<Job> jobs) {
+		if (this.ownItems.size() > jobs.size()) {
+			Set<JobId> kept = jobs.stream().map(Job::getId).collect(Collectors.toSet());
+			this.ownItems.keySet().retainAll(kept);
+		}
+	}
+
+	/**
+	 * Returns whether an item or another task falls to this host.
+	 * @param task names it over all jobs, not null
+	 * @return true if this host runs it
+	 */
+	boolean isOwn(String task) {
+		return owner(task).equals(this.self);
 	}
 
-	private HostId owner(String item) {
+	private HostId owner(String task) {
 		List<HostId> hosts = new ArrayList<>();
 		this.peers.getPeers().stream().filter(PeerTable.Peer::isEligible).forEach((p) -> hosts.add(p.getHost()));
 		if (this.selfCurrent) {
@@ -67,7 +92,7 @@
 			this.peers.getPeers().stream().filter(PeerTable.Peer::isServing).forEach((p) -> hosts.add(p.getHost()));
 			hosts.add(this.self);
 		}
-		return Rendezvous.first(item, hosts, HostId::value).orElse(this.self);
+		return Rendezvous.first(task, hosts, HostId::value).orElse(this.self);
 	}
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -143,9 +143,16 @@
 		}
 		List<Work> waiting = waiting();
 		Set<HostId> contenders = contenders();
+		Set<ServiceName> full = new HashSet<>();
 		int left = waiting.size();
 		for (Work work : waiting) {
-			left -= start(work, contenders) ? 1 : 0;
+			ServiceName service = work.route.chooseService(work.item.id().value());
+			if (!full.contains(service)) {
+				switch (start(work, service, contenders)) {
+					case STARTED, GIVEN_UP -> left--;
+					case NO_SLOT -> full.add(service);
+				}
+			}
 		}
 		this.waitingCount = left;
 	}
@@ -257,22 +264,21 @@
 		}
 	}
 
-	private boolean start(Work work, Set<HostId> contenders) {
+	private Start start(Work work, ServiceName service, Set<HostId> contenders) {
 		long wallMillis = this.ticker.wallMillis();
 		Duration age = Duration.ofMillis(wallMillis - work.job.getSubmittedAtMillis());
 		Route route = work.route;
 		Optional<String> tooOld = ItemPolicy.giveUpAt(age, route.getRetention());
 		if (tooOld.isPresent()) {
 			giveUp(work.job, work.item, tooOld.get());
-			return false;
+			return Start.GIVEN_UP;
 		}
-		ServiceName service = route.chooseService(work.item.id().value());
 		long now = this.ticker.millis();
 		this.pausedUntil.values().removeIf((until) -> until <= now);
 		Optional<RunnerEntry> runner = this.policy.placeBatch(this.fleet.candidates(service, this.pausedUntil.keySet()),
 				(candidate) -> takeSlot(candidate, contenders));
 		if (runner.isEmpty()) {
-			return false;
+			return Start.NO_SLOT;
 		}
 		ItemRun run = this.runs.computeIfAbsent(work.key, (k) -> new ItemRun(work.job, work.item, this));
 		Duration remaining = route.getRetention().isZero() ? DEFAULT_RUN_LIMIT : route.getRetention().minus(age);
@@ -280,7 +286,7 @@
 				run.getAttempts() + 1, work.entry.dueMillis() - wallMillis,
 				this.fleet.getBoard().getLoad(runner.get().id()).getTotal());
 		run.start(this.fleet, this.loop, this.ticker, runner.get(), remaining);
-		return true;
+		return Start.STARTED;
 	}
 
 	private Set<HostId> contenders() {
@@ -328,15 +334,17 @@
 
 	private List<Work> waiting() {
 		long now = this.ticker.millis();
+		this.ownership.retain(this.ledger.getJobs());
 		List<Work> waiting = new ArrayList<>();
 		for (Job job : this.ledger.getJobs()) {
 			if (!job.isComplete() || job.isDone()) {
 				continue;
 			}
-			Optional<Route> route = routeOf(job);
-			for (SubmittedItem item : List.copyOf(job.getOpenItems())) {
+			List<SubmittedItem> own = this.ownership.getOwnItems(job);
+			Optional<Route> route = own.isEmpty() ? Optional.empty() : routeOf(job);
+			for (SubmittedItem item : own) {
 				ItemKey key = new ItemKey(job.getId(), item.id());
-				if (this.unwritten.containsKey(key) || !isOwn(key)) {
+				if (!job.isOpen(item.id()) || this.unwritten.containsKey(key)) {
 					continue;
 				}
 				if (route.isEmpty()) {
@@ -389,6 +397,22 @@
 		return run.getLastEvent().isPresent() ? run.getLastEvent().getAsLong() : null;
 	}
 
+	/**
+	 * What became of an item that waits.
+	 */
+	private enum Start {
+
+		/** It runs. */
+		STARTED,
+
+		/** No runner has a slot for it. */
+		NO_SLOT,
+
+		/** It is too old. */
+		GIVEN_UP
+
+	}
+
 	private record ItemKey(JobId job, ItemId item) {
 
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/Job.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/Job.java
@@ -125,6 +125,14 @@
 		return this.open.containsKey(item);
 	}
 
+	/**
+	 * Returns all items.
+	 * @return a live view that must not be changed, empty while the job is incomplete
+	 */
+	public Collection<SubmittedItem> getItems() {
+		return this.items.values();
+	}
+
 	/**
 	 * Returns the items without a result.
 	 * @return the items in order
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -183,10 +183,14 @@
 	 * @return the candidates, empty if there are none
 	 */
 	public List<Candidate> candidates(ServiceName service, Set<RunnerId> excluded) {
+		long now = this.ticker.millis();
+		Map<FailureDomain, Boolean> silent = new HashMap<>();
 		List<Candidate> candidates = new ArrayList<>();
 		for (RunnerEntry entry : this.directory.getEntries()) {
 			if (entry.service().equals(service) && !entry.draining() && !excluded.contains(entry.id())) {
-				candidates.add(new Candidate(entry, this.board.getLoad(entry.id()), isAvoided(entry),
+				boolean avoided = this.health.isAvoided(entry.id(), now)
+						|| silent.computeIfAbsent(entry.domain(), this.domainSilent::test);
+				candidates.add(new Candidate(entry, this.board.getLoad(entry.id()), avoided,
 						entry.domain().equals(this.domain), runnerHold(entry).getMean()));
 			}
 		}
