--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
@@ -269,11 +269,8 @@
 		this.serviceViews = views.values().stream().map(ServiceView.Builder::build).toList();
 	}
 
-	// Sends a first count to each new dispatcher of this domain. It opens the connection,
-	// so that
-	// the notice of the first request does not wait for a handshake, and tells a
-	// successor
-	// what is already in flight.
+	// Sends a first count to each new dispatcher of this domain: the first request then
+	// does not wait for a handshake, and a successor knows what is in flight.
 	private void introduceArrivals() {
 		for (RunnerState runner : this.runners.getStates()) {
 			if (!runner.isDispatcherTold() && runner.getMember().domain().equals(this.domain)) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -42,19 +42,8 @@
 	/** Longest time in milliseconds that a call waits for a recent state. */
 	private static final long CERTAINTY_WAIT_MILLIS = 900;
 
-	/**
-	 * Pause in milliseconds before a job is appended again whose append got no answer.
-	 */
-	private static final long APPEND_PAUSE_MILLIS = 100;
-
-	/**
-	 * Time in milliseconds before the submitter's limit at which an uncertain append is
-	 * reported, so that the answer still reaches it.
-	 */
-	private static final long ANSWER_RESERVE_MILLIS = 400;
-
 	/** Retry time of a refusal while the store is away, in milliseconds. */
-	private static final long STORE_RETRY_MILLIS = 400;
+	static final long STORE_RETRY_MILLIS = 400;
 
 	private final JobLedger ledger;
 
@@ -70,7 +59,7 @@
 
 	private final Map<JobId, List<ResultWait>> resultWaits = new HashMap<>();
 
-	private final Map<JobId, Submission> uncertain = new HashMap<>();
+	private final JobSubmitter submitter;
 
 	/**
 	 * Creates the service.
@@ -89,6 +78,7 @@
 		this.protocol = protocol;
 		this.loop = loop;
 		this.ticker = ticker;
+		this.submitter = new JobSubmitter(ledger, log, protocol, loop, ticker);
 	}
 
 	/**
@@ -118,13 +108,13 @@
 			answer(exchange, 400, ex.getMessage());
 			return;
 		}
-		append(new Submission(exchange, job, this.ticker.millis(), waitMillis(exchange, route)));
+		this.submitter.submit(exchange, job, waitMillis(exchange, route));
 	}
 
 	private long waitMillis(CallerExchange exchange, Route route) {
 		long timeout = route.getTimeout().toMillis();
 		long wait = this.protocol.waitMillis(exchange.getRequest().headers()).orElse(timeout);
-		return Math.min(timeout, wait) - ANSWER_RESERVE_MILLIS;
+		return Math.min(timeout, wait);
 	}
 
 	/**
@@ -147,79 +137,13 @@
 	 * @param job the job, not null
 	 */
 	public void changed(Job job) {
-		Submission submission = this.uncertain.get(job.getId());
-		if (submission != null && job.isComplete()) {
-			accept(submission, null);
-		}
+		this.submitter.changed(job);
 		List<ResultWait> waits = this.resultWaits.get(job.getId());
 		if (waits != null) {
 			waits.removeIf(ResultWait::check);
 		}
 	}
 
-	private void append(Submission submission) {
-		this.log.append(KeyedStream.OWN, JobRecords.write(submission.job))
-			.subscribe()
-			.with((offset) -> this.loop.execute(() -> accept(submission, offset)),
-					(failure) -> this.loop.execute(() -> appendFailed(submission, failure)));
-	}
-
-	// The offset is null if the job was seen in the stream before the append was
-	// answered.
-	private void accept(Submission submission, Long offset) {
-		SubmittedJob job = submission.job;
-		this.uncertain.remove(job.id(), submission);
-		if (!submission.exchange.isEnded()) {
-			LOG.log(GatewayEvent.JOB_ACCEPTED, job.id(), job.items().size(), offset, elapsed(submission));
-			answer(submission.exchange, 202, "");
-		}
-	}
-
-	// An append without an answer may still take effect, so nothing is promised then. The
-	// same records are appended again while the submitter waits: the stream keeps one
-	// copy
-	// of each key. An append that certainly did not take effect is refused at once.
-	private void appendFailed(Submission submission, Throwable failure) {
-		JobId id = submission.job.id();
-		submission.mayHaveRun |= !(failure instanceof PlatformException platform) || platform.isUnknown();
-		if (this.ledger.find(id).isPresent()) {
-			accept(submission, null);
-			return;
-		}
-		if (submission.exchange.isEnded()) {
-			this.uncertain.remove(id, submission);
-			return;
-		}
-		if (submission.mayHaveRun && elapsed(submission) + APPEND_PAUSE_MILLIS < submission.waitMillis) {
-			LOG.log(GatewayEvent.JOB_APPENDED_AGAIN, id, failure.getMessage(), elapsed(submission));
-			if (this.uncertain.put(id, submission) != submission) {
-				this.loop.schedule(() -> giveUp(submission, failure.getMessage()),
-						submission.waitMillis - elapsed(submission), TimeUnit.MILLISECONDS);
-			}
-			this.loop.schedule(() -> {
-				if (!submission.exchange.isEnded()) {
-					append(submission);
-				}
-			}, APPEND_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
-			return;
-		}
-		giveUp(submission, failure.getMessage());
-	}
-
-	private void giveUp(Submission submission, String reason) {
-		this.uncertain.remove(submission.job.id(), submission);
-		if (!submission.exchange.isEnded()) {
-			int status = submission.mayHaveRun ? 504 : 503;
-			LOG.log(GatewayEvent.JOB_REFUSED, submission.job.id(), status, reason, elapsed(submission));
-			submission.exchange.respond(status, this.protocol.refusalHeaders((status == 503) ? STORE_RETRY_MILLIS : -1),
-					new byte[0]);
-		}
-	}
-
-	private long elapsed(Submission submission) {
-		return this.ticker.millis() - submission.startMillis;
-	}
-
 	private void withJob(CallerExchange exchange, JobId id, Consumer<Job> action) {
 		Optional<Job> job = this.ledger.find(id);
 		if (job.isPresent()) {
@@ -292,7 +216,7 @@
 		}));
 	}
 
-	private static void answer(CallerExchange exchange, int status, String text) {
+	static void answer(CallerExchange exchange, int status, String text) {
 		exchange.respond(status, List.of(), text.getBytes(StandardCharsets.UTF_8));
 	}
 
@@ -304,25 +228,4 @@
 		this.resultWaits.values().removeIf(List::isEmpty);
 	}
 
-	private static final class Submission {
-
-		private final CallerExchange exchange;
-
-		private final SubmittedJob job;
-
-		private final long startMillis;
-
-		private final long waitMillis;
-
-		private boolean mayHaveRun;
-
-		private Submission(CallerExchange exchange, SubmittedJob job, long startMillis, long waitMillis) {
-			this.exchange = exchange;
-			this.job = job;
-			this.startMillis = startMillis;
-			this.waitMillis = waitMillis;
-		}
-
-	}
-
 }
