--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -11,7 +11,6 @@
 
 import io.netty.channel.EventLoop;
 import org.wigeonglade.core.error.InvalidRequestException;
-import org.wigeonglade.core.error.PlatformException;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.caller.CallerCall;
