--- a/cli/src/main/java/org/wigeonglade/cli/DemoCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/DemoCommand.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.Callable;
 
 import org.wigeonglade.bench.demo.Demo;
+import org.wigeonglade.bench.demo.MachinesDemo;
 import org.wigeonglade.core.logging.LogSetup;
 import org.wigeonglade.schema.generated.settings.LogSettings;
 import picocli.CommandLine.Command;
@@ -40,6 +41,10 @@
 			description = "Seed of arrivals and losses (default: ${DEFAULT-VALUE}).")
 	private long seed;
 
+	@Option(names = "--machines",
+			description = "Run gateway hosts of the users' machines against stand-ins of their platform instead.")
+	private boolean machines;
+
 	@Option(names = "--json", description = "Write one JSON object as the last line.")
 	private boolean json;
 
@@ -49,6 +54,9 @@
 	@Override
 	public Integer call() {
 		LogSetup.apply((this.verbose) ? LogSettings.Level.WARNING : LogSettings.Level.ERROR, LogSettings.Format.TEXT);
+		if (this.machines) {
+			return new MachinesDemo().run(System.out);
+		}
 		return Demo.builder()
 			.deployment(this.deployment)
 			.job(this.job)
--- /dev/null
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineOperatorStandIn.java
@@ -0,0 +1,85 @@
+package org.wigeonglade.standins.machines;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * The operator of the users' machines: publishes configurations with rising versions, and
+ * writes the settings of processes. Not thread-safe.
+ */
+public final class MachineOperatorStandIn {
+
+	/** Longest time of a request in milliseconds, on all routes. */
+	public static final long TIMEOUT_MILLIS = 5_000;
+
+	private static final int MAX_CONNECTIONS = 64;
+
+	private final MachineStoreStandIn store;
+
+	private int version;
+
+	/**
+	 * Creates an operator.
+	 * @param store the store that it writes to, not null
+	 */
+	public MachineOperatorStandIn(MachineStoreStandIn store) {
+		this.store = store;
+	}
+
+	/**
+	 * Publishes the usual routes with the next version: safe, once, stream, plain-stream
+	 * and batch-stream.
+	 * @param service the service that they lead to, not null
+	 * @return the version
+	 */
+	public int publish(String service) {
+		JsonArray routes = new JsonArray().add(route("safe", "safe", service, 2))
+			.add(route("once", "unsafe", service, 3))
+			.add(route("stream", "streaming", service, 2).put("resumable", true))
+			.add(route("plain-stream", "streaming", service, 2))
+			.add(route("batch-stream", "batch", service, 2).put("completion-target-ms", 18_000).put("retention-s", 60));
+		JsonObject config = new JsonObject().put("version", ++this.version)
+			.put("routes", routes)
+			.put("backends",
+					new JsonArray().add(new JsonObject().put("name", service).put("max-connections", MAX_CONNECTIONS)))
+			.put("limits", new JsonObject());
+		this.store.put(MachineStoreStandIn.CONFIGURATION_TOPIC, "config", config.toBuffer().getBytes());
+		return this.version;
+	}
+
+	/**
+	 * Returns the settings of a process on loopback.
+	 * @param name the name of its host, not null
+	 * @param domain its failure domain, not null
+	 * @param callerPort the port that takes requests
+	 * @param readinessPort the port that tells readiness
+	 * @param peerPort the port of its datagrams
+	 * @param storePort the port of the store, or of a proxy before it
+	 * @return the settings in the platform's format, never null
+	 */
+	public static JsonObject settings(String name, String domain, int callerPort, int readinessPort, int peerPort,
+			int storePort) {
+		return new JsonObject().put("node-name", name)
+			.put("ip", "127.0.0.1")
+			.put("zone", domain)
+			.put("listen",
+					new JsonObject().put("frontend", "127.0.0.1:" + callerPort)
+						.put("ready", "127.0.0.1:" + readinessPort))
+			.put("internal-ports", new JsonArray().add(peerPort))
+			.put("bounds", new JsonObject().put("grace-s", 8))
+			.put("platform", new JsonObject().put("address", "127.0.0.1:" + storePort));
+	}
+
+	private static JsonObject route(String name, String kind, String service, int attempts) {
+		return new JsonObject().put("name", name)
+			.put("hostname", "127.0.0.1")
+			.put("path-prefix", "/" + name + "/")
+			.put("route-type", kind)
+			.put("timeout-ms", TIMEOUT_MILLIS)
+			.put("target-latency-ms", 300)
+			.put("priority", 0)
+			.put("backend", service)
+			.put("max-attempts", attempts);
+	}
+
+}
--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
@@ -74,9 +74,27 @@
 	 * @param state {@code ready} or {@code draining}
 	 */
 	public void register(MachineStoreStandIn store, String state) {
+		register(store, state, getPort());
+	}
+
+	/**
+	 * Returns the port.
+	 * @return the port of the listener
+	 */
+	public int getPort() {
+		return this.server.getPort();
+	}
+
+	/**
+	 * Writes the registration of the runner with the port of a proxy before it.
+	 * @param store the store, not null
+	 * @param state {@code ready} or {@code draining}
+	 * @param port the port that hosts connect to
+	 */
+	public void register(MachineStoreStandIn store, String state, int port) {
 		store.put(MachineStoreStandIn.RUNNER_TOPIC, this.id,
 				new JsonObject().put("backend", this.service)
-					.put("address", "127.0.0.1:" + this.server.getPort())
+					.put("address", "127.0.0.1:" + port)
 					.put("zone", "zone-a")
 					.put("slots", this.slots)
 					.put("state", state)
