Give up items that are too old also while no slot is free

Cause, found at the last read of the change: since a service without a slot is asked once a step, items behind the first one without a slot were no longer looked at, not even to give them up after their retention. Items that are late come last in the order, so they waited for a slot before they were given up.

The age is checked for each item again. Job.getOpenItems has no user any more and is gone.

--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -147,11 +147,11 @@
 		int left = waiting.size();
 		for (Work work : waiting) {
 			ServiceName service = work.route.chooseService(work.item.id().value());
-			if (!full.contains(service)) {
-				switch (start(work, service, contenders)) {
-					case STARTED, GIVEN_UP -> left--;
-					case NO_SLOT -> full.add(service);
-				}
+			if (giveUpIfTooOld(work) || (!full.contains(service) && start(work, service, contenders))) {
+				left--;
+			}
+			else {
+				full.add(service);
 			}
 		}
 		this.waitingCount = left;
@@ -264,21 +264,16 @@
 		}
 	}
 
-	private Start start(Work work, ServiceName service, Set<HostId> contenders) {
+	private boolean start(Work work, ServiceName service, Set<HostId> contenders) {
 		long wallMillis = this.ticker.wallMillis();
 		Duration age = Duration.ofMillis(wallMillis - work.job.getSubmittedAtMillis());
 		Route route = work.route;
-		Optional<String> tooOld = ItemPolicy.giveUpAt(age, route.getRetention());
-		if (tooOld.isPresent()) {
-			giveUp(work.job, work.item, tooOld.get());
-			return Start.GIVEN_UP;
-		}
 		long now = this.ticker.millis();
 		this.pausedUntil.values().removeIf((until) -> until <= now);
 		Optional<RunnerEntry> runner = this.policy.placeBatch(this.fleet.candidates(service, this.pausedUntil.keySet()),
 				(candidate) -> takeSlot(candidate, contenders));
 		if (runner.isEmpty()) {
-			return Start.NO_SLOT;
+			return false;
 		}
 		ItemRun run = this.runs.computeIfAbsent(work.key, (k) -> new ItemRun(work.job, work.item, this));
 		Duration remaining = route.getRetention().isZero() ? DEFAULT_RUN_LIMIT : route.getRetention().minus(age);
@@ -286,7 +281,14 @@
 				run.getAttempts() + 1, work.entry.dueMillis() - wallMillis,
 				this.fleet.getBoard().getLoad(runner.get().id()).getTotal());
 		run.start(this.fleet, this.loop, this.ticker, runner.get(), remaining);
-		return Start.STARTED;
+		return true;
+	}
+
+	private boolean giveUpIfTooOld(Work work) {
+		Duration age = Duration.ofMillis(this.ticker.wallMillis() - work.job.getSubmittedAtMillis());
+		Optional<String> tooOld = ItemPolicy.giveUpAt(age, work.route.getRetention());
+		tooOld.ifPresent((reason) -> giveUp(work.job, work.item, reason));
+		return tooOld.isPresent();
 	}
 
 	private Set<HostId> contenders() {
@@ -397,22 +399,6 @@
 		return run.getLastEvent().isPresent() ? run.getLastEvent().getAsLong() : null;
 	}
 
-	/**
-	 * What became of an item that waits.
-	 */
-	private enum Start {
-
-		/** It runs. */
-		STARTED,
-
-		/** No runner has a slot for it. */
-		NO_SLOT,
-
-		/** It is too old. */
-		GIVEN_UP
-
-	}
-
 	private record ItemKey(JobId job, ItemId item) {
 
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/Job.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/Job.java
@@ -133,14 +133,6 @@
 		return this.items.values();
 	}
 
-	/**
-	 * Returns the items without a result.
-	 * @return the items in order
-	 */
-	public Collection<SubmittedItem> getOpenItems() {
-		return this.open.values();
-	}
-
 	/**
 	 * Returns the results from a position on.
 	 * @param from the first position, at least 0
--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineOperatorStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineOperatorStandIn.java
@@ -14,6 +14,8 @@
 
 	private static final int MAX_CONNECTIONS = 64;
 
+	private static final int RETENTION_SECONDS = 60;
+
 	private final MachineStoreStandIn store;
 
 	private int version;
@@ -33,11 +35,22 @@
 	 * @return the version
 	 */
 	public int publish(String service) {
+		return publish(service, RETENTION_SECONDS);
+	}
+
+	/**
+	 * Publishes the usual routes with the next version.
+	 * @param service the service that they lead to, not null
+	 * @param retentionSeconds the age at which items of the batch route are given up
+	 * @return the version
+	 */
+	public int publish(String service, int retentionSeconds) {
 		JsonArray routes = new JsonArray().add(route("safe", "safe", service, 2))
 			.add(route("once", "unsafe", service, 3))
 			.add(route("stream", "streaming", service, 2).put("resumable", true))
 			.add(route("plain-stream", "streaming", service, 2))
-			.add(route("batch-stream", "batch", service, 2).put("completion-target-ms", 18_000).put("retention-s", 60));
+			.add(route("batch-stream", "batch", service, 2).put("completion-target-ms", 18_000)
+				.put("retention-s", retentionSeconds));
 		JsonObject config = new JsonObject().put("version", ++this.version)
 			.put("routes", routes)
 			.put("backends",
