Check event numbers in one place

CallerAnswer and ItemRun each kept the last event number and compared the next one with it, with the same message. EventSequence does both. The watches for silence stay apart: their limits depend on the kind of request. No change of behaviour; tests of gateway and platform pass.

--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -20,6 +21,7 @@
 import org.wigeonglade.gateway.runner.RunnerCall;
 import org.wigeonglade.gateway.runner.RunnerFailure;
 import org.wigeonglade.gateway.runner.RunnerRequest;
+import org.wigeonglade.gateway.stream.EventSequence;
 import org.wigeonglade.gateway.stream.StreamEvent;
 import org.wigeonglade.gateway.stream.StreamParser;
 
@@ -44,7 +46,7 @@
 
 	private final ByteArrayOutputStream output = new ByteArrayOutputStream();
 
-	private OptionalLong lastEvent = OptionalLong.empty();
+	private final EventSequence sequence = new EventSequence(OptionalLong.empty());
 
 	private int events;
 
@@ -85,7 +87,7 @@
 	}
 
 	OptionalLong getLastEvent() {
-		return this.lastEvent;
+		return this.sequence.getLast();
 	}
 
 	int getEvents() {
@@ -128,7 +130,7 @@
 		}
 		headers.set(HttpHeaderNames.HOST, this.job.getHostName());
 		RunnerRequest request = new RunnerRequest(this.item.id().value(), HttpMethod.POST, this.item.path(), headers,
-				this.item.body(), remaining, this.lastEvent, true, this.freshConnection);
+				this.item.body(), remaining, this.sequence.getLast(), true, this.freshConnection);
 		Receiver current = new Receiver(loop, ticker, runner);
 		this.receiver = current;
 		RunnerCall started = RunnerCall.start(fleet, runner, request, current);
@@ -214,12 +216,11 @@
 				if (event.id() < 0) {
 					continue;
 				}
-				if (ItemRun.this.lastEvent.isPresent() && event.id() != ItemRun.this.lastEvent.getAsLong() + 1) {
-					breakOff(RunnerFailure.Kind.BROKEN,
-							"event " + event.id() + " follows event " + ItemRun.this.lastEvent.getAsLong());
+				Optional<String> fault = ItemRun.this.sequence.add(event);
+				if (fault.isPresent()) {
+					breakOff(RunnerFailure.Kind.BROKEN, fault.get());
 					return;
 				}
-				ItemRun.this.lastEvent = OptionalLong.of(event.id());
 				if (ItemRun.this.events++ > 0) {
 					ItemRun.this.output.write('\n');
 				}
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/CallerAnswer.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/CallerAnswer.java
@@ -10,6 +10,7 @@
 import org.wigeonglade.gateway.http.CallerExchange;
 import org.wigeonglade.gateway.runner.RunnerAnswer;
 import org.wigeonglade.gateway.runner.RunnerCall;
+import org.wigeonglade.gateway.stream.EventSequence;
 import org.wigeonglade.gateway.stream.StreamEvent;
 
 /**
@@ -23,14 +24,14 @@
 
 	private final Ticker ticker;
 
-	private OptionalLong lastEvent;
+	private final EventSequence sequence;
 
 	private long firstMillis = -1;
 
 	CallerAnswer(CallerExchange exchange, Ticker ticker, OptionalLong lastEvent) {
 		this.exchange = exchange;
 		this.ticker = ticker;
-		this.lastEvent = lastEvent;
+		this.sequence = new EventSequence(lastEvent);
 	}
 
 	boolean isBegun() {
@@ -42,7 +43,7 @@
 	 * @return the number, empty before the first event
 	 */
 	OptionalLong getLastEvent() {
-		return this.lastEvent;
+		return this.sequence.getLast();
 	}
 
 	/**
@@ -65,12 +66,9 @@
 		ByteArrayOutputStream output = new ByteArrayOutputStream();
 		Optional<String> fault = Optional.empty();
 		for (StreamEvent event : events) {
-			if (event.id() >= 0) {
-				if (this.lastEvent.isPresent() && event.id() != this.lastEvent.getAsLong() + 1) {
-					fault = Optional.of("event " + event.id() + " follows event " + this.lastEvent.getAsLong());
-					break;
-				}
-				this.lastEvent = OptionalLong.of(event.id());
+			fault = this.sequence.add(event);
+			if (fault.isPresent()) {
+				break;
 			}
 			output.writeBytes(event.bytes());
 		}
