--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPool.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPool.java
@@ -1,10 +1,9 @@
 package org.wigeonglade.gateway.runner;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.RunnerDirectory;
@@ -12,10 +11,11 @@
 import org.wigeonglade.gateway.fleet.RunnerId;
 import org.wigeonglade.gateway.http.ClientConnection;
 import org.wigeonglade.gateway.http.Connector;
+import org.wigeonglade.gateway.http.IdleConnections;
 
 /**
- * Connections to runners that are kept for further requests. The newest idle one is used
- * first, so that those in excess pass their idle limit. Confined to the event loop.
+ * Connections to runners, which are kept for further requests. Confined to the event
+ * loop.
  */
 public final class RunnerPool {
 
@@ -38,7 +38,7 @@
 
 	private final Ticker ticker;
 
-	private final Map<RunnerId, Deque<ClientConnection>> idle = new HashMap<>();
+	private final Map<RunnerId, IdleConnections> idle = new HashMap<>();
 
 	private final Map<RunnerId, Integer> inUse = new HashMap<>();
 
@@ -61,15 +61,15 @@
 	 * @param listener receives the connection, not null
 	 */
 	void acquire(RunnerEntry runner, boolean fresh, int limit, Listener listener) {
-		Deque<ClientConnection> kept = this.idle.get(runner.id());
-		while (kept != null && !kept.isEmpty()) {
-			ClientConnection connection = kept.pop();
-			if (!fresh && connection.isReusable(this.ticker.millis())) {
-				this.inUse.merge(runner.id(), 1, Integer::sum);
-				listener.acquired(connection, true);
-				return;
-			}
-			connection.close();
+		IdleConnections kept = idle(runner.id());
+		if (fresh) {
+			kept.closeAll();
+		}
+		Optional<ClientConnection> reused = kept.take(this.ticker.millis());
+		if (reused.isPresent()) {
+			this.inUse.merge(runner.id(), 1, Integer::sum);
+			listener.acquired(reused.get(), true);
+			return;
 		}
 		if (this.inUse.getOrDefault(runner.id(), 0) >= limit) {
 			listener.failed(new RunnerFailure(RunnerFailure.Kind.NO_CONNECTION,
@@ -95,13 +95,7 @@
 	void giveBack(RunnerId runner, ClientConnection connection, RunnerAnswer answer) {
 		release(runner);
 		long limit = answer.idleSeconds().isPresent() ? answer.idleSeconds().getAsLong() * 1_000 : DEFAULT_IDLE_MILLIS;
-		connection.idle(this.ticker.millis(), Math.max(0, limit - IDLE_MARGIN_MILLIS));
-		if (connection.isReusable(this.ticker.millis())) {
-			this.idle.computeIfAbsent(runner, (r) -> new ArrayDeque<>()).push(connection);
-		}
-		else {
-			connection.close();
-		}
+		idle(runner).keep(connection, this.ticker.millis(), Math.max(0, limit - IDLE_MARGIN_MILLIS));
 	}
 
 	// Ends a connection whose answer is not complete.
@@ -117,14 +111,17 @@
 	 */
 	public void trim(RunnerDirectory directory) {
 		long now = this.ticker.millis();
-		this.idle.forEach((runner, kept) -> kept.removeIf((connection) -> {
-			boolean useless = directory.find(runner).isEmpty() || !connection.isReusable(now);
-			if (useless) {
-				connection.close();
+		this.idle.forEach((runner, kept) -> {
+			if (directory.find(runner).isEmpty()) {
+				kept.closeAll();
 			}
-			return useless;
-		}));
-		this.idle.values().removeIf(Deque::isEmpty);
+			kept.trim(now);
+		});
+		this.idle.values().removeIf(IdleConnections::isEmpty);
+	}
+
+	private IdleConnections idle(RunnerId runner) {
+		return this.idle.computeIfAbsent(runner, (r) -> new IdleConnections());
 	}
 
 	private void release(RunnerId runner) {
