--- a/peer/src/main/java/org/wigeonglade/peer/NettyPeerExchange.java
+++ b/peer/src/main/java/org/wigeonglade/peer/NettyPeerExchange.java
@@ -30,6 +30,7 @@
 import org.wigeonglade.core.peer.PeerDirectory;
 import org.wigeonglade.core.peer.PeerExchange;
 import org.wigeonglade.core.peer.PeerHandler;
+import org.wigeonglade.core.peer.SocketAddresses;
 import org.wigeonglade.schema.generated.peer.LinkPurpose;
 import org.wigeonglade.schema.generated.peer.PeerFrame;
 import org.wigeonglade.schema.generated.settings.TlsSettings;
@@ -40,6 +41,8 @@
  */
 public final class NettyPeerExchange implements PeerExchange, PeerDirectory, AutoCloseable {
 
+	private static final String PEER_ADDRESS = "a peer address";
+
 	private static final EventLogger logger = EventLogger.of(NettyPeerExchange.class);
 
 	/** Two event loops keep batch frames from delaying control frames. */
@@ -77,7 +80,7 @@
 
 	private NettyPeerExchange(Builder builder) {
 		this.self = Objects.requireNonNull(builder.identity, "identity");
-		this.listenAddress = PeerAddress.parse(builder.listenAddress);
+		this.listenAddress = SocketAddresses.parse(builder.listenAddress, PEER_ADDRESS);
 		this.options = builder.options;
 		this.ownsGroup = builder.group == null;
 		this.group = (this.ownsGroup) ? newGroup() : builder.group;
@@ -129,7 +132,7 @@
 	 * @return {@code ip:port} with the port that was taken
 	 */
 	public String getAddress() {
-		return PeerAddress.format((InetSocketAddress) this.listener.localAddress());
+		return SocketAddresses.format((InetSocketAddress) this.listener.localAddress());
 	}
 
 	/**
@@ -187,7 +190,7 @@
 
 	@Override
 	public void learn(HostId host, String address) {
-		InetSocketAddress parsed = PeerAddress.parse(address);
+		InetSocketAddress parsed = SocketAddresses.parse(address, PEER_ADDRESS);
 		InetSocketAddress old = this.addresses.put(host, parsed);
 		if (old != null && !old.equals(parsed)) {
 			closeLinks(host);
@@ -204,7 +207,7 @@
 	public Uni<HostId> greet(String address) {
 		return Uni.createFrom()
 			.<HostId>emitter((emitter) -> PeerGreeting.start(this.context, this.group.next(),
-					PeerAddress.parse(address), emitter))
+					SocketAddresses.parse(address, PEER_ADDRESS), emitter))
 			.invoke((host) -> learn(host, address));
 	}
 
