--- a/bench/src/main/java/org/wigeonglade/bench/demo/MachinesDemo.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/MachinesDemo.java
@@ -2,9 +2,6 @@
 
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
-import java.net.DatagramSocket;
-import java.net.InetSocketAddress;
-import java.net.SocketException;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -122,8 +119,8 @@
 			this.runners.add(runner);
 		}
 		for (int i = 0; i < HOSTS; i++) {
-			JsonObject file = MachineOperatorStandIn.settings("host-" + i, "zone-a", 0, 0, freePort(),
-					this.store.getPort());
+			JsonObject file = MachineOperatorStandIn.settings("host-" + i, "zone-a", 0, 0,
+					MachineOperatorStandIn.findDatagramPort(), this.store.getPort());
 			MachineSettings settings = MachineSettings.read(file.toBuffer().getBytes());
 			GatewayHost host = new GatewayHost(settings.gateway(),
 					new PlatformAdapters(settings.store(), Ticker.system()), Ticker.system(), new Random(i));
@@ -229,14 +226,4 @@
 		}
 	}
 
-	// Datagrams need a port that is known before the start.
-	private static int freePort() {
-		try (DatagramSocket socket = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
-			return socket.getLocalPort();
-		}
-		catch (SocketException ex) {
-			throw new IllegalStateException("no free port for datagrams", ex);
-		}
-	}
-
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemOwnership.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemOwnership.java
@@ -59,7 +59,7 @@
 			this.version = this.peers.getVersion();
 		}
 		return this.ownItems.computeIfAbsent(job.getId(),
-				(id) -> job.getItems().stream().filter((item) -> isOwn(id + "/" + item.id())).toList());
+				(id) -> job.getItems().stream().filter((item) -> isOwn(id, item.id())).toList());
 	}
 
 	/**
@@ -74,7 +74,17 @@
 	}
 
 	/**
-	 * Returns whether an item or another task falls to this host.
+	 * Returns whether an item falls to this host.
+	 * @param job its job, not null
+	 * @param item the item, not null
+	 * @return true if this host runs it
+	 */
+	boolean isOwn(JobId job, ItemId item) {
+		return isOwn(job + "/" + item);
+	}
+
+	/**
+	 * Returns whether a task falls to this host.
 	 * @param task names it over all jobs, not null
 	 * @return true if this host runs it
 	 */
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -318,7 +318,7 @@
 				cause = "the item has a result";
 			}
 			if (cause == null) {
-				return isForgettable(entry.getValue(), now) && !isOwn(key);
+				return isForgettable(entry.getValue(), now) && !this.ownership.isOwn(key.job, key.item);
 			}
 			if (entry.getValue().isRunning()) {
 				LOG.log(GatewayEvent.ITEM_RELEASED, key.job, key.item, cause);
@@ -369,10 +369,6 @@
 		return this.fleet.getTable().find(job.getHostName(), job.getPath());
 	}
 
-	private boolean isOwn(ItemKey key) {
-		return this.ownership.isOwn(key.job + "/" + key.item);
-	}
-
 	private void giveUp(Job job, SubmittedItem item, String reason) {
 		ItemKey key = new ItemKey(job.getId(), item.id());
 		ItemRun run = this.runs.computeIfAbsent(key, (k) -> new ItemRun(job, item, this));
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobRecords.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobRecords.java
@@ -6,6 +6,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.Parser;
 import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.PlatformException;
 import org.wigeonglade.gateway.store.KeyedRecord;
@@ -98,38 +99,28 @@
 	}
 
 	static JobPart readPart(KeyedRecord record) {
-		try {
-			return JobPart.parseFrom(record.value());
-		}
-		catch (InvalidProtocolBufferException ex) {
-			throw invalid(record, ex);
-		}
+		return parse(record, JobPart.parser());
 	}
 
 	static ItemResult readResult(KeyedRecord record) {
-		try {
-			return ItemResult.parseFrom(record.value());
-		}
-		catch (InvalidProtocolBufferException ex) {
-			throw invalid(record, ex);
-		}
+		return parse(record, ItemResult.parser());
 	}
 
 	static JobEnd readEnd(KeyedRecord record) {
+		return parse(record, JobEnd.parser());
+	}
+
+	private static <T> T parse(KeyedRecord record, Parser<T> parser) {
 		try {
-			return JobEnd.parseFrom(record.value());
+			return parser.parseFrom(record.value());
 		}
 		catch (InvalidProtocolBufferException ex) {
-			throw invalid(record, ex);
+			throw new PlatformException(ErrorCode.RECORD_INVALID,
+					"the record at offset " + record.offset() + " with key '" + record.key() + "' cannot be decoded",
+					ex);
 		}
 	}
 
-	private static PlatformException invalid(KeyedRecord record, InvalidProtocolBufferException cause) {
-		return new PlatformException(ErrorCode.RECORD_INVALID,
-				"the record at offset " + record.offset() + " with key '" + record.key() + "' cannot be decoded",
-				cause);
-	}
-
 	private static List<List<JobItem>> split(SubmittedJob job) {
 		List<List<JobItem>> parts = new ArrayList<>();
 		List<JobItem> part = new ArrayList<>();
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -173,7 +173,7 @@
 	}
 
 	private void readResults(CallerExchange exchange, Job job, CallerCall.ReadResults read) {
-		ResultWait wait = new ResultWait(exchange, job, read, (caller, call) -> writeResults(caller, job, call));
+		ResultWait wait = new ResultWait(exchange, job, read, () -> writeResults(exchange, job, read));
 		if (read.waitMillis() <= 0) {
 			wait.end();
 		}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ResultWait.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ResultWait.java
@@ -1,7 +1,5 @@
 package org.wigeonglade.gateway.job;
 
-import java.util.function.BiConsumer;
-
 import org.wigeonglade.gateway.caller.CallerCall;
 import org.wigeonglade.gateway.http.CallerExchange;
 
@@ -17,12 +15,11 @@
 
 	private final CallerCall.ReadResults call;
 
-	private final BiConsumer<CallerExchange, CallerCall.ReadResults> answer;
+	private final Runnable answer;
 
 	private boolean over;
 
-	ResultWait(CallerExchange exchange, Job job, CallerCall.ReadResults call,
-			BiConsumer<CallerExchange, CallerCall.ReadResults> answer) {
+	ResultWait(CallerExchange exchange, Job job, CallerCall.ReadResults call, Runnable answer) {
 		this.exchange = exchange;
 		this.job = job;
 		this.call = call;
@@ -46,7 +43,7 @@
 	void end() {
 		if (!this.over) {
 			this.over = true;
-			this.answer.accept(this.exchange, this.call);
+			this.answer.run();
 		}
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -102,7 +102,11 @@
 	 * it
 	 */
 	public boolean isAvoided(RunnerEntry runner) {
-		return this.health.isAvoided(runner.id(), this.ticker.millis()) || this.domainSilent.test(runner.domain());
+		return isAvoided(runner, this.domainSilent);
+	}
+
+	private boolean isAvoided(RunnerEntry runner, Predicate<FailureDomain> silent) {
+		return this.health.isAvoided(runner.id(), this.ticker.millis()) || silent.test(runner.domain());
 	}
 
 	/**
@@ -183,14 +187,12 @@
 	 * @return the candidates, empty if there are none
 	 */
 	public List<Candidate> candidates(ServiceName service, Set<RunnerId> excluded) {
-		long now = this.ticker.millis();
-		Map<FailureDomain, Boolean> silent = new HashMap<>();
+		Map<FailureDomain, Boolean> known = new HashMap<>();
+		Predicate<FailureDomain> silent = (domain) -> known.computeIfAbsent(domain, this.domainSilent::test);
 		List<Candidate> candidates = new ArrayList<>();
 		for (RunnerEntry entry : this.directory.getEntries()) {
 			if (entry.service().equals(service) && !entry.draining() && !excluded.contains(entry.id())) {
-				boolean avoided = this.health.isAvoided(entry.id(), now)
-						|| silent.computeIfAbsent(entry.domain(), this.domainSilent::test);
-				candidates.add(new Candidate(entry, this.board.getLoad(entry.id()), avoided,
+				candidates.add(new Candidate(entry, this.board.getLoad(entry.id()), isAvoided(entry, silent),
 						entry.domain().equals(this.domain), runnerHold(entry).getMean()));
 			}
 		}
--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineOperatorStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineOperatorStandIn.java
@@ -1,5 +1,9 @@
 package org.wigeonglade.standins.machines;
 
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.net.SocketException;
+
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 
@@ -83,6 +87,20 @@
 			.put("platform", new JsonObject().put("address", "127.0.0.1:" + storePort));
 	}
 
+	/**
+	 * Returns a free port for datagrams on loopback, which processes must know before
+	 * they start.
+	 * @return the port
+	 */
+	public static int findDatagramPort() {
+		try (DatagramSocket socket = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
+			return socket.getLocalPort();
+		}
+		catch (SocketException ex) {
+			throw new IllegalStateException("no free port for datagrams", ex);
+		}
+	}
+
 	private static JsonObject route(String name, String kind, String service, int attempts) {
 		return new JsonObject().put("name", name)
 			.put("hostname", "127.0.0.1")
