--- a/gateway/src/main/java/org/wigeonglade/gateway/caller/CallerProtocol.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/caller/CallerProtocol.java
@@ -49,6 +49,15 @@
 	 */
 	OptionalLong resumeAfter(HttpHeaders headers);
 
+	/**
+	 * Returns the ids of the shared parts of the prompt, without the last part, which
+	 * belongs to this request or its session alone.
+	 * @param headers the headers, not null
+	 * @return the ids in the order of the prompt, empty if the caller gave none; an entry
+	 * that cannot be decoded ends the list
+	 */
+	List<String> promptParts(HttpHeaders headers);
+
 	/**
 	 * Decodes a submitted job.
 	 * @param id the id of the job, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -73,6 +73,10 @@
 	REFUSED_AT_STOP(2511, Level.INFO, "request refused because the process is about to exit; it has not run",
 			"request_id", "since_stop_ms", "status"),
 
+	/** The connection to a runner broke with a request in progress. */
+	RUNNER_LOST_WITH_REQUEST(2512, Level.WARNING, "runner was lost with a request in progress", "request_id", "runner",
+			"started_ms", "since_first_byte_ms", "prompt_parts"),
+
 	/** A new configuration took effect. */
 	CONFIGURATION_IN_FORCE(3501, Level.INFO, "configuration in force", "version", "previous", "offset", "routes"),
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -72,6 +72,8 @@
 
 	private final long fingerprint;
 
+	private final List<String> promptParts;
+
 	private Attempt attempt;
 
 	private long lastPreemptionMillis = NEVER_MILLIS;
@@ -99,6 +101,7 @@
 		this.deadlineMillis = exchange.getArrivedMillis() + wait;
 		this.targetTimeMillis = exchange.getArrivedMillis() + route.getLatencyTarget().toMillis();
 		this.response = new CallerResponse(exchange, context.ticker(), context.protocol().resumeAfter(received));
+		this.promptParts = context.protocol().promptParts(received);
 		this.fingerprint = Hashing.murmur3_128()
 			.newHasher()
 			.putString(exchange.getRequest().uri(), StandardCharsets.UTF_8)
@@ -271,6 +274,10 @@
 		else {
 			this.retryPolicy.recordRun();
 		}
+		if (failure.kind() == RunnerFailure.Kind.BROKEN) {
+			LOG.log(GatewayEvent.RUNNER_LOST_WITH_REQUEST, this.id, runner.id(), runner.startedMillis(),
+					sinceFirstByteMillis(), String.join(" ", this.promptParts));
+		}
 		if (failure.kind() == RunnerFailure.Kind.BROKEN && this.context.crashTracker()
 			.add(this.fingerprint, runner.id(), runner.startedMillis(), this.context.ticker().millis())) {
 			this.context.preemptor().reportCrash(this.fingerprint, runner);
@@ -395,6 +402,11 @@
 		return this.context.ticker().millis() - this.exchange.getArrivedMillis();
 	}
 
+	// Null before the first byte of the response.
+	private Long sinceFirstByteMillis() {
+		return this.response.isCommitted() ? elapsedMillis() - this.response.getFirstByteMillis() : null;
+	}
+
 	private Long lastEventId() {
 		OptionalLong last = this.response.getLastEventId();
 		return last.isPresent() ? last.getAsLong() : null;
