Show that a part of prompts crashes runners without end

Cause: not fixed here. Crashes are counted by the hash of path and body, so those of requests that are alike only in a part of their prompt never add up, and a host forgets them when it restarts.

--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
@@ -1,6 +1,7 @@
 package org.wigeonglade.standins.machines;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -23,6 +24,9 @@
  */
 public final class MachineRunnerStandIn {
 
+	/** Time from the start of a deadly request to the crash, in milliseconds. */
+	private static final long CRASH_DELAY_MILLIS = 30;
+
 	private final StandInServer server;
 
 	private final String id;
@@ -47,6 +51,13 @@
 
 	private volatile boolean leaving;
 
+	private volatile String deadlyPart;
+
+	private volatile Runnable crashListener = () -> {
+	};
+
+	private final Set<HttpConnection> openConnections = ConcurrentHashMap.newKeySet();
+
 	private MachineRunnerStandIn(StandInServer server, String id, String service, int slots) {
 		this.server = server;
 		this.id = id;
@@ -145,6 +156,17 @@
 		this.leaving = value;
 	}
 
+	/**
+	 * Sets a part of prompts that crashes the runner: all its connections are closed when
+	 * it begins to run a request with the part.
+	 * @param part the id of the part, or null for none
+	 * @param onCrash called after each crash, not null
+	 */
+	public void setDeadlyPart(String part, Runnable onCrash) {
+		this.crashListener = onCrash;
+		this.deadlyPart = part;
+	}
+
 	/**
 	 * Returns the requests whose execution has begun.
 	 * @return a copy in chronological order
@@ -171,6 +193,9 @@
 	private void handle(RoutingContext context) {
 		HttpServerRequest request = context.request();
 		HttpServerResponse response = context.response();
+		if (this.openConnections.add(request.connection())) {
+			request.connection().closeHandler((v) -> this.openConnections.remove(request.connection()));
+		}
 		String expected = request.getHeader("Expect-Instance");
 		if (expected != null && !expected.equals(this.id)) {
 			response.setStatusCode(421).putHeader("Instance-Id", this.id).end();
@@ -196,6 +221,10 @@
 		if (injected == Fault.SILENT) {
 			return;
 		}
+		if (hasDeadlyPart(request)) {
+			this.server.getVertx().setTimer(CRASH_DELAY_MILLIS, (t) -> crash());
+			return;
+		}
 		if (injected == Fault.RESET
 				|| (injected == Fault.RESET_IF_KEPT && !this.seenConnections.add(request.connection()))) {
 			request.connection().close();
@@ -215,6 +244,18 @@
 		}
 	}
 
+	private boolean hasDeadlyPart(HttpServerRequest request) {
+		String part = this.deadlyPart;
+		String prompt = request.getHeader("Prefix-Hash");
+		return part != null && prompt != null
+				&& Arrays.stream(prompt.split(",")).anyMatch((entry) -> entry.startsWith(part + ":"));
+	}
+
+	private void crash() {
+		List.copyOf(this.openConnections).forEach(HttpConnection::close);
+		this.crashListener.run();
+	}
+
 	private void stream(HttpServerResponse response, int first, Fault injected) {
 		response.setChunked(true).putHeader("Content-Type", "text/event-stream");
 		this.running.incrementAndGet();
