Attribute crashes of runners to parts of prompts

Callers saw requests refused and cut for 20 s, because one kind of request crashed all runners again and again.

Cause: crashes were counted by the hash of path and body, in the memory of each host, and told in one datagram. Requests that are alike only in a part of their prompt never added up, and sound requests that were lost beside them were quarantined in their place.

Change: each crash is a report of suspects, the request and the shared parts of its prompt. Reports merge in any order; hosts tell them by datagram, three times, and keep them in the gateway stream, each life of a host under its own key. Suspects that explain the most crashes are quarantined; those that explain the same ones only together, so that a sound part is served and cleared wherever the deadly one stands. Output of a request, a served request with the same part, and an upstream that serves on speak against a suspect.

--- a/core/src/main/java/org/wigeonglade/core/id/Fingerprint.java
+++ b/core/src/main/java/org/wigeonglade/core/id/Fingerprint.java
@@ -1,8 +1,8 @@
 package org.wigeonglade.core.id;
 
 /**
- * Fingerprint that requests with the same service and body share. Immutable and ordered
- * by its text.
+ * Fingerprint that requests with the same service and body share, or requests with the
+ * same part in their prompts. Immutable and ordered by its text.
  *
  * @param value the text, 1 to 200 letters, digits, dots, underscores, colons or hyphens
  */
@@ -28,6 +28,16 @@
 		return new Fingerprint(value);
 	}
 
+	/**
+	 * Returns the fingerprint of a part of prompts.
+	 * @param id the id of the part, not null
+	 * @return the fingerprint, never null
+	 * @throws org.wigeonglade.core.error.InvalidRequestException if the id is malformed
+	 */
+	public static Fingerprint ofPromptPart(String id) {
+		return new Fingerprint("part:" + id);
+	}
+
 	@Override
 	public int compareTo(Fingerprint other) {
 		return this.value.compareTo(other.value);
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -32,7 +32,6 @@
 import org.wigeonglade.gateway.job.JobTable;
 import org.wigeonglade.gateway.job.RouteQuotaTracker;
 import org.wigeonglade.gateway.log.GatewayEvent;
-import org.wigeonglade.gateway.online.CrashTracker;
 import org.wigeonglade.gateway.online.OnlineContext;
 import org.wigeonglade.gateway.online.OnlineMetrics;
 import org.wigeonglade.gateway.peer.PeerStateExchange;
@@ -47,6 +46,7 @@
 import org.wigeonglade.gateway.store.PollTiming;
 import org.wigeonglade.gateway.store.RecordWriter;
 import org.wigeonglade.gateway.store.StreamFollower;
+import org.wigeonglade.schema.generated.crash.CrashNotice;
 import org.wigeonglade.schema.generated.gateway.HostEntry;
 
 /**
@@ -114,7 +114,7 @@
 
 	private final PeerTable peers = new PeerTable();
 
-	private final CrashTracker crashes = new CrashTracker();
+	private final CrashReportPublisher crashReports;
 
 	private final HostEntry self;
 
@@ -184,14 +184,15 @@
 		this.peerMonitor = new PeerMonitor(settings.host(), this.peers, this.writer, ticker);
 		this.stateUpdater = new StreamStateUpdater(adapters, this.fleet, this.jobTable, this.peers, ticker, this.self,
 				this::register);
+		this.exchange = new PeerStateExchange(this.self, this.loop, ticker, this.fleet.getLoadTracker(), this.peers,
+				new PeerListener());
+		this.crashReports = new CrashReportPublisher(this.self, this.exchange, this.writer, this.loop, ticker);
 		this.configurationFollower = new StreamFollower(log, KeyedStream.CONFIGURATION, CONFIGURATION_POLL_TIMING,
 				this.loop, ticker, this.stateUpdater.configurationListener());
 		this.runnerFollower = new StreamFollower(log, KeyedStream.RUNNERS, RUNNER_POLL_TIMING, this.loop, ticker,
 				this.stateUpdater.runnerListener());
 		this.gatewayStreamFollower = new StreamFollower(log, KeyedStream.OWN, GATEWAY_STREAM_POLL_TIMING, this.loop,
-				ticker, this.stateUpdater.gatewayStreamListener(this::jobChanged));
-		this.exchange = new PeerStateExchange(this.self, this.loop, ticker, this.fleet.getLoadTracker(), this.peers,
-				new PeerListener());
+				ticker, this.stateUpdater.gatewayStreamListener(this::jobChanged, this.crashReports));
 		this.fleet.onLoadChanged(this.exchange::scheduleReport);
 		this.items = ItemScheduler.of(settings.host(), this.self.getIncarnation(), this.jobTable, this.peers,
 				this.fleet, policy, this.loop, ticker, this.writer);
@@ -203,7 +204,7 @@
 		this.jobs = new JobService(this.jobTable, this.gatewayStreamFollower, log, quota, adapters.getCallerProtocol(),
 				this.loop, ticker);
 		OnlineContext online = new OnlineContext(this.loop, ticker, this.fleet, policy, adapters.getCallerProtocol(),
-				this.crashes,
+				this.crashReports,
 				new SlotPreemptor(settings.host(), this.items, this.fleet.getLoadTracker(), this.exchange),
 				new OnlineMetrics(this.registry));
 		this.callerServer = new CallerServer(this.group, ticker, this::callerLimits,
@@ -352,7 +353,7 @@
 
 	private void maintain() {
 		this.fleet.maintain();
-		this.crashes.expire(this.ticker.millis());
+		this.crashReports.expire();
 		this.jobs.removeFinishedLongPolls();
 		this.peerMonitor.checkLiveness();
 		this.exchange.sendHeartbeats();
@@ -363,6 +364,9 @@
 		if (isJobStateCurrent()) {
 			this.items.removeExpiredJobs(this.retention);
 			this.peerMonitor.deregisterSilentHosts();
+			if (this.peerMonitor.isLowestEligibleHost()) {
+				this.crashReports.removeExpiredRecords();
+			}
 		}
 	}
 
@@ -459,8 +463,13 @@
 		}
 
 		@Override
-		public void crashReported(long fingerprint, RunnerId runner, long startedMillis) {
-			GatewayHost.this.crashes.add(fingerprint, runner, startedMillis, GatewayHost.this.ticker.millis());
+		public void hostAlive(HostId host) {
+			GatewayHost.this.crashReports.sendUnstoredReports(host);
+		}
+
+		@Override
+		public void crashReported(CrashNotice notice) {
+			GatewayHost.this.crashReports.apply(notice);
 		}
 
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/PeerMonitor.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/PeerMonitor.java
@@ -68,9 +68,8 @@
 		return stillLost ? KeyedRecord.of(StreamStateUpdater.HOST_KEY_PREFIX + peer.getHost(), null) : null;
 	}
 
-	// Only one host removes registrations; the same removal by others would be
-	// redundant.
-	private boolean isLowestEligibleHost() {
+	// Only one host removes old records; the same removal by others would be redundant.
+	boolean isLowestEligibleHost() {
 		return this.peers.getPeers()
 			.stream()
 			.filter(PeerTable.Peer::isEligible)
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/SlotPreemptor.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/SlotPreemptor.java
@@ -49,9 +49,4 @@
 		return String.join(" ", preemptedHosts);
 	}
 
-	@Override
-	public void reportCrash(long fingerprint, RunnerEntry runner) {
-		this.exchange.reportCrash(fingerprint, runner);
-	}
-
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
@@ -80,8 +80,8 @@
 		return new RunnerListener();
 	}
 
-	StreamFollower.Listener gatewayStreamListener(Consumer<Job> jobListener) {
-		return new GatewayStreamListener(jobListener);
+	StreamFollower.Listener gatewayStreamListener(Consumer<Job> jobListener, CrashReportPublisher crashReports) {
+		return new GatewayStreamListener(jobListener, crashReports);
 	}
 
 	// Registers another host, from its record or from a datagram that it sent.
@@ -180,21 +180,25 @@
 
 		private final Consumer<Job> jobListener;
 
-		private GatewayStreamListener(Consumer<Job> jobListener) {
+		private final CrashReportPublisher crashReports;
+
+		private GatewayStreamListener(Consumer<Job> jobListener, CrashReportPublisher crashReports) {
 			this.jobListener = jobListener;
+			this.crashReports = crashReports;
 		}
 
 		@Override
 		public void listed(List<KeyedRecord> records) {
 			StreamStateUpdater.this.jobTable.reset(records);
-			records.forEach(this::applyHost);
+			this.crashReports.resetRecords();
+			records.forEach(this::applyHostOrCrash);
 			List.copyOf(StreamStateUpdater.this.jobTable.getJobs()).forEach(this.jobListener);
 		}
 
 		@Override
 		public void appended(List<KeyedRecord> records) {
 			for (KeyedRecord record : records) {
-				applyHost(record);
+				applyHostOrCrash(record);
 				try {
 					StreamStateUpdater.this.jobTable.apply(record).ifPresent(this.jobListener);
 				}
@@ -204,7 +208,21 @@
 			}
 		}
 
-		private void applyHost(KeyedRecord record) {
+		private void applyHostOrCrash(KeyedRecord record) {
+			try {
+				if (record.key().startsWith(CrashReportPublisher.KEY_PREFIX)) {
+					this.crashReports.applyRecord(record);
+				}
+				else {
+					applyHost(record);
+				}
+			}
+			catch (InvalidProtocolBufferException | WigeongladeException ex) {
+				LOG.log(GatewayEvent.RECORD_INVALID, ex, record.offset(), record.key());
+			}
+		}
+
+		private void applyHost(KeyedRecord record) throws InvalidProtocolBufferException {
 			if (!record.key().startsWith(HOST_KEY_PREFIX)) {
 				return;
 			}
@@ -216,12 +234,7 @@
 				}
 				return;
 			}
-			try {
-				register(HostEntry.parseFrom(record.value()));
-			}
-			catch (InvalidProtocolBufferException ex) {
-				LOG.log(GatewayEvent.RECORD_INVALID, ex, record.offset(), record.key());
-			}
+			register(HostEntry.parseFrom(record.value()));
 		}
 
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -64,7 +64,7 @@
 	/** A request is suspected of crashing runners. */
 	QUARANTINED(2509, Level.WARNING,
 			"request is quarantined and not retried; it was in progress on runners that were lost", "request_id",
-			"fingerprint", "runners"),
+			"fingerprints", "runners"),
 
 	/** An unexpected exception was thrown while a request was handled. */
 	UNEXPECTED(2510, Level.ERROR, "unexpected failure while a request was handled", "request_id"),
@@ -75,7 +75,14 @@
 
 	/** The connection to a runner broke with a request in progress. */
 	RUNNER_LOST_WITH_REQUEST(2512, Level.WARNING, "runner was lost with a request in progress", "request_id", "runner",
-			"started_ms", "since_first_byte_ms", "prompt_parts"),
+			"started_ms", "since_first_byte_ms", "suspects"),
+
+	/** Crashes of runners are attributed to a request or a part of prompts. */
+	QUARANTINE_BEGAN(2513, Level.WARNING, "quarantine began; crashes of runners are attributed to these fingerprints",
+			"fingerprints", "runners"),
+
+	/** Crashes of runners are no longer attributed to a fingerprint. */
+	QUARANTINE_ENDED(2514, Level.INFO, "quarantine ended", "fingerprints"),
 
 	/** A new configuration took effect. */
 	CONFIGURATION_IN_FORCE(3501, Level.INFO, "configuration in force", "version", "previous", "offset", "routes"),
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
@@ -1,6 +1,11 @@
 package org.wigeonglade.gateway.online;
 
+import java.util.List;
+import java.util.Optional;
+
 import io.netty.channel.EventLoop;
+import org.wigeonglade.core.id.Fingerprint;
+import org.wigeonglade.core.retry.Quarantine;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.caller.CallerProtocol;
 import org.wigeonglade.gateway.fleet.PlacementPolicy;
@@ -15,15 +20,15 @@
  * @param fleet the runners, not null
  * @param policy chooses the runner of a request, not null
  * @param protocol reads and writes the headers of callers, not null
- * @param crashTracker tracks requests that are suspected of crashing runners, not null
- * @param preemptor preempts batch items and reports crashes, not null
+ * @param crashReporter finds out which requests crash runners, not null
+ * @param preemptor preempts batch items, not null
  * @param metrics the metrics of online requests, not null
  */
 public record OnlineContext(EventLoop loop, Ticker ticker, Fleet fleet, PlacementPolicy policy, CallerProtocol protocol,
-		CrashTracker crashTracker, Preemptor preemptor, OnlineMetrics metrics) {
+		CrashReporter crashReporter, Preemptor preemptor, OnlineMetrics metrics) {
 
 	/**
-	 * Preempts batch items and reports crashed runners to the other hosts.
+	 * Preempts batch items.
 	 */
 	public interface Preemptor {
 
@@ -36,12 +41,46 @@
 		 */
 		String preempt(RunnerEntry runner, int slots);
 
+	}
+
+	/**
+	 * Finds out which requests crash runners, together with the other hosts.
+	 */
+	public interface CrashReporter {
+
+		/**
+		 * Reports that a runner crashed with a request in progress.
+		 * @param runner the runner, not null
+		 * @param suspects the fingerprints of the request and of the parts of its prompt,
+		 * not null
+		 * @param progressed whether the request had output long before the crash, so that
+		 * it cannot be the cause
+		 */
+		void reportCrash(RunnerEntry runner, List<Fingerprint> suspects, boolean progressed);
+
 		/**
-		 * Reports to the other hosts that a runner crashed with a request in progress.
-		 * @param fingerprint the fingerprint of the request
+		 * Reports that no connection to a runner could be opened.
 		 * @param runner the runner, not null
 		 */
-		void reportCrash(long fingerprint, RunnerEntry runner);
+		void reportUnreachable(RunnerEntry runner);
+
+		/**
+		 * Reports that a request was served.
+		 * @param runner the runner that served it, not null
+		 * @param suspects the fingerprints of the request and of the parts of its prompt,
+		 * not null
+		 * @param sentMillis the time at which it was sent to the runner, in milliseconds
+		 * since the epoch
+		 */
+		void reportServed(RunnerEntry runner, List<Fingerprint> suspects, long sentMillis);
+
+		/**
+		 * Returns the quarantine of a request.
+		 * @param suspects the fingerprints of the request and of the parts of its prompt,
+		 * not null
+		 * @return the quarantine, empty if the request may run
+		 */
+		Optional<Quarantine> findQuarantine(List<Fingerprint> suspects);
 
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -2,8 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -13,7 +15,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.id.Fingerprint;
 import org.wigeonglade.core.id.ServiceName;
+import org.wigeonglade.core.retry.Quarantine;
 import org.wigeonglade.gateway.fleet.Candidate;
 import org.wigeonglade.gateway.fleet.LoadTracker;
 import org.wigeonglade.gateway.fleet.Placement;
@@ -42,6 +46,19 @@
 	 */
 	private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
+	/**
+	 * Time in milliseconds after the first byte of a response from which the request
+	 * cannot be what crashed its runner: such a request crashes a runner as soon as it
+	 * begins to generate, but events may be in flight by then.
+	 */
+	private static final long PROGRESS_MILLIS = 300;
+
+	/**
+	 * Time in milliseconds after which a reused connection that closes was not idle any
+	 * more when the request arrived: longer than a round trip.
+	 */
+	private static final long STALE_CLOSE_MILLIS = 20;
+
 	private static final int SERVICE_UNAVAILABLE = 503;
 
 	private static final int BAD_GATEWAY = 502;
@@ -70,9 +87,7 @@
 
 	private final long targetTimeMillis;
 
-	private final long fingerprint;
-
-	private final List<String> promptParts;
+	private final List<Fingerprint> suspects = new ArrayList<>();
 
 	private Attempt attempt;
 
@@ -101,13 +116,8 @@
 		this.deadlineMillis = exchange.getArrivedMillis() + wait;
 		this.targetTimeMillis = exchange.getArrivedMillis() + route.getLatencyTarget().toMillis();
 		this.response = new CallerResponse(exchange, context.ticker(), context.protocol().resumeAfter(received));
-		this.promptParts = context.protocol().promptParts(received);
-		this.fingerprint = Hashing.murmur3_128()
-			.newHasher()
-			.putString(exchange.getRequest().uri(), StandardCharsets.UTF_8)
-			.putBytes(exchange.getBody())
-			.hash()
-			.asLong();
+		context.protocol().promptParts(received).forEach((part) -> this.suspects.add(Fingerprint.ofPromptPart(part)));
+		this.suspects.add(fingerprintOf(exchange));
 	}
 
 	/**
@@ -168,9 +178,9 @@
 	}
 
 	private void startNextAttempt() {
-		if (this.context.crashTracker().isQuarantined(this.fingerprint)) {
-			LOG.log(GatewayEvent.QUARANTINED, this.id, Long.toHexString(this.fingerprint),
-					this.context.crashTracker().getCrashCount(this.fingerprint));
+		Optional<Quarantine> quarantine = this.context.crashReporter().findQuarantine(this.suspects);
+		if (quarantine.isPresent()) {
+			LOG.log(GatewayEvent.QUARANTINED, this.id, quarantine.get().fingerprints(), quarantine.get().crashes());
 			fail(this.retryPolicy.isNotRun() ? SERVICE_UNAVAILABLE : BAD_GATEWAY, "quarantined", -1);
 			return;
 		}
@@ -217,6 +227,9 @@
 
 	private void handleCompleted(Attempt ended, AttemptOutcome.Completed outcome) {
 		this.context.fleet().recordSuccess(ended.getRunner());
+		this.context.crashReporter()
+			.reportServed(ended.getRunner(), this.suspects,
+					this.context.ticker().wallMillis() - ended.getElapsedMillis());
 		this.context.fleet().recordHoldTime(ended.getRunner(), Duration.ofMillis(ended.getHoldMillis()));
 		this.context.metrics().countAttempt("ANSWERED");
 		this.context.metrics().countRequest("answered");
@@ -274,15 +287,27 @@
 		else {
 			this.retryPolicy.recordRun();
 		}
-		if (failure.kind() == RunnerFailure.Kind.BROKEN) {
-			LOG.log(GatewayEvent.RUNNER_LOST_WITH_REQUEST, this.id, runner.id(), runner.startedMillis(),
-					sinceFirstByteMillis(), String.join(" ", this.promptParts));
+		reportCrash(ended, failure);
+		retryOrFail(failure.kind() + ": " + failure.reason());
+	}
+
+	private void reportCrash(Attempt ended, RunnerFailure failure) {
+		RunnerEntry runner = ended.getRunner();
+		boolean lostInProgress = switch (failure.kind()) {
+			case BROKEN -> true;
+			case STALE_CONNECTION -> ended.getElapsedMillis() >= STALE_CLOSE_MILLIS;
+			case UNREACHABLE, NO_CONNECTION, SILENT -> false;
+		};
+		if (lostInProgress) {
+			Long sinceFirstByte = sinceFirstByteMillis();
+			LOG.log(GatewayEvent.RUNNER_LOST_WITH_REQUEST, this.id, runner.id(), runner.startedMillis(), sinceFirstByte,
+					this.suspects);
+			this.context.crashReporter()
+				.reportCrash(runner, this.suspects, sinceFirstByte != null && sinceFirstByte >= PROGRESS_MILLIS);
 		}
-		if (failure.kind() == RunnerFailure.Kind.BROKEN && this.context.crashTracker()
-			.add(this.fingerprint, runner.id(), runner.startedMillis(), this.context.ticker().millis())) {
-			this.context.preemptor().reportCrash(this.fingerprint, runner);
+		else if (failure.kind() == RunnerFailure.Kind.UNREACHABLE) {
+			this.context.crashReporter().reportUnreachable(runner);
 		}
-		retryOrFail(failure.kind() + ": " + failure.reason());
 	}
 
 	// A non-streaming response that has been started cannot be continued by another
@@ -402,6 +427,15 @@
 		return this.context.ticker().millis() - this.exchange.getArrivedMillis();
 	}
 
+	private static Fingerprint fingerprintOf(CallerExchange exchange) {
+		return Fingerprint.of(Hashing.murmur3_128()
+			.newHasher()
+			.putString(exchange.getRequest().uri(), StandardCharsets.UTF_8)
+			.putBytes(exchange.getBody())
+			.hash()
+			.toString());
+	}
+
 	// Null before the first byte of the response.
 	private Long sinceFirstByteMillis() {
 		return this.response.isCommitted() ? elapsedMillis() - this.response.getFirstByteMillis() : null;
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
@@ -14,6 +14,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
+import com.google.common.collect.Lists;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -30,13 +31,12 @@
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.LeavingRunners;
 import org.wigeonglade.gateway.fleet.LoadTracker;
-import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
 import org.wigeonglade.gateway.job.FailureCounter;
 import org.wigeonglade.gateway.job.ItemId;
 import org.wigeonglade.gateway.job.JobId;
 import org.wigeonglade.gateway.log.GatewayEvent;
-import org.wigeonglade.schema.generated.gateway.CrashReport;
+import org.wigeonglade.schema.generated.crash.CrashNotice;
 import org.wigeonglade.schema.generated.gateway.Datagram;
 import org.wigeonglade.schema.generated.gateway.HostEntry;
 import org.wigeonglade.schema.generated.gateway.ItemFailures;
@@ -67,6 +67,9 @@
 	 */
 	private static final long COALESCING_MICROS_PER_HOST = 350;
 
+	/** Number of crash reports in one datagram, so that few of them are fragmented. */
+	private static final int CRASHES_PER_DATAGRAM = 8;
+
 	private final HostEntry self;
 
 	private final EventLoop loop;
@@ -225,17 +228,23 @@
 	}
 
 	/**
-	 * Reports to all hosts that a runner was lost with a request in progress.
-	 * @param fingerprint the fingerprint of the request
-	 * @param runner the runner, not null
+	 * Sends crash reports to the live hosts.
+	 * @param reports the reports, not null
+	 */
+	public void sendCrashReports(List<CrashNotice> reports) {
+		Lists.partition(reports, CRASHES_PER_DATAGRAM)
+			.forEach((crashes) -> sendToDue(newDatagram().addAllCrashes(crashes).build(), (peer) -> true, true));
+	}
+
+	/**
+	 * Sends crash reports to one host. Does nothing if the host is not registered.
+	 * @param host the host, not null
+	 * @param reports the reports, not null
 	 */
-	public void reportCrash(long fingerprint, RunnerEntry runner) {
-		CrashReport report = CrashReport.newBuilder()
-			.setFingerprint(fingerprint)
-			.setRunner(runner.id().value())
-			.setRunnerStartedMs(runner.startedMillis())
-			.build();
-		sendToDue(newDatagram().addCrashes(report).build(), (peer) -> true, true);
+	public void sendCrashReports(HostId host, List<CrashNotice> reports) {
+		this.table.find(host)
+			.ifPresent((peer) -> Lists.partition(reports, CRASHES_PER_DATAGRAM)
+				.forEach((crashes) -> send(peer, newDatagram().addAllCrashes(crashes).build().toByteArray())));
 	}
 
 	private Datagram.Builder newDatagram() {
@@ -302,6 +311,7 @@
 		if (this.table.recordDatagram(host, sender.getIncarnation(), datagram.getLeaving(), datagram.getJobsCurrent(),
 				now)) {
 			LOG.log(GatewayEvent.HOST_ALIVE, host, sender.getIncarnation(), sender.getDomain());
+			this.listener.hostAlive(host);
 		}
 		this.table.find(host).ifPresent((peer) -> peer.setWaitingItems(datagram.getWaitingItems()));
 		Map<RunnerId, LoadTracker.Load> loads = new HashMap<>();
@@ -311,9 +321,7 @@
 				new LoadTracker.Report(sender.getIncarnation(), datagram.getSequence(), now, loads));
 		List<Preemption> preemptions = datagram.getPreemptionsList();
 		preemptions.forEach((p) -> this.listener.preemptionRequested(RunnerId.of(p.getRunner()), p.getSlots()));
-		datagram.getCrashesList()
-			.forEach((c) -> this.listener.crashReported(c.getFingerprint(), RunnerId.of(c.getRunner()),
-					c.getRunnerStartedMs()));
+		datagram.getCrashesList().forEach(this.listener::crashReported);
 		datagram.getItemFailuresList()
 			.forEach((f) -> this.listener.itemFailuresReported(sender, JobId.of(f.getJobId()), ItemId.of(f.getItemId()),
 					f.getFailures()));
@@ -342,14 +350,16 @@
 		void preemptionRequested(RunnerId runner, int slots);
 
 		/**
-		 * Called when another host reports that a runner was lost with a request in
-		 * progress.
-		 * @param fingerprint the fingerprint of the request
-		 * @param runner the runner, not null
-		 * @param startedMillis the start of the runner's process, in milliseconds since
-		 * the epoch
+		 * Called when a host has become alive.
+		 * @param host the host, not null
+		 */
+		void hostAlive(HostId host);
+
+		/**
+		 * Called for each crash of a runner that another host reports.
+		 * @param notice the report, not null
 		 */
-		void crashReported(long fingerprint, RunnerId runner, long startedMillis);
+		void crashReported(CrashNotice notice);
 
 		/**
 		 * Called for each runner that another host reports as leaving.
