Attribute crashes of engines to messages of chats

Change: messages of a chat except the last are suspects of a crash like the whole request; hosts tell crashes to each other and write them to the control stream, which hosts read when they start.

--- a/entry/src/main/java/org/wigeonglade/entry/caller/CompletionHandler.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CompletionHandler.java
@@ -53,7 +53,7 @@
 		OnlineRequest request = new OnlineRequest(RequestId.of(CallerAuthenticator.requestId(context)),
 				WorkspaceId.of(caller.workspace().getName()), caller.workspace().getWeight(),
 				ServiceName.of(service.getName()), profile, body.model(), body.prompt(), body.maxTokens(),
-				Fingerprints.of(service.getName(), bytes),
+				Fingerprints.of(service.getName(), bytes), body.sharedParts(),
 				this.parts.ticker().nanos() + TimeUnit.MILLISECONDS.toNanos(profile.getDeadlineMs()),
 				hop.getTraceParent());
 		if (!profile.getIdempotent() && !KeyedCalls.idempotencyKey(context).isEmpty()) {
--- a/entry/src/main/java/org/wigeonglade/entry/completion/CompletionBody.java
+++ b/entry/src/main/java/org/wigeonglade/entry/completion/CompletionBody.java
@@ -1,8 +1,12 @@
 package org.wigeonglade.entry.completion;
 
+import java.util.ArrayList;
+import java.util.List;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.InvalidRequestException;
+import org.wigeonglade.core.id.Fingerprint;
 
 /**
  * Validated body of a completion or chat completion request.
@@ -12,8 +16,11 @@
  * @param maxTokens the largest number of tokens to generate, at least 1
  * @param stream whether the response is streamed as server-sent events
  * @param chat whether this is a chat completion
+ * @param sharedParts the fingerprints of the messages of a chat that other requests may
+ * share: all but the last
  */
-public record CompletionBody(String model, String prompt, int maxTokens, boolean stream, boolean chat) {
+public record CompletionBody(String model, String prompt, int maxTokens, boolean stream, boolean chat,
+		List<Fingerprint> sharedParts) {
 
 	/** Used if the body does not limit the number of tokens. */
 	private static final int DEFAULT_MAX_TOKENS = 256;
@@ -21,6 +28,13 @@
 	/** Largest value of max_tokens that is accepted. */
 	private static final int MAX_TOKENS_LIMIT = 32_768;
 
+	/**
+	 * Creates the body with an unmodifiable copy of the fingerprints.
+	 */
+	public CompletionBody {
+		sharedParts = List.copyOf(sharedParts);
+	}
+
 	/**
 	 * Validates a body.
 	 * @param body the parsed body, not null
@@ -31,7 +45,17 @@
 	public static CompletionBody of(JsonNode body, boolean chat) {
 		String model = requireText(body.get("model"), "model");
 		String prompt = chat ? joinMessages(body.get("messages")) : requireText(body.get("prompt"), "prompt");
-		return new CompletionBody(model, prompt, maxTokens(body), body.path("stream").asBoolean(false), chat);
+		return new CompletionBody(model, prompt, maxTokens(body), body.path("stream").asBoolean(false), chat,
+				chat ? fingerprintShared(body.get("messages")) : List.of());
+	}
+
+	private static List<Fingerprint> fingerprintShared(JsonNode messages) {
+		List<Fingerprint> shared = new ArrayList<>();
+		for (int i = 0; i < messages.size() - 1; i++) {
+			shared.add(Fingerprints.ofMessage(messages.get(i).get("role").textValue(),
+					messages.get(i).get("content").textValue()));
+		}
+		return shared;
 	}
 
 	private static int maxTokens(JsonNode body) {
--- a/entry/src/main/java/org/wigeonglade/entry/completion/Fingerprints.java
+++ b/entry/src/main/java/org/wigeonglade/entry/completion/Fingerprints.java
@@ -29,4 +29,20 @@
 			.toString());
 	}
 
+	/**
+	 * Returns the fingerprint of a message of a chat.
+	 * @param role the role of its author, not null
+	 * @param content its content, not null
+	 * @return the SHA-256 digest of role and content, as a part of prompts
+	 */
+	public static Fingerprint ofMessage(String role, String content) {
+		return Fingerprint.ofPromptPart(Hashing.sha256()
+			.newHasher()
+			.putString(role, StandardCharsets.UTF_8)
+			.putByte((byte) 0)
+			.putString(content, StandardCharsets.UTF_8)
+			.hash()
+			.toString());
+	}
+
 }
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
@@ -20,6 +20,7 @@
 import org.wigeonglade.core.member.FleetLoadSource;
 import org.wigeonglade.core.peer.PeerTransport;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.schema.generated.crash.CrashNotice;
 import org.wigeonglade.schema.generated.log.QuarantineAdded;
 import org.wigeonglade.schema.generated.peer.Digest;
 import org.wigeonglade.schema.generated.peer.OnlineArrival;
@@ -160,6 +161,15 @@
 		this.loop.execute(() -> this.poisonGuard.applyNotice(added, true));
 	}
 
+	/**
+	 * Applies a report of a crash from another host or the control stream. May be called
+	 * from any thread.
+	 * @param notice the report, not null
+	 */
+	public void onCrashReported(CrashNotice notice) {
+		this.loop.execute(() -> runGuarded("crash report", () -> this.poisonGuard.applyCrash(notice)));
+	}
+
 	/**
 	 * Lifts a quarantine after a record of the control stream. May be called from any
 	 * thread.
@@ -226,6 +236,10 @@
 			}
 			return Uni.createFrom().nullItem();
 		});
+		peers.handle(PeerFrame.BodyCase.CRASH_NOTICE, (from, frame) -> {
+			onCrashReported(frame.getCrashNotice());
+			return Uni.createFrom().nullItem();
+		});
 		peers.handle(PeerFrame.BodyCase.QUARANTINE_NOTICE,
 				(from, frame) -> onQuarantineNotice(from, frame.getQuarantineNotice()));
 	}
@@ -260,6 +274,7 @@
 		for (OnlineStream stream : List.copyOf(this.activeStreams)) {
 			stream.checkTimeouts(now, STALL_NANOS);
 		}
+		this.poisonGuard.expireCrashes();
 		this.admissions.values().forEach(ServiceAdmission::startQueued);
 		announceToNewDispatchers();
 		Map<ServiceName, ServiceView.Builder> views = new HashMap<>();
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineStream.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineStream.java
@@ -151,6 +151,10 @@
 		}
 	}
 
+	boolean hasOutput() {
+		return !this.tokens.isEmpty();
+	}
+
 	// Ends the response because its fingerprint is quarantined.
 	void onQuarantined(Suspicion suspicion) {
 		String message = "the request is quarantined: " + suspicion.reason();
--- a/entry/src/main/java/org/wigeonglade/entry/online/PeerNotifier.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/PeerNotifier.java
@@ -11,6 +11,7 @@
 import org.wigeonglade.core.member.Rendezvous;
 import org.wigeonglade.core.member.UpstreamMember;
 import org.wigeonglade.core.peer.PeerTransport;
+import org.wigeonglade.schema.generated.crash.CrashNotice;
 import org.wigeonglade.schema.generated.log.QuarantineAdded;
 import org.wigeonglade.schema.generated.peer.LinkPurpose;
 import org.wigeonglade.schema.generated.peer.OnlineArrival;
@@ -82,6 +83,11 @@
 		}
 	}
 
+	void broadcastCrash(CrashNotice crash) {
+		PeerFrame frame = PeerFrame.newBuilder().setCrashNotice(crash).build();
+		this.runnerTable.getFleet().hosts().forEach((host) -> send(host.id(), frame));
+	}
+
 	void sendNotice(HostId to, SuspectStep step, Fingerprint fingerprint) {
 		send(to, notice(step, of(fingerprint), 0));
 	}
--- a/entry/src/main/java/org/wigeonglade/entry/online/PoisonRequestGuard.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/PoisonRequestGuard.java
@@ -17,8 +17,14 @@
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.Fingerprint;
 import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.id.UpstreamIncarnation;
+import org.wigeonglade.core.retry.CrashEvidence;
+import org.wigeonglade.core.retry.CrashReport;
+import org.wigeonglade.core.retry.Quarantine;
 import org.wigeonglade.core.retry.Suspicion;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.schema.generated.crash.CrashNotice;
+import org.wigeonglade.schema.generated.log.LogEntry;
 import org.wigeonglade.schema.generated.log.QuarantineAdded;
 import org.wigeonglade.schema.generated.peer.SuspectStep;
 
@@ -58,6 +64,8 @@
 
 	private final Cache<Fingerprint, Boolean> harmless = CacheBuilder.newBuilder().maximumSize(MAX_HARMLESS).build();
 
+	private final CrashEvidence evidence = new CrashEvidence();
+
 	private final Map<Fingerprint, Suspicion> suspicions = Collections.synchronizedMap(new LinkedHashMap<>());
 
 	PoisonRequestGuard(EventLoop loop, PeerNotifier notifier, Ticker ticker, QuarantineRecorder recorder) {
@@ -87,6 +95,12 @@
 			stream.onQuarantined(suspicion);
 			return;
 		}
+		Optional<Quarantine> quarantine = this.evidence.findQuarantine(stream.getRequest().getSuspects());
+		if (quarantine.isPresent()) {
+			stream.onQuarantined(new Suspicion(Set.of(), true, quarantine.get().crashes()
+					+ " runners were lost while they ran requests that share parts of its prompt"));
+			return;
+		}
 		DuplicateGroup group = this.groups.computeIfAbsent(fingerprint, DuplicateGroup::new);
 		if (suspicion == null && this.harmless.getIfPresent(fingerprint) != null) {
 			group.running.add(stream);
@@ -105,6 +119,8 @@
 		DuplicateGroup group = remove(stream);
 		Fingerprint fingerprint = stream.getRequest().fingerprint();
 		this.harmless.put(fingerprint, Boolean.TRUE);
+		this.evidence.recordServed(stream.getRequest().getSuspects(), this.ticker.wallMillis())
+			.forEach(this::tellCrash);
 		if (this.suspicions.containsKey(fingerprint) && stream.isIsolated()) {
 			this.suspicions.remove(fingerprint);
 			LOG.log(OnlineEvent.CLEARED, fingerprint);
@@ -133,9 +149,39 @@
 			group.running.remove(stream);
 		}
 		reportCrash(fingerprint, upstream);
+		if (!stream.getRequest().sharedParts().isEmpty()) {
+			reportSuspects(stream, UpstreamIncarnation.of(upstream));
+		}
 		remove(stream);
 	}
 
+	// Applies what another host or the control stream tells of a crash.
+	void applyCrash(CrashNotice notice) {
+		this.evidence.add(CrashReport.of(notice), this.ticker.wallMillis());
+	}
+
+	void expireCrashes() {
+		this.evidence.expire(this.ticker.wallMillis());
+	}
+
+	// A request with output is not what crashed its runner.
+	private void reportSuspects(OnlineStream stream, UpstreamIncarnation upstream) {
+		long now = this.ticker.wallMillis();
+		List<Fingerprint> suspects = stream.getRequest().getSuspects();
+		CrashReport report = stream.hasOutput() ? CrashReport.ofCleared(upstream, now, suspects)
+				: CrashReport.ofSuspects(upstream, now, suspects);
+		if (this.evidence.add(report, now)) {
+			tellCrash(report);
+		}
+	}
+
+	private void tellCrash(CrashReport report) {
+		CrashNotice notice = report.toNotice();
+		this.notifier.broadcastCrash(notice);
+		this.recorder.record(LogEntry.newBuilder().setCrashNotice(notice).build()).subscribe().with((done) -> {
+		}, (failure) -> LOG.log(OnlineEvent.QUARANTINE_NOT_RECORDED, failure, report.upstream()));
+	}
+
 	// Records a crash with a fingerprint in flight and notifies the other hosts. A
 	// new quarantine is also written to the control stream.
 	void reportCrash(Fingerprint fingerprint, String upstream) {
@@ -149,7 +195,7 @@
 			.build();
 		this.notifier.broadcast(SuspectStep.SUSPECT_CRASHED, body);
 		if (after.quarantined() && (before == null || !before.quarantined())) {
-			this.recorder.record(body).subscribe().with((done) -> {
+			this.recorder.record(LogEntry.newBuilder().setQuarantineAdded(body).build()).subscribe().with((done) -> {
 			}, (failure) -> LOG.log(OnlineEvent.QUARANTINE_NOT_RECORDED, failure, fingerprint));
 		}
 	}
--- a/entry/src/main/java/org/wigeonglade/entry/online/QuarantineLog.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/QuarantineLog.java
@@ -15,10 +15,10 @@
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.schema.generated.log.LogEntry;
 import org.wigeonglade.schema.generated.log.LogRecord;
-import org.wigeonglade.schema.generated.log.QuarantineAdded;
 
 /**
- * Writes quarantines to the control stream and reads those of other hosts. Thread-safe.
+ * Writes quarantines and crashes to the control stream and reads those of other hosts.
+ * Thread-safe.
  */
 public final class QuarantineLog implements QuarantineRecorder {
 
@@ -69,13 +69,13 @@
 	}
 
 	@Override
-	public Uni<Void> record(QuarantineAdded added) {
+	public Uni<Void> record(LogEntry entry) {
 		LogRecord record = LogRecord.newBuilder()
 			.setHost(this.writer)
 			.setIncarnation(this.incarnation)
 			.setSequence(this.sequence.incrementAndGet())
 			.setWallTimeMs(this.ticker.wallMillis())
-			.addEntries(LogEntry.newBuilder().setQuarantineAdded(added))
+			.addEntries(entry)
 			.build();
 		// A retry after a lost reply may write the entry twice; applying it again has
 		// no effect.
@@ -114,6 +114,9 @@
 				if (entry.hasQuarantineAdded()) {
 					online.onQuarantineRecorded(entry.getQuarantineAdded());
 				}
+				else if (entry.hasCrashNotice()) {
+					online.onCrashReported(entry.getCrashNotice());
+				}
 				else if (entry.hasQuarantineLifted()) {
 					online.onQuarantineLifted(Fingerprint.of(entry.getQuarantineLifted().getFingerprint()));
 				}
--- a/entry/src/main/java/org/wigeonglade/entry/online/QuarantineRecorder.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/QuarantineRecorder.java
@@ -1,20 +1,20 @@
 package org.wigeonglade.entry.online;
 
 import io.smallrye.mutiny.Uni;
-import org.wigeonglade.schema.generated.log.QuarantineAdded;
+import org.wigeonglade.schema.generated.log.LogEntry;
 
 /**
- * Writes quarantines to the control stream, so that they remain in force when the hosts
- * that detected them are gone.
+ * Writes quarantines and crashes to the control stream, so that they are known when the
+ * hosts that detected them are gone.
  */
 @FunctionalInterface
 public interface QuarantineRecorder {
 
 	/**
-	 * Records a quarantine.
-	 * @param added the quarantine, not null
+	 * Records a quarantine, or a crash that may lead to one.
+	 * @param entry the entry of the control stream, not null
 	 * @return completes when it is durable
 	 */
-	Uni<Void> record(QuarantineAdded added);
+	Uni<Void> record(LogEntry entry);
 
 }
--- a/entry/src/test/java/org/wigeonglade/entry/online/OnlineFailureTests.java
+++ b/entry/src/test/java/org/wigeonglade/entry/online/OnlineFailureTests.java
@@ -175,6 +175,43 @@
 		}
 	}
 
+	// Guards against chats that crash one runner after the other because they share a
+	// message, though no two of them are alike.
+	@Test
+	public void unlikeChatsWithDeadlyMessageDoNotCrashRunnersWithoutEnd() {
+		AtomicInteger crashes = new AtomicInteger();
+		HostFixture fixture = new HostFixture();
+		for (int i = 1; i <= 30; i++) {
+			fixture.withEngine("runner-" + i, (request) -> {
+				if (request.prompt().contains("deadly")) {
+					crashes.incrementAndGet();
+					return Multi.createFrom().failure(connectionLost(ExecutionState.UNKNOWN, true));
+				}
+				return HostFixture.answer(request);
+			});
+		}
+		EntryHost host = fixture.builder().build();
+		host.start();
+		try {
+			for (int i = 0; i < 10; i++) {
+				postChat(fixture, host, "deadly", "question " + i);
+				Assert.assertEquals(postChat(fixture, host, "sound", "question " + i).statusCode(), 200);
+			}
+			Assert.assertTrue(crashes.get() <= 5, crashes + " runners crashed");
+			Assert.assertEquals(postChat(fixture, host, "deadly", "last question").statusCode(), 422);
+		}
+		finally {
+			host.kill();
+		}
+	}
+
+	private static HttpResponse<String> postChat(HostFixture fixture, EntryHost host, String shared, String question) {
+		return fixture.post(host, "/v1/chat/completions",
+				"{\"model\":\"runo-1\",\"max_tokens\":3,\"messages\":[{\"role\":\"system\",\"content\":\"common\"},"
+						+ "{\"role\":\"user\",\"content\":\"" + shared + "\"},{\"role\":\"user\",\"content\":\""
+						+ question + "\"}]}");
+	}
+
 	@Test
 	public void requestsRefusedForOverloadDoNotRun() throws Exception {
 		AtomicInteger started = new AtomicInteger();
