--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -124,6 +124,10 @@
 	RUNNER_LEAVING(3512, Level.INFO, "runner is leaving and gets no further requests", "runner", "started_ms",
 			"source"),
 
+	/** A runner named a limit of requests, or another one, or none any more. */
+	RUNNER_LIMIT(3513, Level.INFO, "limit of requests of a runner changed", "runner", "started_ms", "requests_per_s",
+			"source"),
+
 	/** A job was accepted. */
 	JOB_ACCEPTED(4501, Level.INFO, "job accepted", "job", "items", "offset", "append_ms"),
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
@@ -51,6 +52,8 @@
 
 	private final LeavingRunners leaving = new LeavingRunners();
 
+	private final Map<RunnerId, OptionalDouble> requestLimits = new HashMap<>();
+
 	private final Map<ServiceName, HoldTimeEstimate> serviceHoldTimes = new HashMap<>();
 
 	private final Map<RunnerId, HoldTimeEstimate> runnerHoldTimes = new HashMap<>();
@@ -192,6 +195,20 @@
 		return added;
 	}
 
+	/**
+	 * Records the limit of requests that a response of a runner names.
+	 * @param runner the runner, not null
+	 * @param limit the requests per second, empty if it names none
+	 */
+	public void recordRequestLimit(RunnerEntry runner, OptionalDouble limit) {
+		OptionalDouble last = this.requestLimits.getOrDefault(runner.id(), OptionalDouble.empty());
+		if (!limit.equals(last)) {
+			this.requestLimits.put(runner.id(), limit);
+			LOG.log(GatewayEvent.RUNNER_LIMIT, runner.id(), runner.startedMillis(),
+					limit.isPresent() ? limit.getAsDouble() : null, "the runner");
+		}
+	}
+
 	/**
 	 * Returns the runner processes that have announced that they are leaving.
 	 * @return the processes, never null
@@ -256,6 +273,7 @@
 		this.loadTracker.expire(now);
 		this.leaving.expire(now);
 		this.health.removeUnregistered(this.directory);
+		this.requestLimits.keySet().removeIf((id) -> this.directory.find(id).isEmpty());
 		this.pool.closeExpired(this.directory);
 		this.runnerHoldTimes.keySet().removeIf((id) -> this.directory.find(id).isEmpty());
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -119,6 +119,9 @@
 			if (this.responseHead.leaving() && !this.responseHead.wrongRunner()) {
 				this.fleet.markLeaving(this.runner.id(), this.runner.startedMillis(), "the runner");
 			}
+			if (!this.responseHead.wrongRunner()) {
+				this.fleet.recordRequestLimit(this.runner, this.responseHead.requestLimit());
+			}
 			this.listener.head(this.responseHead, response.headers());
 		}
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerResponseHead.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerResponseHead.java
@@ -1,6 +1,7 @@
 package org.wigeonglade.gateway.runner;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -12,11 +13,13 @@
  * @param wrongRunner whether a runner other than the addressed one responded
  * @param signed whether it carries a signature of the runner
  * @param leaving whether the runner announces that it is about to leave
+ * @param requestLimit the requests per second that the runner takes from all hosts
+ * together, empty if it names no limit
  * @param idleSeconds the idle timeout of the runner's connections in seconds, empty if
  * not given
  */
 public record RunnerResponseHead(int status, Optional<String> requestId, boolean notRun, boolean wrongRunner,
-		boolean signed, boolean leaving, OptionalLong idleSeconds) {
+		boolean signed, boolean leaving, OptionalDouble requestLimit, OptionalLong idleSeconds) {
 
 	/**
 	 * Returns whether this is a signed success.
