--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
@@ -51,6 +51,8 @@
 
 	private volatile boolean leaving;
 
+	private volatile String requestLimit;
+
 	private volatile String deadlyPart;
 
 	private volatile Runnable crashListener = () -> {
@@ -156,6 +158,15 @@
 		this.leaving = value;
 	}
 
+	/**
+	 * Sets the limit of requests that responses name.
+	 * @param requestsPerSecond the value of the header {@code Server-Limit}, or null for
+	 * none
+	 */
+	public void setRequestLimit(String requestsPerSecond) {
+		this.requestLimit = requestsPerSecond;
+	}
+
 	/**
 	 * Sets a part of prompts that crashes the runner: all its connections are closed when
 	 * it begins to run a request with the part.
@@ -206,6 +217,9 @@
 			response.setStatusCode(400).putHeader("Not-Executed", "1").end();
 			return;
 		}
+		if (this.requestLimit != null) {
+			response.putHeader("Server-Limit", this.requestLimit);
+		}
 		if (this.leaving) {
 			response.putHeader("Server-Leaving", "1");
 		}
