Owe a batch item however many upstreams crashed under it

Cause: items were treated like requests that crash engines: a second crash ended them, their fingerprints were quarantined with those of online requests, and after a crash they waited for a runner without online work without bound.

Change: a crash only makes an item wait 1 s for such a runner, then it runs beside other work. Nothing counts crashes against it any more, and batch items neither cause nor meet the quarantine of online requests.

--- a/core/src/main/java/org/wigeonglade/core/batch/BatchEvent.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/BatchEvent.java
@@ -45,10 +45,6 @@
 	/** A read of the partition stream succeeded after an outage. */
 	LOG_AVAILABLE(4010, Level.INFO, "log service is reachable again", "partition"),
 
-	/** An item failed because a second upstream was lost while running it. */
-	ITEM_QUARANTINED(4011, Level.WARNING, "item quarantined after two upstreams were lost while running it", "batch",
-			"index"),
-
 	/** A record cannot be decoded. */
 	RECORD_INVALID(4012, Level.ERROR, "log record cannot be decoded and is skipped", "partition", "records"),
 
--- a/core/src/main/java/org/wigeonglade/core/batch/FairItemQueue.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/FairItemQueue.java
@@ -36,6 +36,8 @@
 
 	private final Deque<Item> suspects = new ArrayDeque<>();
 
+	private long suspectsSinceMillis = -1;
+
 	private double virtualTime;
 
 	FairItemQueue(ToIntFunction<String> weights) {
@@ -62,6 +64,18 @@
 		this.suspects.removeIf((item) -> item.queue() == queue);
 	}
 
+	// Returns how long there have been suspects at the calls of this method.
+	long getSuspectWaitMillis(long nowMillis) {
+		if (this.suspects.isEmpty()) {
+			this.suspectsSinceMillis = -1;
+			return 0;
+		}
+		if (this.suspectsSinceMillis < 0) {
+			this.suspectsSinceMillis = nowMillis;
+		}
+		return nowMillis - this.suspectsSinceMillis;
+	}
+
 	Item pollSuspect() {
 		while (!this.suspects.isEmpty()) {
 			Item item = this.suspects.poll();
--- a/core/src/main/java/org/wigeonglade/core/batch/GrantScheduler.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/GrantScheduler.java
@@ -21,7 +21,11 @@
  */
 final class GrantScheduler {
 
-	private static final int MAX_CRASHES = 2;
+	/**
+	 * Time in milliseconds for which items wait for an isolated runner after a crash.
+	 * Under steady online work there may never be one.
+	 */
+	private static final long MAX_ISOLATION_WAIT_MILLIS = 1_000;
 
 	/**
 	 * Factor on the maximum attempts before an item fails by an expired lease, which is
@@ -95,7 +99,7 @@
 	}
 
 	// Grants up to max items. An isolated runner gets a suspect, if there is one, and
-	// nothing else.
+	// nothing else. Suspects that have waited too long for one are granted like others.
 	List<Grant> select(String service, int max, boolean isolated, long nowMillis, long nowWallMillis) {
 		FairItemQueue queue = this.queues.get(service);
 		List<Grant> selected = new ArrayList<>();
@@ -107,8 +111,10 @@
 			selected.add(createGrant(suspect, true, nowMillis));
 			return selected;
 		}
+		boolean suspectsOverdue = queue.getSuspectWaitMillis(nowMillis) >= MAX_ISOLATION_WAIT_MILLIS;
 		while (selected.size() < max) {
-			FairItemQueue.Item item = queue.poll(nowWallMillis);
+			FairItemQueue.Item overdue = suspectsOverdue ? queue.pollSuspect() : null;
+			FairItemQueue.Item item = (overdue != null) ? overdue : queue.poll(nowWallMillis);
 			if (item == null) {
 				break;
 			}
@@ -158,7 +164,7 @@
 				requeue(queue, index);
 				yield StateChange.NONE;
 			}
-			case WORK_CRASHED -> idempotent ? handleCrash(queue, index, report, customId)
+			case WORK_CRASHED -> idempotent ? handleCrash(queue, index)
 					: finish(queue, index, outcome(report, OutcomeStatus.UNKNOWN, customId));
 			case WORK_UNKNOWN -> idempotent ? retry(queue, index, report, customId)
 					: finish(queue, index, outcome(report, OutcomeStatus.UNKNOWN, customId));
@@ -261,15 +267,11 @@
 				outcome(report, OutcomeStatus.COMPLETED, customId).toBuilder().setResult(report.getResult()).build());
 	}
 
-	private StateChange handleCrash(JobQueue queue, int index, WorkOutcome report, String customId) {
-		int crashes = queue.incrementCrashes(index);
-		if (crashes >= MAX_CRASHES) {
-			return finish(queue, index,
-					outcome(report, OutcomeStatus.FAILED, customId).toBuilder()
-						.setErrorCode(ErrorCode.QUARANTINED.getCode())
-						.setErrorMessage("the item was in flight on " + crashes + " upstreams when they were lost")
-						.build());
-		}
+	// An item is never the cause of a crash, so it is owed however often its upstreams
+	// were
+	// lost.
+	private StateChange handleCrash(JobQueue queue, int index) {
+		queue.incrementCrashes(index);
 		requeue(queue, index);
 		return new StateChange(queue.getJob(), ItemOutcome.newBuilder().setIndex(index).build(), true);
 	}
--- a/core/src/main/java/org/wigeonglade/core/batch/OwnedPartition.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/OwnedPartition.java
@@ -232,9 +232,6 @@
 		Map<String, String> figures = Map.of("code", outcome.getErrorCode(), "attempts",
 				Integer.toString(outcome.getAttempts()));
 		if (outcome.getStatus() == OutcomeStatus.FAILED) {
-			if (outcome.getErrorCode().equals(ErrorCode.QUARANTINED.getCode())) {
-				LOG.log(BatchEvent.ITEM_QUARANTINED, change.job().getId(), outcome.getIndex());
-			}
 			this.context.account().record(AccountCode.FAILED, "item", subject, null, figures);
 		}
 		else if (outcome.getStatus() == OutcomeStatus.UNKNOWN) {
--- a/entry/src/main/java/org/wigeonglade/entry/online/BatchDispatcher.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/BatchDispatcher.java
@@ -10,15 +10,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.wigeonglade.core.batch.WorkSource;
-import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.WigeongladeException;
 import org.wigeonglade.core.event.EventLogger;
-import org.wigeonglade.core.id.Fingerprint;
 import org.wigeonglade.core.id.UpstreamId;
-import org.wigeonglade.core.retry.Suspicion;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.entry.completion.CompletionBody;
-import org.wigeonglade.entry.completion.Fingerprints;
 import org.wigeonglade.entry.completion.JsonReader;
 import org.wigeonglade.schema.generated.peer.WorkGrant;
 import org.wigeonglade.schema.generated.peer.WorkItem;
@@ -212,24 +208,16 @@
 
 	private void accept(RunnerDispatcher dispatcher, WorkItem item) {
 		if (dispatcher == null || this.stopped) {
-			this.reporter.add(new BatchStream(item, null, null).outcome(WorkStatus.WORK_RETURNED, "").build());
+			this.reporter.add(new BatchStream(item, null).outcome(WorkStatus.WORK_RETURNED, "").build());
 			return;
 		}
 		String name = dispatcher.getRunner().getMember().id().value();
-		Fingerprint fingerprint = Fingerprints.of(dispatcher.getRunner().getMember().service().value(),
-				item.getBody().toByteArray());
-		Suspicion suspicion = this.online.getPoisonGuard().find(fingerprint).orElse(null);
-		if (suspicion != null && suspicion.quarantined()) {
-			this.reporter.add(new BatchStream(item, null, fingerprint).failed(WorkStatus.WORK_FAILED, name,
-					ErrorCode.QUARANTINED.getCode(), "the request is quarantined: " + suspicion.reason()));
-			return;
-		}
 		try {
 			CompletionBody body = parse(item);
-			dispatcher.enqueue(new BatchStream(item, body, fingerprint), item.getSuspect() || suspicion != null);
+			dispatcher.enqueue(new BatchStream(item, body), item.getSuspect());
 		}
 		catch (WigeongladeException ex) {
-			this.reporter.add(new BatchStream(item, null, fingerprint).rejected(name, ex));
+			this.reporter.add(new BatchStream(item, null).rejected(name, ex));
 		}
 	}
 
--- a/entry/src/main/java/org/wigeonglade/entry/online/BatchStream.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/BatchStream.java
@@ -6,7 +6,6 @@
 import com.google.protobuf.ByteString;
 import org.wigeonglade.core.engine.EngineRequest;
 import org.wigeonglade.core.error.WigeongladeException;
-import org.wigeonglade.core.id.Fingerprint;
 import org.wigeonglade.core.id.RequestId;
 import org.wigeonglade.entry.completion.CompletionBody;
 import org.wigeonglade.schema.generated.peer.WorkItem;
@@ -23,8 +22,6 @@
 
 	private final CompletionBody body;
 
-	private final Fingerprint fingerprint;
-
 	private final List<String> tokens = new ArrayList<>();
 
 	private Attempt attempt;
@@ -33,10 +30,9 @@
 
 	private long preemptedAtMillis;
 
-	BatchStream(WorkItem item, CompletionBody body, Fingerprint fingerprint) {
+	BatchStream(WorkItem item, CompletionBody body) {
 		this.item = item;
 		this.body = body;
-		this.fingerprint = fingerprint;
 	}
 
 	WorkItem getItem() {
@@ -47,10 +43,6 @@
 		return this.body;
 	}
 
-	Fingerprint getFingerprint() {
-		return this.fingerprint;
-	}
-
 	long getGrantId() {
 		return this.item.getGrantId();
 	}
--- a/entry/src/main/java/org/wigeonglade/entry/online/PoisonRequestGuard.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/PoisonRequestGuard.java
@@ -200,11 +200,6 @@
 		}
 	}
 
-	// Records a crash with a batch item in flight; may be called from any thread.
-	void reportCrashAsync(Fingerprint fingerprint, String upstream) {
-		this.loop.execute(() -> reportCrash(fingerprint, upstream));
-	}
-
 	// Applies a notice of another host or a quarantine recorded in the control
 	// stream.
 	void applyNotice(QuarantineAdded added, boolean recorded) {
--- a/entry/src/main/java/org/wigeonglade/entry/online/RunnerDispatcher.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/RunnerDispatcher.java
@@ -56,8 +56,6 @@
 
 	private final RunnerState runner;
 
-	private final PoisonRequestGuard poisonGuard;
-
 	private final PeerNotifier notifier;
 
 	private final AccountRecorder account;
@@ -89,7 +87,6 @@
 		this.loop = loop;
 		this.ticker = ticker;
 		this.runner = runner;
-		this.poisonGuard = online.getPoisonGuard();
 		this.notifier = online.getNotifier();
 		this.account = online.getAccount();
 		this.outcomes = outcomes;
@@ -235,7 +232,6 @@
 				runnerName(), failure.getCode().getCode(), failure.isConnectionLost(), stream.getTokens().size());
 		if (failure.isConnectionLost()) {
 			this.runner.recordFailure(true, this.ticker.nanos());
-			this.poisonGuard.reportCrashAsync(stream.getFingerprint(), this.runner.getIncarnationName());
 		}
 		this.pausedUntilMillis = this.ticker.millis() + FAILURE_PAUSE_MILLIS;
 		this.outcomes.accept(stream.failed(statusOf(stream, failure), runnerName(), failure.getCode().getCode(),
