Take a stream without length or events for broken

Cause: a response with neither a length nor chunks ends with its connection. A runner that crashed after the head and before the first event left an empty stream that was passed on as a complete success. Change: a stream whose end is not marked is complete only after an event. Measured: UndelimitedStreamTests, 1 of 4 failed before (an empty body), 4 of 4 pass.

--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -224,8 +224,9 @@
 
 		@Override
 		public void end() {
-			if (this.head.isSuccess() && this.parser.isInsideEvent()) {
-				failed(new RunnerFailure(RunnerFailure.Kind.BROKEN, "the stream ended within an event"));
+			if (this.head.isSuccess() && !this.parser.mayEnd(this.head.delimited())) {
+				failed(new RunnerFailure(RunnerFailure.Kind.BROKEN,
+						"the stream ended within an event or before the first"));
 				return;
 			}
 			finish();
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
@@ -198,8 +198,8 @@
 		else if (!this.head.isSuccess()) {
 			finish(new AttemptOutcome.RunnerError(this.head, this.headers, this.buffered.toByteArray()));
 		}
-		else if (this.parser.isInsideEvent()) {
-			finish(incomplete(RunnerFailure.Kind.BROKEN, "the stream ended within an event"));
+		else if (this.streaming && !this.parser.mayEnd(this.head.delimited())) {
+			finish(incomplete(RunnerFailure.Kind.BROKEN, "the stream ended within an event or before the first"));
 		}
 		else {
 			if (this.buffered.size() > 0) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerResponseHead.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerResponseHead.java
@@ -15,11 +15,13 @@
  * @param leaving whether the runner announces that it is about to leave
  * @param requestLimit the requests per second that the runner takes from all hosts
  * together, empty if it names no limit
+ * @param delimited whether a length or chunks mark the end of the body, not only the end
+ * of the connection
  * @param idleSeconds the idle timeout of the runner's connections in seconds, empty if
  * not given
  */
 public record RunnerResponseHead(int status, Optional<String> requestId, boolean notRun, boolean wrongRunner,
-		boolean signed, boolean leaving, OptionalDouble requestLimit, OptionalLong idleSeconds) {
+		boolean signed, boolean leaving, OptionalDouble requestLimit, boolean delimited, OptionalLong idleSeconds) {
 
 	/**
 	 * Returns whether this is a signed success.
--- a/gateway/src/main/java/org/wigeonglade/gateway/stream/StreamParser.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/stream/StreamParser.java
@@ -18,6 +18,8 @@
 
 	private int lineLength;
 
+	private boolean eventSeen;
+
 	/**
 	 * Parses received bytes.
 	 * @param bytes the bytes, not null
@@ -52,9 +54,20 @@
 		return this.pending.size() > 0;
 	}
 
+	/**
+	 * Returns whether the stream may end here.
+	 * @param delimited whether the end of the stream was marked; otherwise a connection
+	 * that ends before the first event is taken for broken
+	 * @return false if the stream was broken off
+	 */
+	public boolean mayEnd(boolean delimited) {
+		return !isInsideEvent() && (delimited || this.eventSeen);
+	}
+
 	private void completeEvent(List<StreamEvent> events) {
 		byte[] bytes = this.pending.toByteArray();
 		this.pending.reset();
+		this.eventSeen = true;
 		events.add(new StreamEvent(parseId(bytes), bytes));
 	}
 
