Keep the limits of runners over all hosts

Callers saw nothing; runners in need got up to three times the requests that they had named as their limit.

Cause: nothing decided on the limit. A limit of the whole fleet cannot be kept by a host for itself, and two fifths of the requests were starts of batch items, most of them after a preemption.

Change: each host has a token bucket for each limited runner and charges it with its own requests and, from load reports, with those of the others; what is sent within the lag of the reports is a debt that lowers the chance of the next send. Limits are told by datagram and kept in the gateway stream. Online requests go to runners without a limit first, items to limited ones, and a request beyond all limits is refused at once with a retry time.

--- a/bench/src/main/java/org/wigeonglade/bench/model/DispatchModel.java
+++ b/bench/src/main/java/org/wigeonglade/bench/model/DispatchModel.java
@@ -16,6 +16,7 @@
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.ServiceName;
+import org.wigeonglade.gateway.fleet.Allowance;
 import org.wigeonglade.gateway.fleet.Candidate;
 import org.wigeonglade.gateway.fleet.IdleSlotAllocator;
 import org.wigeonglade.gateway.fleet.Placement;
@@ -332,7 +333,7 @@
 
 	private Candidate candidate(int host, int runner) {
 		return new Candidate(this.entries.get(runner), this.view.getLoad(host, runner), false,
-				domain(runner).equals(domain(host)), millis(this.options.holdMillis()));
+				domain(runner).equals(domain(host)), millis(this.options.holdMillis()), Allowance.UNLIMITED);
 	}
 
 	private void count(ModelWork work, int runner, int change) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/Candidate.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/Candidate.java
@@ -12,9 +12,16 @@
  * @param sameDomain whether it is in the failure domain of this host
  * @param meanHoldTime the mean time for which a request occupies one of its slots, not
  * null
+ * @param allowance the requests that its rate limit admits now, not null
  */
 public record Candidate(RunnerEntry entry, LoadTracker.Load load, boolean avoided, boolean sameDomain,
-		Duration meanHoldTime) {
+		Duration meanHoldTime, Allowance allowance) {
+
+	/**
+	 * Share of the slots of a runner with a rate limit that is kept free of batch items:
+	 * a preempted item takes another request when it is resumed.
+	 */
+	private static final double LIMITED_FREE_SHARE = 0.25;
 
 	/**
 	 * Returns the number of idle slots.
@@ -24,6 +31,15 @@
 		return this.entry.slots() - this.load.getTotal();
 	}
 
+	/**
+	 * Returns the number of batch items that may be started.
+	 * @return the number, 0 or negative if none may be started
+	 */
+	public int getBatchCapacity() {
+		int keptFree = this.allowance.isLimited() ? (int) Math.round(LIMITED_FREE_SHARE * this.entry.slots()) : 0;
+		return Math.min(getFreeSlots() - keptFree, this.allowance.batch());
+	}
+
 	/**
 	 * Returns the number of online requests that would be queued if all batch items were
 	 * preempted.
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/Placement.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/Placement.java
@@ -36,6 +36,9 @@
 		/** No runner of the service is available. */
 		NO_RUNNER,
 
+		/** Every runner has had as many requests as its rate limit admits. */
+		RATE_LIMITED,
+
 		/** The expected wait at every runner exceeds the constraints of the request. */
 		OVERLOADED
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
@@ -61,6 +61,12 @@
 	 */
 	private static final double MAX_RETRY_FRACTION = 1.0 / 3;
 
+	/**
+	 * Requests beyond the rate limit of a runner that are left to requests which have
+	 * started to run elsewhere and would be lost.
+	 */
+	private static final int RATE_LIMIT_RESERVE = 1;
+
 	/**
 	 * Time after which load reports reflect a preemption; a report that was in flight
 	 * still counts the preempted items.
@@ -94,19 +100,21 @@
 	 * @return the placement, never null
 	 */
 	public Placement place(List<Candidate> candidates, RequestConstraints constraints) {
-		List<Candidate> usable = preferHealthy(candidates);
-		if (usable.isEmpty()) {
+		List<Candidate> healthy = preferHealthy(candidates);
+		if (healthy.isEmpty()) {
 			return new Placement.Refuse(Placement.Cause.NO_RUNNER, retryAfter(NO_RUNNER_RETRY, constraints));
 		}
-		double unreported = estimateUnreportedRequests(usable);
-		for (ToIntFunction<Candidate> capacity : List.<ToIntFunction<Candidate>>of(PlacementPolicy::getFreeCapacity,
-				PlacementPolicy::getPreemptibleCapacity)) {
-			if (sum(usable, capacity) > unreported) {
-				Candidate chosen = choose(usable, capacity, unreported);
-				return new Placement.Send(chosen.entry(), Duration.ZERO, chosen.getNeededPreemptions());
-			}
+		int reserve = constraints.refusable() ? 0 : RATE_LIMIT_RESERVE;
+		List<Candidate> usable = healthy.stream().filter((c) -> c.allowance().online() > -reserve).toList();
+		if (usable.isEmpty()) {
+			return new Placement.Refuse(Placement.Cause.RATE_LIMITED, retryAfter(MIN_OVERLOAD_RETRY, constraints));
 		}
-		return queueOrRefuse(usable, constraints, unreported);
+		// The requests of rate limits are saved for bursts, in which the slots of the
+		// other
+		// runners are full.
+		List<Candidate> unlimited = usable.stream().filter((c) -> !c.allowance().isLimited()).toList();
+		return placeWithoutQueue(unlimited).or(() -> placeWithoutQueue(usable))
+			.orElseGet(() -> queueOrRefuse(usable, constraints, estimateUnreportedRequests(usable)));
 	}
 
 	/**
@@ -123,8 +131,9 @@
 	}
 
 	/**
-	 * Places a batch item on an idle slot. The runners with the most idle slots are tried
-	 * first.
+	 * Places a batch item on an idle slot. Runners with a rate limit are tried first,
+	 * since an item holds a slot for long with one request, then those with the most idle
+	 * slots.
 	 * @param candidates the runners of the service that accept requests, not null
 	 * @param slotAllocator allocates an idle slot of a runner and returns true, or
 	 * returns false if none is allocated to this host, not null
@@ -132,13 +141,26 @@
 	 */
 	public Optional<RunnerEntry> placeBatch(List<Candidate> candidates, Predicate<Candidate> slotAllocator) {
 		return candidates.stream()
-			.filter((c) -> !c.avoided() && c.getFreeSlots() > 0)
-			.sorted(Comparator.comparingInt(Candidate::getFreeSlots).reversed())
+			.filter((c) -> !c.avoided() && c.getBatchCapacity() > 0)
+			.sorted(Comparator.<Candidate, Boolean>comparing((c) -> !c.allowance().isLimited())
+				.thenComparing(Comparator.comparingInt(Candidate::getFreeSlots).reversed()))
 			.filter(slotAllocator)
 			.findFirst()
 			.map(Candidate::entry);
 	}
 
+	private Optional<Placement> placeWithoutQueue(List<Candidate> usable) {
+		double unreported = estimateUnreportedRequests(usable);
+		for (ToIntFunction<Candidate> capacity : List.<ToIntFunction<Candidate>>of(PlacementPolicy::getFreeCapacity,
+				PlacementPolicy::getPreemptibleCapacity)) {
+			if (sum(usable, capacity) > unreported) {
+				Candidate chosen = choose(usable, capacity, unreported);
+				return Optional.of(new Placement.Send(chosen.entry(), Duration.ZERO, chosen.getNeededPreemptions()));
+			}
+		}
+		return Optional.empty();
+	}
+
 	private Placement queueOrRefuse(List<Candidate> usable, RequestConstraints constraints, double unreported) {
 		double safetyFactor = (unreported < 1) ? WAIT_SAFETY_FACTOR : WAIT_SAFETY_FACTOR_WITH_LAG;
 		ToIntFunction<Candidate> capacity = (c) -> getOnTimeCapacity(c, constraints, safetyFactor);
@@ -172,11 +194,12 @@
 	}
 
 	private static int getFreeCapacity(Candidate candidate) {
-		return Math.max(0, candidate.getFreeSlots());
+		return Math.max(0, Math.min(candidate.allowance().online(), candidate.getFreeSlots()));
 	}
 
+	// A preempted item takes another request of a rate limit when it is resumed.
 	private static int getPreemptibleCapacity(Candidate candidate) {
-		return Math.max(0, -candidate.getOnlineExcess());
+		return Math.max(0, Math.min(candidate.allowance().online() / 2, -candidate.getOnlineExcess()));
 	}
 
 	// The number of further requests that would meet the latency target at the
@@ -185,7 +208,8 @@
 		double maxWaitMillis = (constraints.untilTarget().toMillis() - FIRST_EVENT_LATENCY_MILLIS) / safetyFactor;
 		double slotIntervalMillis = Math.max(1, candidate.meanHoldTime().toMillis())
 				/ (double) candidate.entry().slots();
-		return (int) Math.max(0, Math.floor(maxWaitMillis / slotIntervalMillis) - candidate.getOnlineExcess());
+		int onTime = (int) Math.floor(maxWaitMillis / slotIntervalMillis) - candidate.getOnlineExcess();
+		return Math.max(0, Math.min(candidate.allowance().online(), onTime));
 	}
 
 	private static long sum(List<Candidate> candidates, ToIntFunction<Candidate> capacity) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -48,6 +48,7 @@
 import org.wigeonglade.gateway.store.StreamFollower;
 import org.wigeonglade.schema.generated.crash.CrashNotice;
 import org.wigeonglade.schema.generated.gateway.HostEntry;
+import org.wigeonglade.schema.generated.gateway.RunnerLimit;
 
 /**
  * A gateway process: creates and connects its components, reports readiness, and shuts
@@ -116,6 +117,8 @@
 
 	private final CrashReportPublisher crashReports;
 
+	private final RequestLimitPublisher limits;
+
 	private final HostEntry self;
 
 	private final RecordWriter writer;
@@ -184,15 +187,16 @@
 		this.peerMonitor = new PeerMonitor(settings.host(), this.peers, this.writer, ticker);
 		this.stateUpdater = new StreamStateUpdater(adapters, this.fleet, this.jobTable, this.peers, ticker, this.self,
 				this::register);
-		this.exchange = new PeerStateExchange(this.self, this.loop, ticker, this.fleet.getLoadTracker(), this.peers,
-				new PeerListener());
+		this.exchange = new PeerStateExchange(this.self, this.loop, ticker, this.fleet.getLoadTracker(),
+				this.fleet.getRequestLimits(), this.peers, new PeerListener());
 		this.crashReports = new CrashReportPublisher(this.self, this.exchange, this.writer, this.loop, ticker);
+		this.limits = new RequestLimitPublisher(this.fleet, this.exchange, this.writer, ticker);
 		this.configurationFollower = new StreamFollower(log, KeyedStream.CONFIGURATION, CONFIGURATION_POLL_TIMING,
 				this.loop, ticker, this.stateUpdater.configurationListener());
 		this.runnerFollower = new StreamFollower(log, KeyedStream.RUNNERS, RUNNER_POLL_TIMING, this.loop, ticker,
 				this.stateUpdater.runnerListener());
 		this.gatewayStreamFollower = new StreamFollower(log, KeyedStream.OWN, GATEWAY_STREAM_POLL_TIMING, this.loop,
-				ticker, this.stateUpdater.gatewayStreamListener(this::jobChanged, this.crashReports));
+				ticker, this.stateUpdater.gatewayStreamListener(this::jobChanged, this.crashReports, this.limits));
 		this.fleet.onLoadChanged(this.exchange::scheduleReport);
 		this.items = ItemScheduler.of(settings.host(), this.self.getIncarnation(), this.jobTable, this.peers,
 				this.fleet, policy, this.loop, ticker, this.writer);
@@ -354,6 +358,7 @@
 	private void maintain() {
 		this.fleet.maintain();
 		this.crashReports.expire();
+		this.limits.repeat();
 		this.jobs.removeFinishedLongPolls();
 		this.peerMonitor.checkLiveness();
 		this.exchange.sendHeartbeats();
@@ -366,6 +371,7 @@
 			this.peerMonitor.deregisterSilentHosts();
 			if (this.peerMonitor.isLowestEligibleHost()) {
 				this.crashReports.removeExpiredRecords();
+				this.limits.removeObsoleteRecords();
 			}
 		}
 	}
@@ -465,6 +471,12 @@
 		@Override
 		public void hostAlive(HostId host) {
 			GatewayHost.this.crashReports.sendUnstoredReports(host);
+			GatewayHost.this.limits.sendAll(host);
+		}
+
+		@Override
+		public void limitReported(RunnerLimit limit, HostId source) {
+			GatewayHost.this.limits.apply(limit, source.value());
 		}
 
 		@Override
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
@@ -80,8 +80,9 @@
 		return new RunnerListener();
 	}
 
-	StreamFollower.Listener gatewayStreamListener(Consumer<Job> jobListener, CrashReportPublisher crashReports) {
-		return new GatewayStreamListener(jobListener, crashReports);
+	StreamFollower.Listener gatewayStreamListener(Consumer<Job> jobListener, CrashReportPublisher crashReports,
+			RequestLimitPublisher limits) {
+		return new GatewayStreamListener(jobListener, crashReports, limits);
 	}
 
 	// Registers another host, from its record or from a datagram that it sent.
@@ -182,23 +183,28 @@
 
 		private final CrashReportPublisher crashReports;
 
-		private GatewayStreamListener(Consumer<Job> jobListener, CrashReportPublisher crashReports) {
+		private final RequestLimitPublisher limits;
+
+		private GatewayStreamListener(Consumer<Job> jobListener, CrashReportPublisher crashReports,
+				RequestLimitPublisher limits) {
 			this.jobListener = jobListener;
 			this.crashReports = crashReports;
+			this.limits = limits;
 		}
 
 		@Override
 		public void listed(List<KeyedRecord> records) {
 			StreamStateUpdater.this.jobTable.reset(records);
 			this.crashReports.resetRecords();
-			records.forEach(this::applyHostOrCrash);
+			this.limits.resetRecords();
+			records.forEach(this::applyFleetRecord);
 			List.copyOf(StreamStateUpdater.this.jobTable.getJobs()).forEach(this.jobListener);
 		}
 
 		@Override
 		public void appended(List<KeyedRecord> records) {
 			for (KeyedRecord record : records) {
-				applyHostOrCrash(record);
+				applyFleetRecord(record);
 				try {
 					StreamStateUpdater.this.jobTable.apply(record).ifPresent(this.jobListener);
 				}
@@ -208,11 +214,14 @@
 			}
 		}
 
-		private void applyHostOrCrash(KeyedRecord record) {
+		private void applyFleetRecord(KeyedRecord record) {
 			try {
 				if (record.key().startsWith(CrashReportPublisher.KEY_PREFIX)) {
 					this.crashReports.applyRecord(record);
 				}
+				else if (record.key().startsWith(RequestLimitPublisher.KEY_PREFIX)) {
+					this.limits.applyRecord(record);
+				}
 				else {
 					applyHost(record);
 				}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -360,7 +360,7 @@
 
 	private boolean tryAllocateSlot(Candidate candidate, Set<HostId> contenders) {
 		long roundMillis = Math.max(MIN_ROUND_MILLIS, ROUND_MILLIS_PER_HOST * this.peers.getLiveCount());
-		return this.idleSlotAllocator.tryAllocate(candidate.entry().id(), candidate.getFreeSlots(),
+		return this.idleSlotAllocator.tryAllocate(candidate.entry().id(), candidate.getBatchCapacity(),
 				this.ticker.wallMillis() / roundMillis, contenders);
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
@@ -15,6 +15,7 @@
 import java.util.function.Supplier;
 
 import com.google.common.collect.Lists;
+import com.google.common.collect.Sets;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -31,6 +32,7 @@
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.LeavingRunners;
 import org.wigeonglade.gateway.fleet.LoadTracker;
+import org.wigeonglade.gateway.fleet.RequestLimits;
 import org.wigeonglade.gateway.fleet.RunnerId;
 import org.wigeonglade.gateway.job.FailureCounter;
 import org.wigeonglade.gateway.job.ItemId;
@@ -42,6 +44,7 @@
 import org.wigeonglade.schema.generated.gateway.ItemFailures;
 import org.wigeonglade.schema.generated.gateway.LeavingRunner;
 import org.wigeonglade.schema.generated.gateway.Preemption;
+import org.wigeonglade.schema.generated.gateway.RunnerLimit;
 import org.wigeonglade.schema.generated.gateway.RunnerLoad;
 
 /**
@@ -78,6 +81,8 @@
 
 	private final LoadTracker loadTracker;
 
+	private final RequestLimits requestLimits;
+
 	private final PeerTable table;
 
 	private final Listener listener;
@@ -108,15 +113,18 @@
 	 * @param loop the event loop, not null
 	 * @param ticker the clock, not null
 	 * @param loadTracker the load of runners, updated from datagrams, not null
+	 * @param requestLimits the requests sent to limited runners, updated from datagrams,
+	 * not null
 	 * @param table the other hosts, updated from datagrams, not null
 	 * @param listener receives the remaining contents of datagrams, not null
 	 */
-	public PeerStateExchange(HostEntry self, EventLoop loop, Ticker ticker, LoadTracker loadTracker, PeerTable table,
-			Listener listener) {
+	public PeerStateExchange(HostEntry self, EventLoop loop, Ticker ticker, LoadTracker loadTracker,
+			RequestLimits requestLimits, PeerTable table, Listener listener) {
 		this.self = self;
 		this.loop = loop;
 		this.ticker = ticker;
 		this.loadTracker = loadTracker;
+		this.requestLimits = requestLimits;
 		this.table = table;
 		this.listener = listener;
 	}
@@ -236,6 +244,23 @@
 			.forEach((crashes) -> sendToDue(newDatagram().addAllCrashes(crashes).build(), (peer) -> true, true));
 	}
 
+	/**
+	 * Sends limits of runners to the live hosts.
+	 * @param limits the limits, not null
+	 */
+	public void sendLimits(List<RunnerLimit> limits) {
+		sendToDue(newDatagram().addAllLimits(limits).build(), (peer) -> true, true);
+	}
+
+	/**
+	 * Sends limits of runners to one host. Does nothing if the host is not registered.
+	 * @param host the host, not null
+	 * @param limits the limits, not null
+	 */
+	public void sendLimits(HostId host, List<RunnerLimit> limits) {
+		this.table.find(host).ifPresent((peer) -> send(peer, newDatagram().addAllLimits(limits).build().toByteArray()));
+	}
+
 	/**
 	 * Sends crash reports to one host. Does nothing if the host is not registered.
 	 * @param host the host, not null
@@ -263,12 +288,25 @@
 				.setJobId(count.job().value())
 				.setItemId(count.item().value())
 				.setFailures(count.failures())));
-		this.loadTracker.getLocalLoads()
-			.forEach((runner, load) -> builder.addLoads(
-					RunnerLoad.newBuilder().setRunner(runner.value()).setOnline(load.online()).setBatch(load.batch())));
+		addLoads(builder);
 		return builder;
 	}
 
+	// A limited runner is reported without a load too, because others have to charge what
+	// was sent to it.
+	private void addLoads(Datagram.Builder builder) {
+		Map<RunnerId, LoadTracker.Load> loads = this.loadTracker.getLocalLoads();
+		Map<RunnerId, Integer> sent = this.requestLimits.getSent();
+		Sets.union(loads.keySet(), sent.keySet()).forEach((runner) -> {
+			LoadTracker.Load load = loads.getOrDefault(runner, LoadTracker.Load.NONE);
+			builder.addLoads(RunnerLoad.newBuilder()
+				.setRunner(runner.value())
+				.setOnline(load.online())
+				.setBatch(load.batch())
+				.setSent(sent.getOrDefault(runner, 0)));
+		});
+	}
+
 	private void sendToDue(Datagram datagram, Predicate<PeerTable.Peer> recipients, boolean immediate) {
 		byte[] bytes = datagram.toByteArray();
 		long now = this.ticker.millis();
@@ -317,8 +355,15 @@
 		Map<RunnerId, LoadTracker.Load> loads = new HashMap<>();
 		datagram.getLoadsList()
 			.forEach((l) -> loads.put(RunnerId.of(l.getRunner()), new LoadTracker.Load(l.getOnline(), l.getBatch())));
+		datagram.getLimitsList().forEach((limit) -> this.listener.limitReported(limit, host));
 		this.loadTracker.applyReport(host,
 				new LoadTracker.Report(sender.getIncarnation(), datagram.getSequence(), now, loads));
+		String incarnation = host + "." + sender.getIncarnation();
+		datagram.getLoadsList()
+			.stream()
+			.filter((load) -> load.getSent() > 0)
+			.forEach((load) -> this.requestLimits.recordRemoteSent(incarnation, RunnerId.of(load.getRunner()),
+					load.getSent(), now));
 		List<Preemption> preemptions = datagram.getPreemptionsList();
 		preemptions.forEach((p) -> this.listener.preemptionRequested(RunnerId.of(p.getRunner()), p.getSlots()));
 		datagram.getCrashesList().forEach(this.listener::crashReported);
@@ -355,6 +400,13 @@
 		 */
 		void hostAlive(HostId host);
 
+		/**
+		 * Called for each limit of a runner that another host reports.
+		 * @param limit the limit, not null
+		 * @param source the reporting host, not null
+		 */
+		void limitReported(RunnerLimit limit, HostId source);
+
 		/**
 		 * Called for each crash of a runner that another host reports.
 		 * @param notice the report, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 
@@ -19,6 +21,8 @@
 import org.wigeonglade.gateway.fleet.HoldTimeEstimate;
 import org.wigeonglade.gateway.fleet.LeavingRunners;
 import org.wigeonglade.gateway.fleet.LoadTracker;
+import org.wigeonglade.gateway.fleet.RequestLimit;
+import org.wigeonglade.gateway.fleet.RequestLimits;
 import org.wigeonglade.gateway.fleet.RunnerDirectory;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerHealth;
@@ -52,7 +56,7 @@
 
 	private final LeavingRunners leaving = new LeavingRunners();
 
-	private final Map<RunnerId, OptionalDouble> requestLimits = new HashMap<>();
+	private final RequestLimits requestLimits = new RequestLimits(new Random());
 
 	private final Map<ServiceName, HoldTimeEstimate> serviceHoldTimes = new HashMap<>();
 
@@ -73,6 +77,9 @@
 	private Runnable loadListener = () -> {
 	};
 
+	private Consumer<RunnerId> limitListener = (runner) -> {
+	};
+
 	private RoutingTable table;
 
 	/**
@@ -201,14 +208,40 @@
 	 * @param limit the requests per second, empty if it names none
 	 */
 	public void recordRequestLimit(RunnerEntry runner, OptionalDouble limit) {
-		OptionalDouble last = this.requestLimits.getOrDefault(runner.id(), OptionalDouble.empty());
-		if (!limit.equals(last)) {
-			this.requestLimits.put(runner.id(), limit);
-			LOG.log(GatewayEvent.RUNNER_LIMIT, runner.id(), runner.startedMillis(),
-					limit.isPresent() ? limit.getAsDouble() : null, "the runner");
+		if (this.requestLimits.observe(runner.id(), runner.startedMillis(), limit, this.ticker.wallMillis(),
+				this.ticker.millis())) {
+			logRequestLimit(runner.id(), runner.startedMillis(), limit, "the runner");
+			this.limitListener.accept(runner.id());
+		}
+	}
+
+	/**
+	 * Applies a limit of requests that another host observed.
+	 * @param limit the limit, not null
+	 * @param source the host or stream that told it, for the log; not null
+	 */
+	public void applyRequestLimit(RequestLimit limit, String source) {
+		if (this.requestLimits.merge(limit, this.ticker.millis())) {
+			logRequestLimit(limit.runner(), limit.startedMillis(), limit.requestsPerSecond(), source);
 		}
 	}
 
+	/**
+	 * Returns the limits of requests of the runners.
+	 * @return the rate limiters, never null
+	 */
+	public RequestLimits getRequestLimits() {
+		return this.requestLimits;
+	}
+
+	/**
+	 * Sets the listener to changes of the limits that this host observes.
+	 * @param listener called on the event loop after each change, not null
+	 */
+	public void onRequestLimitChanged(Consumer<RunnerId> listener) {
+		this.limitListener = listener;
+	}
+
 	/**
 	 * Returns the runner processes that have announced that they are leaving.
 	 * @return the processes, never null
@@ -256,7 +289,8 @@
 
 	private Candidate candidate(RunnerEntry entry, Predicate<FailureDomain> suspected) {
 		return new Candidate(entry, this.loadTracker.getLoad(entry.id()), isAvoided(entry, suspected),
-				entry.domain().equals(this.domain), runnerHoldTime(entry).getMean());
+				entry.domain().equals(this.domain), runnerHoldTime(entry).getMean(),
+				this.requestLimits.getAllowance(entry, this.ticker.millis()));
 	}
 
 	private boolean isAccepting(RunnerEntry entry) {
@@ -273,7 +307,7 @@
 		this.loadTracker.expire(now);
 		this.leaving.expire(now);
 		this.health.removeUnregistered(this.directory);
-		this.requestLimits.keySet().removeIf((id) -> this.directory.find(id).isEmpty());
+		this.requestLimits.removeUnregistered(this.directory, this.ticker.wallMillis());
 		this.pool.closeExpired(this.directory);
 		this.runnerHoldTimes.keySet().removeIf((id) -> this.directory.find(id).isEmpty());
 	}
@@ -305,9 +339,18 @@
 		return this.serviceHoldTimes.computeIfAbsent(service, (s) -> HoldTimeEstimate.initial());
 	}
 
+	void recordSent(RunnerEntry runner) {
+		this.requestLimits.recordSent(runner, this.ticker.millis());
+	}
+
 	void adjustInProgress(RunnerId runner, boolean batch, int change) {
 		this.loadTracker.add(runner, batch ? 0 : change, batch ? change : 0);
 		this.loadListener.run();
 	}
 
+	private static void logRequestLimit(RunnerId runner, long startedMillis, OptionalDouble limit, String source) {
+		LOG.log(GatewayEvent.RUNNER_LIMIT, runner, startedMillis, limit.isPresent() ? limit.getAsDouble() : null,
+				source);
+	}
+
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -61,6 +61,7 @@
 	 */
 	public static RunnerCall start(Fleet fleet, RunnerEntry runner, RunnerRequest request, Listener listener) {
 		RunnerCall call = new RunnerCall(fleet, runner, request, listener);
+		fleet.recordSent(runner);
 		fleet.adjustInProgress(runner.id(), request.batch(), 1);
 		fleet.getPool()
 			.acquire(runner, request.freshConnection(), fleet.connectionLimit(runner), call.new ConnectionListener());
--- a/gateway/src/test/java/org/wigeonglade/gateway/fleet/PlacementPolicyTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/fleet/PlacementPolicyTests.java
@@ -226,6 +226,46 @@
 		return new Object[][] { { 50, 1.0 }, { 62, 0.98 }, { 80, 0.85 } };
 	}
 
+	@Test
+	public void limitedRunnerIsPassedOverWhileAnotherHasRoom() {
+		for (int i = 0; i < 20; i++) {
+			Placement.Send send = (Placement.Send) this.policy.place(List.of(limited("a", 0, 0), runner("b", 6, 0)),
+					NEW_REQUEST);
+			Assert.assertEquals(send.runner().id(), RunnerId.of("b"));
+		}
+	}
+
+	// The requests of a limited runner must last for the burst that the others cannot
+	// take.
+	@Test
+	public void limitedRunnerIsUsedOnlyWhenTheSlotsOfOthersAreFull() {
+		Placement.Send pause = (Placement.Send) this.policy.place(List.of(limited("a", 7, 1), runner("b", 6, 0)),
+				NEW_REQUEST);
+		Assert.assertEquals(pause.runner().id(), RunnerId.of("b"));
+		Placement.Send burst = (Placement.Send) this.policy.place(List.of(limited("a", 7, 1), runner("b", 8, 0)),
+				NEW_REQUEST);
+		Assert.assertEquals(burst.runner().id(), RunnerId.of("a"));
+	}
+
+	@Test
+	public void requestBeyondAllRateLimitsIsRefusedWithARetryTime() {
+		Placement.Refuse refusal = (Placement.Refuse) this.policy
+			.place(List.of(limited("a", 0, 0), limited("b", -1, 0)), NEW_REQUEST);
+		Assert.assertEquals(refusal.cause(), Placement.Cause.RATE_LIMITED);
+		Assert.assertTrue(refusal.retryAfter().toMillis() > 0);
+	}
+
+	@Test
+	public void batchItemLeavesTheRequestsOfTheRateLimitToOnlineRequests() {
+		Assert.assertTrue(this.policy.placeBatch(List.of(limited("a", 1, 0)), (c) -> true).isEmpty());
+		Assert.assertTrue(this.policy.placeBatch(List.of(limited("a", 2, 1)), (c) -> true).isPresent());
+	}
+
+	private static Candidate limited(String id, int online, int batch) {
+		Candidate unlimited = runner(id, 0, 0);
+		return new Candidate(unlimited.entry(), unlimited.load(), false, true, HOLD_TIME, new Allowance(online, batch));
+	}
+
 	private static boolean serve(List<List<Long>> online, RunnerEntry runner, long now) {
 		List<Long> ends = online.get(Integer.parseInt(runner.id().value()));
 		ends.sort(null);
@@ -246,7 +286,8 @@
 			boolean sameDomain) {
 		RunnerEntry entry = new RunnerEntry(RunnerId.of(id), ServiceName.of("llm"),
 				new InetSocketAddress("127.0.0.1", 1), FailureDomain.of("a"), 8, false, 0);
-		return new Candidate(entry, new LoadTracker.Load(online, batch), avoided, sameDomain, hold);
+		return new Candidate(entry, new LoadTracker.Load(online, batch), avoided, sameDomain, hold,
+				Allowance.UNLIMITED);
 	}
 
 }
