--- a/core/src/main/java/org/wigeonglade/core/retry/CrashEvidence.java
+++ b/core/src/main/java/org/wigeonglade/core/retry/CrashEvidence.java
@@ -129,9 +129,9 @@
 		contents.forEach((fingerprint) -> this.served.put(fingerprint, Boolean.TRUE));
 		List<CrashReport> changed = new ArrayList<>();
 		for (CrashReport report : this.reports.values()) {
-			Set<Fingerprint> cleared = new HashSet<>(contents);
-			cleared.retainAll(report.suspects());
-			cleared.removeAll(report.cleared());
+			List<Fingerprint> cleared = contents.stream()
+				.filter((f) -> report.suspects().contains(f) && !report.cleared().contains(f))
+				.toList();
 			if (!cleared.isEmpty()) {
 				changed.add(CrashReport.ofCleared(report.upstream(), report.reportedMillis(), cleared));
 			}
