Charge requests of other hosts from the newest report only

Cause: a datagram that overtook an older one was followed by that one's lower count of requests sent to a limited runner, and the next report charged the difference again. Change: counts are applied with the load report that carries them, which is dropped when it is old. Measured: RequestLimitsTests and RunnerLimitTests pass; found by reading.

--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
@@ -356,14 +356,10 @@
 		datagram.getLoadsList()
 			.forEach((l) -> loads.put(RunnerId.of(l.getRunner()), new LoadTracker.Load(l.getOnline(), l.getBatch())));
 		datagram.getLimitsList().forEach((limit) -> this.listener.limitReported(limit, host));
-		this.loadTracker.applyReport(host,
-				new LoadTracker.Report(sender.getIncarnation(), datagram.getSequence(), now, loads));
-		String incarnation = host + "." + sender.getIncarnation();
-		datagram.getLoadsList()
-			.stream()
-			.filter((load) -> load.getSent() > 0)
-			.forEach((load) -> this.requestLimits.recordRemoteSent(incarnation, RunnerId.of(load.getRunner()),
-					load.getSent(), now));
+		if (this.loadTracker.applyReport(host,
+				new LoadTracker.Report(sender.getIncarnation(), datagram.getSequence(), now, loads))) {
+			chargeRemoteRequests(host + "." + sender.getIncarnation(), datagram, now);
+		}
 		List<Preemption> preemptions = datagram.getPreemptionsList();
 		preemptions.forEach((p) -> this.listener.preemptionRequested(RunnerId.of(p.getRunner()), p.getSlots()));
 		datagram.getCrashesList().forEach(this.listener::crashReported);
@@ -375,6 +371,14 @@
 					host));
 	}
 
+	private void chargeRemoteRequests(String incarnation, Datagram datagram, long nowMillis) {
+		datagram.getLoadsList()
+			.stream()
+			.filter((load) -> load.getSent() > 0)
+			.forEach((load) -> this.requestLimits.recordRemoteSent(incarnation, RunnerId.of(load.getRunner()),
+					load.getSent(), nowMillis));
+	}
+
 	/**
 	 * Receives the contents of datagrams that concern other components.
 	 */
