Check the retention of crashes of engines once a second

Cause: the entry recomputed the quarantines 20 times a second. Change: once a second; two comments are rewrapped.

--- a/core/src/main/java/org/wigeonglade/core/batch/GrantScheduler.java
+++ b/core/src/main/java/org/wigeonglade/core/batch/GrantScheduler.java
@@ -267,8 +267,7 @@
 				outcome(report, OutcomeStatus.COMPLETED, customId).toBuilder().setResult(report.getResult()).build());
 	}
 
-	// An item is never the cause of a crash, so it is owed however often its upstreams
-	// were
+	// An item is never the cause of a crash, so it is owed however many upstreams were
 	// lost.
 	private StateChange handleCrash(JobQueue queue, int index) {
 		queue.incrementCrashes(index);
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineRuntime.java
@@ -121,6 +121,7 @@
 		this.loop.schedulePeriodic(SWEEP_MILLIS, () -> runGuarded("sweep", this::sweep));
 		this.loop.schedulePeriodic(REPORT_MILLIS, () -> runGuarded("load reports", this::fetchLoadReports));
 		this.loop.schedulePeriodic(REPORT_MILLIS, () -> runGuarded("arrival notices", this::repeatAnnouncements));
+		this.loop.schedulePeriodic(REPORT_MILLIS, () -> runGuarded("crash reports", this.poisonGuard::expireCrashes));
 		this.loop.execute(() -> runGuarded("load reports", this::fetchLoadReports));
 	}
 
@@ -274,7 +275,6 @@
 		for (OnlineStream stream : List.copyOf(this.activeStreams)) {
 			stream.checkTimeouts(now, STALL_NANOS);
 		}
-		this.poisonGuard.expireCrashes();
 		this.admissions.values().forEach(ServiceAdmission::startQueued);
 		announceToNewDispatchers();
 		Map<ServiceName, ServiceView.Builder> views = new HashMap<>();
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
@@ -109,9 +109,8 @@
 		if (usable.isEmpty()) {
 			return new Placement.Refuse(Placement.Cause.RATE_LIMITED, retryAfter(MIN_OVERLOAD_RETRY, constraints));
 		}
-		// The requests of rate limits are saved for bursts, in which the slots of the
-		// other
-		// runners are full.
+		// The requests of rate limits are saved for bursts, in which no other slot is
+		// free.
 		List<Candidate> unlimited = usable.stream().filter((c) -> !c.allowance().isLimited()).toList();
 		return placeWithoutQueue(unlimited).or(() -> placeWithoutQueue(usable))
 			.orElseGet(() -> queueOrRefuse(usable, constraints, estimateUnreportedRequests(usable)));
