Log the versions of runners and the streams that requests resume

The logs could not tell whether a stream was joined from two versions by its own host, by another host at which its caller took it up, or by a runner that restarted with other software.

Tests of gateway and platform pass with the versions added to their registrations.

--- a/bench/src/main/java/org/wigeonglade/bench/model/DispatchModel.java
+++ b/bench/src/main/java/org/wigeonglade/bench/model/DispatchModel.java
@@ -24,6 +24,7 @@
 import org.wigeonglade.gateway.fleet.RequestConstraints;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.fleet.SoftwareVersion;
 
 /**
  * Simulates hosts that place streams and batch items on runners by what they know of each
@@ -123,7 +124,8 @@
 		for (int i = 0; i < options.runners(); i++) {
 			this.runners.add(new ModelRunner(options.slots()));
 			this.entries.add(new RunnerEntry(RunnerId.of(Integer.toString(i)), ServiceName.of("model"),
-					new InetSocketAddress("127.0.0.1", 1), domain(i), options.slots(), false, 0));
+					new InetSocketAddress("127.0.0.1", 1), domain(i), SoftwareVersion.of("v1"), options.slots(), false,
+					0));
 		}
 		for (int i = 0; i < options.hosts(); i++) {
 			this.waitingItems.add(new ArrayDeque<>());
--- a/gateway/src/main/java/org/wigeonglade/gateway/caller/CallerProtocol.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/caller/CallerProtocol.java
@@ -49,6 +49,14 @@
 	 */
 	OptionalLong resumeAfter(HttpHeaders headers);
 
+	/**
+	 * Returns the stream that a request resumes.
+	 * @param headers the headers, not null
+	 * @return the id of the request that received the first event of the stream, empty if
+	 * the caller gave none
+	 */
+	Optional<String> resumedStream(HttpHeaders headers);
+
 	/**
 	 * Returns the ids of the shared parts of the prompt, without the last part, which
 	 * belongs to this request or its session alone.
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
@@ -160,8 +160,8 @@
 				return;
 			}
 			if (directory().put(entry)) {
-				LOG.log(GatewayEvent.RUNNER_CHANGED, id, entry.service(), entry.address(), entry.draining(),
-						entry.slots(), entry.startedMillis());
+				LOG.log(GatewayEvent.RUNNER_CHANGED, id, entry.service(), entry.version(), entry.address(),
+						entry.draining(), entry.slots(), entry.startedMillis());
 			}
 		}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -30,8 +30,9 @@
 			"address", "reason"),
 
 	/** A runner was chosen for a request. */
-	PLACED(2501, Level.INFO, "request placed", "request_id", "route", "service", "runner", "attempt", "online", "batch",
-			"slots", "expected_wait_ms", "preempted_hosts", "load_age_ms", "config_version"),
+	PLACED(2501, Level.INFO, "request placed", "request_id", "route", "service", "runner", "version", "attempt",
+			"resumes", "resume_after", "online", "batch", "slots", "expected_wait_ms", "preempted_hosts", "load_age_ms",
+			"config_version"),
 
 	/** A request sent to a runner still waits there behind batch items. */
 	ITEMS_PREEMPTED_FOR_WAIT(2502, Level.INFO, "request still waits for a slot; batch items are preempted",
@@ -92,8 +93,8 @@
 			"offset", "reason"),
 
 	/** The registration of a runner was added or changed. */
-	RUNNER_CHANGED(3503, Level.INFO, "runner registered or changed", "runner", "service", "address", "draining",
-			"slots", "started_ms"),
+	RUNNER_CHANGED(3503, Level.INFO, "runner registered or changed", "runner", "service", "version", "address",
+			"draining", "slots", "started_ms"),
 
 	/** A runner was removed from the set of registered runners. */
 	RUNNER_REMOVED(3504, Level.INFO, "runner removed", "runner", "cause"),
@@ -141,8 +142,8 @@
 	JOB_ENDED(4504, Level.INFO, "job ended by its submitter", "job", "offset"),
 
 	/** An item was started. */
-	ITEM_STARTED(4505, Level.INFO, "item started", "job", "item", "runner", "resume_after", "attempt", "due_ms",
-			"occupancy"),
+	ITEM_STARTED(4505, Level.INFO, "item started", "job", "item", "runner", "version", "resume_after", "attempt",
+			"due_ms", "occupancy"),
 
 	/** An item was preempted to free its slot. */
 	ITEM_PREEMPTED(4506, Level.INFO, "item preempted", "job", "item", "runner", "last_event"),
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -77,6 +77,8 @@
 
 	private final String id;
 
+	private final String resumedStream;
+
 	private final HttpHeaders headers;
 
 	private final RetryPolicy retryPolicy;
@@ -107,6 +109,7 @@
 		this.route = route;
 		HttpHeaders received = exchange.getRequest().headers();
 		this.id = context.protocol().requestId(received).orElse("");
+		this.resumedStream = context.protocol().resumedStream(received).orElse(null);
 		this.service = route.chooseService(this.id);
 		this.headers = new DefaultHttpHeaders().set(received);
 		HopByHopHeaders.strip(this.headers);
@@ -398,9 +401,9 @@
 			this.lastPreemptionMillis = this.context.ticker().millis();
 			preemptedHosts = this.context.preemptor().preempt(send.runner(), send.preemptions());
 		}
-		LOG.log(GatewayEvent.PLACED, this.id, this.route.getName(), this.service, runner,
-				this.retryPolicy.getAttempts() + 1, load.online(), load.batch(), send.runner().slots(),
-				send.expectedWait().toMillis(), preemptedHosts, reportAge, configVersion());
+		LOG.log(GatewayEvent.PLACED, this.id, this.route.getName(), this.service, runner, send.runner().version(),
+				this.retryPolicy.getAttempts() + 1, this.resumedStream, lastEventId(), load.online(), load.batch(),
+				send.runner().slots(), send.expectedWait().toMillis(), preemptedHosts, reportAge, configVersion());
 	}
 
 	private void logFailedAttempt(Attempt ended, String kind, String reason, boolean notRun, Long avoided) {
--- a/gateway/src/test/java/org/wigeonglade/gateway/fleet/LeavingRunnersTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/fleet/LeavingRunnersTests.java
@@ -53,7 +53,7 @@
 
 	private static RunnerEntry entry(String id, long started) {
 		return new RunnerEntry(RunnerId.of(id), ServiceName.of("llm"), new InetSocketAddress("127.0.0.1", 1),
-				FailureDomain.of("a"), 8, false, started);
+				FailureDomain.of("a"), SoftwareVersion.of("v1"), 8, false, started);
 	}
 
 }
--- a/gateway/src/test/java/org/wigeonglade/gateway/fleet/PlacementPolicyTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/fleet/PlacementPolicyTests.java
@@ -285,7 +285,7 @@
 	private static Candidate runner(String id, int online, int batch, Duration hold, boolean avoided,
 			boolean sameDomain) {
 		RunnerEntry entry = new RunnerEntry(RunnerId.of(id), ServiceName.of("llm"),
-				new InetSocketAddress("127.0.0.1", 1), FailureDomain.of("a"), 8, false, 0);
+				new InetSocketAddress("127.0.0.1", 1), FailureDomain.of("a"), SoftwareVersion.of("v1"), 8, false, 0);
 		return new Candidate(entry, new LoadTracker.Load(online, batch), avoided, sameDomain, hold,
 				Allowance.UNLIMITED);
 	}
--- a/gateway/src/test/java/org/wigeonglade/gateway/fleet/RequestLimitsTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/fleet/RequestLimitsTests.java
@@ -130,7 +130,7 @@
 
 	private static RunnerEntry entry(long startedMillis) {
 		return new RunnerEntry(RUNNER, ServiceName.of("llm"), new InetSocketAddress("127.0.0.1", 1),
-				FailureDomain.of("zone-a"), 8, false, startedMillis);
+				FailureDomain.of("zone-a"), SoftwareVersion.of("v1"), 8, false, startedMillis);
 	}
 
 }
--- a/gateway/src/test/java/org/wigeonglade/gateway/fleet/RunnerDirectoryTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/fleet/RunnerDirectoryTests.java
@@ -62,7 +62,7 @@
 
 	private static RunnerEntry entry(boolean draining) {
 		return new RunnerEntry(RUNNER, ServiceName.of("llm"), new InetSocketAddress("127.0.0.1", 1),
-				FailureDomain.of("a"), 8, draining, 0);
+				FailureDomain.of("a"), SoftwareVersion.of("v1"), 8, draining, 0);
 	}
 
 }
--- a/standins/src/main/java/org/wigeonglade/standins/machines/EndlessResponseRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/EndlessResponseRunnerStandIn.java
@@ -62,6 +62,7 @@
 				new JsonObject().put("backend", service)
 					.put("address", "127.0.0.1:" + this.socket.getLocalPort())
 					.put("zone", "zone-a")
+					.put("version", "v1")
 					.put("slots", 4)
 					.put("state", "ready")
 					.put("born", 1)
--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
@@ -41,6 +41,8 @@
 
 	private final AtomicInteger running = new AtomicInteger();
 
+	private volatile String version = "v1";
+
 	private volatile int events = 5;
 
 	private volatile long eventMillis = 5;
@@ -123,6 +125,7 @@
 				new JsonObject().put("backend", this.service)
 					.put("address", "127.0.0.1:" + port)
 					.put("zone", "zone-a")
+					.put("version", this.version)
 					.put("slots", this.slots)
 					.put("state", state)
 					.put("born", startedMillis)
@@ -130,6 +133,14 @@
 					.getBytes());
 	}
 
+	/**
+	 * Sets the version of the runner's software in later registrations.
+	 * @param text the version, not null
+	 */
+	public void setVersion(String text) {
+		this.version = text;
+	}
+
 	/**
 	 * Sets the length and interval of streams.
 	 * @param count the number of events, numbered from 0
