Continue a stream only at the version that began it

Texts of batch items were joined in the same way.

Cause: a stream was taken for continuable at any runner of its service. Its host did not read the version of registrations, and a host at which a caller took up a stream had nothing that told what began it; the host that knew may be gone. The class of fault: state that must outlive a process was kept nowhere.

The first event binds a stream to the service and version of its runner. The host appends the origin to a partitioned log of the store, which other hosts read only when a caller resumes a stream; the store removes records by age. A host that finds no record takes the only version that it has seen for four timeouts, and otherwise refuses at once. An item waits for a runner of its version and begins anew when none is left.

--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/Placement.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/Placement.java
@@ -36,6 +36,12 @@
 		/** No runner of the service is available. */
 		NO_RUNNER,
 
+		/** No runner of the version that began the stream is available. */
+		NO_RUNNER_OF_VERSION,
+
+		/** It is not known which version began the stream. */
+		UNKNOWN_VERSION,
+
 		/** Every runner has had as many requests as its rate limit admits. */
 		RATE_LIMITED,
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerDirectory.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerDirectory.java
@@ -79,6 +79,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether the store responded to the last call.
+	 * @return false before the first response and during an outage
+	 */
+	public boolean isStoreAvailable() {
+		return this.storeAvailable;
+	}
+
 	/**
 	 * Removes the entries whose scheduled removal is due, if the store is available.
 	 * @param nowMillis the monotonic time in milliseconds
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayAdapters.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayAdapters.java
@@ -8,6 +8,7 @@
 import org.wigeonglade.gateway.runner.RunnerProtocol;
 import org.wigeonglade.gateway.store.KeyedLog;
 import org.wigeonglade.gateway.store.KeyedRecord;
+import org.wigeonglade.gateway.store.PartitionedLog;
 
 /**
  * Adapts the gateway to a platform: its store and its wire formats.
@@ -22,6 +23,14 @@
 	 */
 	KeyedLog openLog(Connector connector, EventLoop loop);
 
+	/**
+	 * Returns a client of the log of stream origins.
+	 * @param connector opens connections, not null
+	 * @param loop the event loop on which the client is used, not null
+	 * @return the client, never null
+	 */
+	PartitionedLog openOriginLog(Connector connector, EventLoop loop);
+
 	/**
 	 * Returns the wire format of requests from callers and of the responses to them.
 	 * @return the format, never null
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -171,7 +171,7 @@
 		this.loop = (EventLoop) this.group.next();
 		Connector connector = new Connector(this.loop);
 		KeyedLog log = adapters.openLog(connector, this.loop);
-		this.writer = new RecordWriter(log, this.loop, ticker);
+		this.writer = new RecordWriter((records) -> log.append(KeyedStream.OWN, records), this.loop, ticker);
 		this.self = HostEntry.newBuilder()
 			.setHost(settings.host().value())
 			.setIp(settings.peerAddress().getAddress().getHostAddress())
@@ -208,7 +208,7 @@
 		this.jobs = new JobService(this.jobTable, this.gatewayStreamFollower, log, quota, adapters.getCallerProtocol(),
 				this.loop, ticker);
 		OnlineContext online = new OnlineContext(this.loop, ticker, this.fleet, policy, adapters.getCallerProtocol(),
-				this.crashReports,
+				this.crashReports, new StreamOriginLog(adapters.openOriginLog(connector, this.loop), this.loop, ticker),
 				new SlotPreemptor(settings.host(), this.items, this.fleet.getLoadTracker(), this.exchange),
 				new OnlineMetrics(this.registry));
 		this.callerServer = new CallerServer(this.group, ticker, this::callerLimits,
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -22,6 +22,7 @@
 import org.wigeonglade.gateway.runner.RunnerRequest;
 import org.wigeonglade.gateway.runner.RunnerResponseHead;
 import org.wigeonglade.gateway.stream.EventSequence;
+import org.wigeonglade.gateway.stream.StreamBinding;
 import org.wigeonglade.gateway.stream.StreamEvent;
 import org.wigeonglade.gateway.stream.StreamParser;
 
@@ -47,7 +48,9 @@
 
 	private final ByteArrayOutputStream output = new ByteArrayOutputStream();
 
-	private final EventSequence sequence = new EventSequence(OptionalLong.empty());
+	private EventSequence sequence = new EventSequence(OptionalLong.empty());
+
+	private StreamBinding binding = new StreamBinding.Open();
 
 	private int events;
 
@@ -105,6 +108,21 @@
 		return this.output.toByteArray();
 	}
 
+	StreamBinding getBinding() {
+		return this.binding;
+	}
+
+	/**
+	 * Discards the output, so that any runner may begin the item anew.
+	 */
+	void discardOutput() {
+		this.output.reset();
+		this.events = 0;
+		this.runMillis = 0;
+		this.sequence = new EventSequence(OptionalLong.empty());
+		this.binding = new StreamBinding.Open();
+	}
+
 	boolean isDelayed(long nowMillis) {
 		return nowMillis < this.notBeforeMillis;
 	}
@@ -215,6 +233,7 @@
 					abort(RunnerFailure.Kind.BROKEN, fault.get());
 					return;
 				}
+				ItemRun.this.binding = ItemRun.this.binding.afterEventFrom(this.runner);
 				if (ItemRun.this.events++ > 0) {
 					ItemRun.this.output.write('\n');
 				}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -28,6 +28,7 @@
 import org.wigeonglade.gateway.runner.RunnerResponseHead;
 import org.wigeonglade.gateway.store.KeyedRecord;
 import org.wigeonglade.gateway.store.RecordWriter;
+import org.wigeonglade.gateway.stream.StreamBinding;
 
 /**
  * Scheduler of batch items: runs the items that this host owns on idle runner slots in
@@ -168,15 +169,16 @@
 		}
 		List<WaitingItem> waiting = findWaitingItems();
 		Set<HostId> contenders = findContenders();
-		Set<ServiceName> full = new HashSet<>();
+		Set<Demand> full = new HashSet<>();
 		int remaining = waiting.size();
 		for (WaitingItem next : waiting) {
 			ServiceName service = next.route.chooseService(next.item.id().value());
-			if (giveUpIfLimitReached(next) || (!full.contains(service) && start(next, service, contenders))) {
+			Demand demand = new Demand(service, bindingOf(next.key));
+			if (giveUpIfLimitReached(next) || (!full.contains(demand) && start(next, demand, contenders))) {
 				remaining--;
 			}
 			else {
-				full.add(service);
+				full.add(demand);
 			}
 		}
 		this.waitingCount = remaining;
@@ -321,13 +323,19 @@
 		}
 	}
 
-	private boolean start(WaitingItem waiting, ServiceName service, Set<HostId> contenders) {
+	private boolean start(WaitingItem waiting, Demand demand, Set<HostId> contenders) {
 		long wallMillis = this.ticker.wallMillis();
 		Duration age = Duration.ofMillis(wallMillis - waiting.job.getSubmittedAtMillis());
 		Route route = waiting.route;
 		long now = this.ticker.millis();
 		this.pausedUntil.values().removeIf((until) -> until <= now);
-		Optional<RunnerEntry> runner = this.policy.placeBatch(this.fleet.candidates(service, this.pausedUntil.keySet()),
+		discardOutputOfDepartedVersion(waiting.key, demand.service);
+		StreamBinding binding = bindingOf(waiting.key);
+		List<Candidate> candidates = this.fleet.candidates(demand.service, this.pausedUntil.keySet())
+			.stream()
+			.filter((candidate) -> binding.permits(candidate.entry()))
+			.toList();
+		Optional<RunnerEntry> runner = this.policy.placeBatch(candidates,
 				(candidate) -> tryAllocateSlot(candidate, contenders));
 		if (runner.isEmpty()) {
 			return false;
@@ -341,6 +349,25 @@
 		return true;
 	}
 
+	// An item waits for a runner of the version that it has output of, unless none is
+	// left.
+	private void discardOutputOfDepartedVersion(ItemKey key, ServiceName service) {
+		ItemRun run = this.runs.get(key);
+		if (run == null || run.getEvents() == 0) {
+			return;
+		}
+		List<Candidate> candidates = this.fleet.candidates(service, Set.of());
+		if (!candidates.isEmpty() && candidates.stream().noneMatch((c) -> run.getBinding().permits(c.entry()))) {
+			LOG.log(GatewayEvent.ITEM_OUTPUT_DISCARDED, key.job(), key.item(), run.getBinding(), lastEvent(run));
+			run.discardOutput();
+		}
+	}
+
+	private StreamBinding bindingOf(ItemKey key) {
+		ItemRun run = this.runs.get(key);
+		return (run != null) ? run.getBinding() : new StreamBinding.Open();
+	}
+
 	private boolean giveUpIfLimitReached(WaitingItem waiting) {
 		Duration age = Duration.ofMillis(this.ticker.wallMillis() - waiting.job.getSubmittedAtMillis());
 		Optional<String> limit = ItemRetryPolicy.giveUpAtAge(age, waiting.route.getRetention())
@@ -461,6 +488,14 @@
 		return run.getLastEvent().isPresent() ? run.getLastEvent().getAsLong() : null;
 	}
 
+	/**
+	 * What an item needs a slot of. If there is none for one item, there is none for
+	 * others with the same demand.
+	 */
+	private record Demand(ServiceName service, StreamBinding binding) {
+
+	}
+
 	private record WaitingItem(ItemKey key, Job job, SubmittedItem item, Route route, ItemOrder.Entry entry) {
 
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -74,6 +74,10 @@
 	REFUSED_AT_STOP(2511, Level.INFO, "request refused because the process is about to exit; it has not run",
 			"request_id", "since_stop_ms", "status"),
 
+	/** A caller resumes a stream. */
+	STREAM_RESUMED(2515, Level.INFO, "caller resumes a stream", "request_id", "resumes", "resume_after", "service",
+			"version", "search_ms"),
+
 	/** The connection to a runner broke with a request in progress. */
 	RUNNER_LOST_WITH_REQUEST(2512, Level.WARNING, "runner was lost with a request in progress", "request_id", "runner",
 			"started_ms", "since_first_byte_ms", "suspects"),
@@ -155,6 +159,10 @@
 	/** An item has a result. */
 	ITEM_DONE(4508, Level.INFO, "item has a result", "job", "item", "state", "reason", "events", "runner"),
 
+	/** An item begins anew because no runner of its version is left. */
+	ITEM_OUTPUT_DISCARDED(4516, Level.INFO, "output of an item is discarded; no runner of its version is left", "job",
+			"item", "binding", "last_event"),
+
 	/** The store acknowledged a group of records. */
 	RECORDS_APPENDED(4509, Level.DEBUG, "records appended", "count", "offset", "append_ms"),
 
@@ -191,6 +199,10 @@
 	STREAM_OFFSET_EXPIRED(5504, Level.WARNING, "next offset is no longer retained; the stream is listed again",
 			"stream", "next_offset"),
 
+	/** The log of stream origins could not be read. */
+	ORIGINS_UNREADABLE(5505, Level.WARNING, "log of stream origins cannot be read; streams are not resumed",
+			"partition", "searches", "reason"),
+
 	/** A datagram of a peer cannot be decoded. */
 	DATAGRAM_INVALID(6501, Level.WARNING, "datagram cannot be decoded", "bytes");
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
@@ -226,6 +226,7 @@
 		}
 		if (events.stream().anyMatch(StreamEvent::hasContent)) {
 			this.lastProgressMillis = this.context.ticker().millis();
+			this.owner.eventsReceived(this);
 		}
 		Optional<String> sequenceError = this.callerResponse.writeEvents(events, this.head, this.headers, this.call);
 		sequenceError.ifPresent((reason) -> abort(RunnerFailure.Kind.BROKEN, reason));
@@ -314,6 +315,12 @@
 		 */
 		void attemptEnded(Attempt attempt, AttemptOutcome outcome);
 
+		/**
+		 * Called before events of a stream are forwarded to the caller.
+		 * @param attempt the attempt, not null
+		 */
+		void eventsReceived(Attempt attempt);
+
 		/**
 		 * Called periodically while an attempt has received no response, so that the
 		 * owner can request preemptions.
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 import org.wigeonglade.core.id.Fingerprint;
@@ -11,6 +12,7 @@
 import org.wigeonglade.gateway.fleet.PlacementPolicy;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.runner.Fleet;
+import org.wigeonglade.gateway.stream.StreamOrigin;
 
 /**
  * The collaborators shared by all online requests.
@@ -21,11 +23,12 @@
  * @param policy chooses the runner of a request, not null
  * @param protocol reads and writes the headers of callers, not null
  * @param crashReporter finds out which requests crash runners, not null
+ * @param origins keeps what began each stream, not null
  * @param preemptor preempts batch items, not null
  * @param metrics the metrics of online requests, not null
  */
 public record OnlineContext(EventLoop loop, Ticker ticker, Fleet fleet, PlacementPolicy policy, CallerProtocol protocol,
-		CrashReporter crashReporter, Preemptor preemptor, OnlineMetrics metrics) {
+		CrashReporter crashReporter, StreamOrigins origins, Preemptor preemptor, OnlineMetrics metrics) {
 
 	/**
 	 * Preempts batch items.
@@ -43,6 +46,28 @@
 
 	}
 
+	/**
+	 * Keeps what began each stream, so that all hosts can find it.
+	 */
+	public interface StreamOrigins {
+
+		/**
+		 * Records what began a stream.
+		 * @param stream the id of the request that received the first event, not null
+		 * @param origin what produced the event, not null
+		 */
+		void record(String stream, StreamOrigin origin);
+
+		/**
+		 * Finds what began a stream.
+		 * @param stream the id of the request that received the first event, not null
+		 * @param listener receives the origin, possibly before this method returns; empty
+		 * if it is not known
+		 */
+		void find(String stream, Consumer<Optional<StreamOrigin>> listener);
+
+	}
+
 	/**
 	 * Finds out which requests crash runners, together with the other hosts.
 	 */
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -31,6 +31,8 @@
 import org.wigeonglade.gateway.route.RouteKind;
 import org.wigeonglade.gateway.runner.RunnerFailure;
 import org.wigeonglade.gateway.runner.RunnerRequest;
+import org.wigeonglade.gateway.stream.StreamBinding;
+import org.wigeonglade.gateway.stream.StreamOrigin;
 
 /**
  * State machine of one online request, from its arrival to its final response: places the
@@ -59,6 +61,12 @@
 	 */
 	private static final long STALE_CLOSE_MILLIS = 20;
 
+	/**
+	 * Time after the beginning of a stream within which its caller may resume it, in
+	 * multiples of the timeout of its route.
+	 */
+	private static final int RESUMABLE_TIMEOUTS = 4;
+
 	private static final int SERVICE_UNAVAILABLE = 503;
 
 	private static final int BAD_GATEWAY = 502;
@@ -73,7 +81,7 @@
 
 	private final Route route;
 
-	private final ServiceName service;
+	private ServiceName service;
 
 	private final String id;
 
@@ -91,6 +99,8 @@
 
 	private final List<Fingerprint> suspects = new ArrayList<>();
 
+	private StreamBinding binding = new StreamBinding.Open();
+
 	private Attempt attempt;
 
 	private long lastPreemptionMillis = NEVER_MILLIS;
@@ -135,7 +145,21 @@
 		long remaining = request.deadlineMillis - context.ticker().millis();
 		request.deadlineTimer = context.loop()
 			.schedule(request::deadlineExceeded, Math.max(0, remaining), TimeUnit.MILLISECONDS);
-		request.startNextAttempt();
+		if (request.route.getKind() == RouteKind.STREAM && request.response.getLastEventId().isPresent()) {
+			request.findOrigin();
+		}
+		else {
+			request.startNextAttempt();
+		}
+	}
+
+	@Override
+	public void eventsReceived(Attempt receiving) {
+		StreamBinding before = this.binding;
+		this.binding = before.afterEventFrom(receiving.getRunner());
+		if (before instanceof StreamBinding.Open) {
+			this.context.origins().record(this.id, StreamOrigin.of(receiving.getRunner()));
+		}
 	}
 
 	@Override
@@ -170,9 +194,7 @@
 	public boolean mayAbandon(Attempt timedOut) {
 		boolean retryable = this.route.isRetryable()
 				&& this.retryPolicy.getAttempts() + 1 < this.route.getMaxAttempts();
-		boolean alternativeExists = retryable && this.context.fleet()
-			.candidates(this.service, this.triedRunners)
-			.stream()
+		boolean alternativeExists = retryable && findCandidates().stream()
 			.anyMatch((c) -> !c.avoided() && !c.entry().id().equals(timedOut.getRunner().id()));
 		if (!alternativeExists) {
 			this.context.fleet().recordFailure(timedOut.getRunner(), RunnerFailure.Kind.SILENT.name());
@@ -180,6 +202,44 @@
 		return alternativeExists;
 	}
 
+	private void findOrigin() {
+		if (this.resumedStream == null) {
+			resumeFrom(Optional.empty());
+		}
+		else {
+			this.context.origins().find(this.resumedStream, this::resumeFrom);
+		}
+	}
+
+	private void resumeFrom(Optional<StreamOrigin> recorded) {
+		if (this.exchange.isEnded()) {
+			return;
+		}
+		Optional<StreamOrigin> origin = recorded.or(this::findOnlyOrigin);
+		this.binding = StreamBinding.ofResumed(origin);
+		LOG.log(GatewayEvent.STREAM_RESUMED, this.id, this.resumedStream, lastEventId(),
+				origin.map(StreamOrigin::service).orElse(null), origin.map(StreamOrigin::version).orElse(null),
+				elapsedMillis());
+		origin.map(StreamOrigin::service).filter(this.route::hasService).ifPresent((s) -> this.service = s);
+		startNextAttempt();
+	}
+
+	// Without a record, the stream began at the only version that there was.
+	private Optional<StreamOrigin> findOnlyOrigin() {
+		Duration period = this.route.getTimeout().multipliedBy(RESUMABLE_TIMEOUTS);
+		return this.context.fleet()
+			.findOnlyVersion(this.service, period)
+			.map((version) -> new StreamOrigin(this.service, version));
+	}
+
+	private List<Candidate> findCandidates() {
+		return this.context.fleet()
+			.candidates(this.service, this.triedRunners)
+			.stream()
+			.filter((candidate) -> this.binding.permits(candidate.entry()))
+			.toList();
+	}
+
 	private void startNextAttempt() {
 		Optional<Quarantine> quarantine = this.context.crashReporter().findQuarantine(this.suspects);
 		if (quarantine.isPresent()) {
@@ -188,10 +248,14 @@
 			return;
 		}
 		long now = this.context.ticker().millis();
-		List<Candidate> candidates = this.context.fleet().candidates(this.service, this.triedRunners);
+		List<Candidate> candidates = findCandidates();
 		RequestConstraints constraints = new RequestConstraints(Duration.ofMillis(this.targetTimeMillis - now),
 				Duration.ofMillis(this.deadlineMillis - now),
 				this.retryPolicy.isNotRun() && !this.response.isCommitted());
+		if (candidates.isEmpty() && !(this.binding instanceof StreamBinding.Open)) {
+			refuseResumption();
+			return;
+		}
 		switch (this.context.policy().place(candidates, constraints)) {
 			case Placement.Send send -> {
 				preemptAndLogPlacement(send);
@@ -217,15 +281,30 @@
 			return;
 		}
 		long now = this.context.ticker().millis();
-		long retryMillis = Math.min(refusal.retryAfter().toMillis(), (this.deadlineMillis - now) / 3);
+		long retryMillis = Math.max(0, Math.min(refusal.retryAfter().toMillis(), (this.deadlineMillis - now) / 3));
+		logAndRefuse(refusal.cause(), candidates, retryMillis);
+	}
+
+	// A version that has left does not return, so the caller is not asked to retry.
+	private void refuseResumption() {
+		Placement.Cause cause = (this.binding instanceof StreamBinding.Unknown) ? Placement.Cause.UNKNOWN_VERSION
+				: Placement.Cause.NO_RUNNER_OF_VERSION;
+		if (this.retryPolicy.isNotRun()) {
+			logAndRefuse(cause, List.of(), -1);
+		}
+		else {
+			failWithoutRetry("no runner for a further attempt: " + cause);
+		}
+	}
+
+	private void logAndRefuse(Placement.Cause cause, List<Candidate> candidates, long retryMillis) {
 		int occupancy = candidates.stream().mapToInt((c) -> c.load().getTotal()).sum();
 		long avoided = candidates.stream().filter(Candidate::avoided).count();
 		int slots = candidates.stream().mapToInt((c) -> c.entry().slots()).sum();
-		LOG.log(GatewayEvent.REFUSED, this.id, this.route.getName(), refusal.cause(), SERVICE_UNAVAILABLE,
-				candidates.size(), avoided, occupancy, slots, retryMillis, now - this.exchange.getArrivedMillis(),
-				configVersion());
+		LOG.log(GatewayEvent.REFUSED, this.id, this.route.getName(), cause, SERVICE_UNAVAILABLE, candidates.size(),
+				avoided, occupancy, slots, retryMillis, elapsedMillis(), configVersion());
 		this.context.metrics().countRequest("refused");
-		respond(SERVICE_UNAVAILABLE, Math.max(0, retryMillis));
+		respond(SERVICE_UNAVAILABLE, retryMillis);
 	}
 
 	private void handleCompleted(Attempt ended, AttemptOutcome.Completed outcome) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/route/Route.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/route/Route.java
@@ -181,6 +181,15 @@
 		return this.quotaTokens;
 	}
 
+	/**
+	 * Returns whether requests may be sent to a service.
+	 * @param service the service, not null
+	 * @return true if it has a share of the requests
+	 */
+	public boolean hasService(ServiceName service) {
+		return this.shares.stream().anyMatch((share) -> share.weight() > 0 && share.service().equals(service));
+	}
+
 	/**
 	 * Selects the service of a request by hashing its key into the weights, so that
 	 * requests with the same key are always sent to the same service.
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
@@ -27,6 +28,8 @@
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerHealth;
 import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.fleet.SoftwareVersion;
+import org.wigeonglade.gateway.fleet.VersionHistory;
 import org.wigeonglade.gateway.log.GatewayEvent;
 import org.wigeonglade.gateway.route.RoutingTable;
 import org.wigeonglade.gateway.route.ServiceSpec;
@@ -56,6 +59,8 @@
 
 	private final LeavingRunners leaving = new LeavingRunners();
 
+	private final VersionHistory versions = new VersionHistory();
+
 	private final RequestLimits requestLimits = new RequestLimits(new Random());
 
 	private final Map<ServiceName, HoldTimeEstimate> serviceHoldTimes = new HashMap<>();
@@ -304,6 +309,7 @@
 	public void maintain() {
 		long now = this.ticker.millis();
 		this.directory.expire(now);
+		observeVersions();
 		this.loadTracker.expire(now);
 		this.leaving.expire(now);
 		this.health.removeUnregistered(this.directory);
@@ -312,6 +318,22 @@
 		this.runnerHoldTimes.keySet().removeIf((id) -> this.directory.find(id).isEmpty());
 	}
 
+	/**
+	 * Returns the software version of a service if no runner has had another one for a
+	 * time.
+	 * @param service the service, not null
+	 * @param period the time until now, not null
+	 * @return the version, empty if there was another one or this host cannot know
+	 */
+	public Optional<SoftwareVersion> findOnlyVersion(ServiceName service, Duration period) {
+		observeVersions();
+		return this.versions.findOnlyVersion(service, period, this.ticker.millis());
+	}
+
+	private void observeVersions() {
+		this.versions.observe(this.directory.getEntries(), this.directory.isStoreAvailable(), this.ticker.millis());
+	}
+
 	RunnerConnectionPool getPool() {
 		return this.pool;
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/store/RecordWriter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/RecordWriter.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
+import io.smallrye.mutiny.Uni;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.log.GatewayEvent;
@@ -28,7 +30,7 @@
 	/** Maximum size of a group in bytes: half of the size limit of one append call. */
 	private static final int MAX_GROUP_BYTES = 1 << 20;
 
-	private final KeyedLog log;
+	private final Function<List<KeyedRecord>, Uni<Long>> log;
 
 	private final EventLoop loop;
 
@@ -40,11 +42,11 @@
 
 	/**
 	 * Creates a writer.
-	 * @param log the store, not null
+	 * @param log appends records to the store, not null
 	 * @param loop the event loop, not null
 	 * @param ticker the clock, not null
 	 */
-	public RecordWriter(KeyedLog log, EventLoop loop, Ticker ticker) {
+	public RecordWriter(Function<List<KeyedRecord>, Uni<Long>> log, EventLoop loop, Ticker ticker) {
 		this.log = log;
 		this.loop = loop;
 		this.ticker = ticker;
@@ -111,7 +113,7 @@
 			return;
 		}
 		long start = this.ticker.millis();
-		this.log.append(KeyedStream.OWN, records).subscribe().with((offset) -> this.loop.execute(() -> {
+		this.log.apply(records).subscribe().with((offset) -> this.loop.execute(() -> {
 			LOG.log(GatewayEvent.RECORDS_APPENDED, records.size(), offset, this.ticker.millis() - start);
 			this.pending.removeAll(group);
 			group.forEach((written) -> written.onDurable().run());
