--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -40,6 +40,7 @@
 import org.wigeonglade.gateway.route.RoutingTable;
 import org.wigeonglade.gateway.runner.Fleet;
 import org.wigeonglade.gateway.runner.RunnerConnectionPool;
+import org.wigeonglade.gateway.runner.RunnerPaths;
 import org.wigeonglade.gateway.store.KeyedLog;
 import org.wigeonglade.gateway.store.KeyedRecord;
 import org.wigeonglade.gateway.store.KeyedStream;
@@ -179,8 +180,8 @@
 			.setDomain(settings.domain().value())
 			.setIncarnation(ticker.wallMillis())
 			.build();
-		this.fleet = new Fleet(new RunnerConnectionPool(connector, ticker), adapters.getRunnerProtocol(),
-				settings.domain(), ticker);
+		this.fleet = new Fleet(new RunnerConnectionPool(new RunnerPaths(connector, ticker), ticker),
+				adapters.getRunnerProtocol(), settings.domain(), ticker);
 		this.fleet.setLiveHostCount(() -> this.peers.getLiveCount() + 1);
 		this.fleet.setDomainSuspicionTest((domain) -> this.peers.isDomainSuspected(domain, ticker.millis()));
 		PlacementPolicy policy = new PlacementPolicy(random, this::reportLag);
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -133,6 +133,12 @@
 	RUNNER_LIMIT(3513, Level.INFO, "limit of requests of a runner changed", "runner", "started_ms", "requests_per_s",
 			"source"),
 
+	/** This host cannot reach any runner. */
+	HOST_CUT_OFF(3514, Level.WARNING, "no runner can be reached from this host", "last_runner", "kind", "registered"),
+
+	/** This host reaches runners again. */
+	HOST_REACHES_RUNNERS(3515, Level.INFO, "runners can be reached from this host again", "runner"),
+
 	/** A job was accepted. */
 	JOB_ACCEPTED(4501, Level.INFO, "job accepted", "job", "items", "offset", "append_ms"),
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
@@ -296,13 +296,18 @@
 			if (this.lastProgressMillis > progressAtTimeout) {
 				checkTimeout();
 			}
-			else if (this.owner.mayAbandon(this)) {
+			else if (mayAbandonSilentRunner()) {
 				abort(RunnerFailure.Kind.SILENT,
 						"no data received for " + (this.context.ticker().millis() - this.lastProgressMillis) + " ms");
 			}
 		}, TIMER_GRACE_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	private boolean mayAbandonSilentRunner() {
+		this.context.fleet().recordSilence(this.runner);
+		return this.owner.mayAbandon(this);
+	}
+
 	/**
 	 * The request that an attempt belongs to.
 	 */
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -99,6 +99,7 @@
 		this.protocol = protocol;
 		this.domain = domain;
 		this.ticker = ticker;
+		pool.getPaths().setRegisteredCount(() -> this.directory.getEntries().size());
 	}
 
 	/**
@@ -191,6 +192,14 @@
 		return millis;
 	}
 
+	/**
+	 * Records that a runner has not responded in time.
+	 * @param runner the runner, not null
+	 */
+	public void recordSilence(RunnerEntry runner) {
+		this.pool.getPaths().recordSilence(runner);
+	}
+
 	/**
 	 * Records that a runner process is leaving, so that it receives no further requests.
 	 * @param runner the runner, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -117,6 +117,7 @@
 	public void head(HttpResponse response) {
 		if (!this.ended) {
 			this.responseHead = this.fleet.getProtocol().read(response);
+			this.fleet.getPool().getPaths().recordResponse();
 			if (this.responseHead.leaving() && !this.responseHead.wrongRunner()) {
 				this.fleet.markLeaving(this.runner.id(), this.runner.startedMillis(), "the runner");
 			}
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerConnectionPool.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerConnectionPool.java
@@ -1,6 +1,5 @@
 package org.wigeonglade.gateway.runner;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -10,7 +9,6 @@
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
 import org.wigeonglade.gateway.http.ClientConnection;
-import org.wigeonglade.gateway.http.Connector;
 import org.wigeonglade.gateway.http.IdleConnections;
 
 /**
@@ -18,12 +16,6 @@
  */
 public final class RunnerConnectionPool {
 
-	/**
-	 * Timeout for opening a connection. A machine without power does not respond at all,
-	 * and the target for the first byte of a response is a few hundred milliseconds.
-	 */
-	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
-
 	/** Idle limit in milliseconds of a connection whose runner announces none. */
 	private static final long DEFAULT_IDLE_MILLIS = 4_000;
 
@@ -34,7 +26,7 @@
 	 */
 	private static final long IDLE_MARGIN_MILLIS = 400;
 
-	private final Connector connector;
+	private final RunnerPaths paths;
 
 	private final Ticker ticker;
 
@@ -44,11 +36,11 @@
 
 	/**
 	 * Creates a pool without connections.
-	 * @param connector opens connections, not null
+	 * @param paths opens connections, not null
 	 * @param ticker the clock, not null
 	 */
-	public RunnerConnectionPool(Connector connector, Ticker ticker) {
-		this.connector = connector;
+	public RunnerConnectionPool(RunnerPaths paths, Ticker ticker) {
+		this.paths = paths;
 		this.ticker = ticker;
 	}
 
@@ -78,16 +70,16 @@
 			return;
 		}
 		this.inUse.merge(runner.id(), 1, Integer::sum);
-		this.connector.connect(runner.address(), CONNECT_TIMEOUT, new Connector.Listener() {
+		this.paths.connect(runner, new RunnerPaths.Listener() {
 			@Override
 			public void connected(ClientConnection connection) {
 				listener.acquired(connection, false);
 			}
 
 			@Override
-			public void failed(Throwable cause) {
+			public void failed(RunnerFailure failure) {
 				decrementInUse(runner.id());
-				listener.failed(new RunnerFailure(RunnerFailure.Kind.UNREACHABLE, String.valueOf(cause.getMessage())));
+				listener.failed(failure);
 			}
 		});
 	}
@@ -127,6 +119,10 @@
 		this.idleConnections.values().removeIf(IdleConnections::isEmpty);
 	}
 
+	RunnerPaths getPaths() {
+		return this.paths;
+	}
+
 	private IdleConnections idleConnections(RunnerId runner) {
 		return this.idleConnections.computeIfAbsent(runner, (r) -> new IdleConnections());
 	}
