Reach runners by way of another host when the own links are lost

Cause: a host took the loss of its own links for failures of the runners. It avoided them one by one, used up the retries of each request at runners that it could not reach, and had no other way, while it stayed ready. The class of fault: a failure is attributed to the peer without the question whether others see it too.

When RunnerReachability says that the host is cut off, another host of the same failure domain, or else of another one, opens its connections to runners and forwards bytes. Placement, retries and limits stay where the request arrived, and batch items use the same connections. An empty frame marks the end of the runner's bytes, so that a lost relay is not taken for a complete response. The avoidances that lost links may have caused are dropped. A direct connection is tried four times a second and ends this state. A host that stops waits for the requests that it relays.

--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerHealth.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerHealth.java
@@ -47,6 +47,13 @@
 		this.states.remove(runner);
 	}
 
+	/**
+	 * Ends all avoidances.
+	 */
+	public void clear() {
+		this.states.clear();
+	}
+
 	/**
 	 * Returns whether a runner is avoided.
 	 * @param runner the runner, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -36,6 +36,9 @@
 import org.wigeonglade.gateway.online.OnlineMetrics;
 import org.wigeonglade.gateway.peer.PeerStateExchange;
 import org.wigeonglade.gateway.peer.PeerTable;
+import org.wigeonglade.gateway.peer.RelaySelection;
+import org.wigeonglade.gateway.relay.RelayConnector;
+import org.wigeonglade.gateway.relay.RelayServer;
 import org.wigeonglade.gateway.route.CallerLimits;
 import org.wigeonglade.gateway.route.RoutingTable;
 import org.wigeonglade.gateway.runner.Fleet;
@@ -138,6 +141,8 @@
 
 	private final JobService jobs;
 
+	private final RelayServer relayServer;
+
 	private final CallerServer callerServer;
 
 	private final CallerServer readinessServer;
@@ -180,8 +185,11 @@
 			.setDomain(settings.domain().value())
 			.setIncarnation(ticker.wallMillis())
 			.build();
-		this.fleet = new Fleet(new RunnerConnectionPool(new RunnerPaths(connector, ticker), ticker),
-				adapters.getRunnerProtocol(), settings.domain(), ticker);
+		RunnerPaths paths = new RunnerPaths(connector, new RelayConnector(this.loop), ticker);
+		paths.setRelaySelector(
+				(excluded) -> RelaySelection.select(this.peers.getPeers(), settings.domain(), excluded, random));
+		this.fleet = new Fleet(new RunnerConnectionPool(paths, ticker), adapters.getRunnerProtocol(), settings.domain(),
+				ticker);
 		this.fleet.setLiveHostCount(() -> this.peers.getLiveCount() + 1);
 		this.fleet.setDomainSuspicionTest((domain) -> this.peers.isDomainSuspected(domain, ticker.millis()));
 		PlacementPolicy policy = new PlacementPolicy(random, this::reportLag);
@@ -198,6 +206,10 @@
 				this.stateUpdater.runnerListener());
 		this.gatewayStreamFollower = new StreamFollower(log, KeyedStream.OWN, GATEWAY_STREAM_POLL_TIMING, this.loop,
 				ticker, this.stateUpdater.gatewayStreamListener(this::jobChanged, this.crashReports, this.limits));
+		this.relayServer = new RelayServer(this.loop, ticker, this.fleet.getDirectory()::find,
+				() -> !paths.isCutOff() && this.shutdown == null);
+		this.exchange.setRelaySupplier(this.relayServer::isAvailable);
+		this.fleet.onCutOff(this.exchange::scheduleReport);
 		this.fleet.onLoadChanged(this.exchange::scheduleReport);
 		this.items = ItemScheduler.of(settings.host(), this.self.getIncarnation(), this.jobTable, this.peers,
 				this.fleet, policy, this.loop, ticker, this.writer);
@@ -227,6 +239,11 @@
 		this.readinessServer.listen(this.settings.readinessAddress()).syncUninterruptibly();
 		this.callerServer.listen(this.settings.callerAddress()).syncUninterruptibly();
 		this.exchange.listen(this.settings.peerAddress()).syncUninterruptibly();
+		this.relayServer.listen(this.settings.peerAddress()).addListener((bound) -> {
+			if (!bound.isSuccess()) {
+				LOG.log(GatewayEvent.RELAY_UNAVAILABLE, this.settings.peerAddress(), bound.cause().getMessage());
+			}
+		});
 		this.metricsServer.listen(this.settings.metricsAddress()).addListener((bound) -> {
 			if (!bound.isSuccess()) {
 				LOG.log(GatewayEvent.METRICS_UNAVAILABLE, this.settings.metricsAddress(), bound.cause().getMessage());
@@ -321,6 +338,7 @@
 		this.gatewayStreamFollower.stop();
 		this.items.stop();
 		this.items.cancelAll();
+		this.relayServer.close();
 		this.callerServer.close();
 		this.readinessServer.close();
 		this.metricsServer.close();
@@ -336,7 +354,7 @@
 		}
 		this.callerServer.closeIdle();
 		boolean idle = this.callerServer.getBusyConnectionCount() == 0 && this.items.getRunningCount() == 0
-				&& this.writer.getPendingCount() == 0;
+				&& this.relayServer.getBusyConnectionCount() == 0 && this.writer.getPendingCount() == 0;
 		return idle || !this.shutdown.isDraining(now);
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/ClientConnection.java
@@ -7,7 +7,9 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
@@ -24,6 +26,9 @@
  */
 public final class ClientConnection extends ChannelInboundHandlerAdapter {
 
+	/** Largest size of the response headers in bytes. */
+	private static final int MAX_HEADER_BYTES = 64 * 1024;
+
 	/**
 	 * Largest number of interim (1xx) responses to a request; a server sends one or two.
 	 */
@@ -37,6 +42,8 @@
 
 	private final Channel channel;
 
+	private final boolean relayed;
+
 	private ClientExchange exchange;
 
 	private int interimHeads;
@@ -57,8 +64,43 @@
 
 	private long idleLimitMillis;
 
-	ClientConnection(Channel channel) {
+	private ClientConnection(Channel channel, boolean relayed) {
 		this.channel = channel;
+		this.relayed = relayed;
+	}
+
+	/**
+	 * Adds a connection to the pipeline of a channel to a server.
+	 * @param channel the channel, not null
+	 * @return the connection, never null
+	 */
+	static ClientConnection ofDirect(Channel channel) {
+		return addTo(channel, false);
+	}
+
+	/**
+	 * Adds a connection to the pipeline of a channel that another host connects to the
+	 * server.
+	 * @param channel the channel, whose pipeline takes off the framing, not null
+	 * @return the connection, never null
+	 */
+	public static ClientConnection ofRelay(Channel channel) {
+		return addTo(channel, true);
+	}
+
+	private static ClientConnection addTo(Channel channel, boolean relayed) {
+		ClientConnection connection = new ClientConnection(channel, relayed);
+		HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
+		channel.pipeline().addLast(new HttpClientCodec(decoder, false, false), connection);
+		return connection;
+	}
+
+	/**
+	 * Returns whether another host relays the connection.
+	 * @return false for a direct connection
+	 */
+	public boolean isRelayed() {
+		return this.relayed;
 	}
 
 	/**
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/Connector.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/Connector.java
@@ -10,8 +10,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.util.AttributeKey;
 
 /**
@@ -21,9 +19,6 @@
 
 	private static final AttributeKey<ClientConnection> CONNECTION = AttributeKey.valueOf("client-connection");
 
-	/** Largest size of the response headers in bytes. */
-	private static final int MAX_HEADER_BYTES = 64 * 1024;
-
 	private final EventLoop loop;
 
 	/**
@@ -48,10 +43,7 @@
 			.handler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel channel) {
-					ClientConnection connection = new ClientConnection(channel);
-					channel.attr(CONNECTION).set(connection);
-					HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
-					channel.pipeline().addLast(new HttpClientCodec(decoder, false, false), connection);
+					channel.attr(CONNECTION).set(ClientConnection.ofDirect(channel));
 				}
 			})
 			.connect(address)
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -293,6 +293,7 @@
 				this.idleTimer = this.loop.schedule(this::checkIdle, remainingMillis, TimeUnit.MILLISECONDS);
 			}
 			else {
+				ItemRun.this.call.recordSilence();
 				abort(RunnerFailure.Kind.SILENT, "no data received for " + IDLE_TIMEOUT_MILLIS + " ms");
 			}
 		}
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -139,6 +139,20 @@
 	/** This host reaches runners again. */
 	HOST_REACHES_RUNNERS(3515, Level.INFO, "runners can be reached from this host again", "runner"),
 
+	/** This host connects another one to a runner. */
+	CONNECTION_RELAYED(3516, Level.INFO, "connection of another host to a runner is relayed", "runner", "host"),
+
+	/** Another host did not connect this one to a runner. */
+	RELAY_FAILED(3517, Level.WARNING, "another host did not relay a connection to a runner", "host", "runner",
+			"reason"),
+
+	/** The request of another host for a connection cannot be decoded. */
+	RELAY_REQUEST_INVALID(3518, Level.WARNING, "request for a relayed connection cannot be decoded", "bytes"),
+
+	/** The listener for relayed connections could not be started. */
+	RELAY_UNAVAILABLE(3519, Level.WARNING, "address for relayed connections cannot be used; none are relayed",
+			"address", "reason"),
+
 	/** A job was accepted. */
 	JOB_ACCEPTED(4501, Level.INFO, "job accepted", "job", "items", "offset", "append_ms"),
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
@@ -67,6 +67,12 @@
 	 */
 	private static final long WAIT_REVIEW_INTERVAL_MILLIS = 40;
 
+	/**
+	 * Interval in milliseconds at which an attempt that has exceeded its timeout without
+	 * an alternative is reviewed.
+	 */
+	private static final long CUT_OFF_CHECK_MILLIS = 250;
+
 	private final OnlineContext context;
 
 	private final Route route;
@@ -297,14 +303,37 @@
 				checkTimeout();
 			}
 			else if (mayAbandonSilentRunner()) {
-				abort(RunnerFailure.Kind.SILENT,
-						"no data received for " + (this.context.ticker().millis() - this.lastProgressMillis) + " ms");
+				abortSilent();
+			}
+			else {
+				scheduleCutOffCheck();
 			}
 		}, TIMER_GRACE_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	// An attempt without an alternative has one when it turns out that this host has lost
+	// its way to the runners.
+	private void scheduleCutOffCheck() {
+		this.timer = this.context.loop().schedule(() -> {
+			if (this.context.ticker().millis() - this.lastProgressMillis < CUT_OFF_CHECK_MILLIS) {
+				checkTimeout();
+			}
+			else if (this.context.fleet().isCutOff() && !this.call.isRelayed() && this.owner.mayAbandon(this)) {
+				abortSilent();
+			}
+			else {
+				scheduleCutOffCheck();
+			}
+		}, CUT_OFF_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void abortSilent() {
+		abort(RunnerFailure.Kind.SILENT,
+				"no data received for " + (this.context.ticker().millis() - this.lastProgressMillis) + " ms");
+	}
+
 	private boolean mayAbandonSilentRunner() {
-		this.context.fleet().recordSilence(this.runner);
+		this.call.recordSilence();
 		return this.owner.mayAbandon(this);
 	}
 
@@ -334,8 +363,8 @@
 		void reviewWait(Attempt attempt);
 
 		/**
-		 * Decides whether an attempt whose timeout has expired is aborted. Not called
-		 * again for an attempt that continues.
+		 * Decides whether an attempt whose timeout has expired is aborted. Called again
+		 * for an attempt that continues only while this host is cut off from the runners.
 		 * @param attempt the attempt, not null
 		 * @return false to wait until the deadline of the request
 		 */
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -360,7 +360,7 @@
 		if (failure.kind() == RunnerFailure.Kind.STALE_CONNECTION) {
 			this.freshConnection = true;
 		}
-		else {
+		else if (!isLostLink(failure)) {
 			this.triedRunners.add(runner.id());
 		}
 		if (failure.isNotRun()) {
@@ -373,6 +373,12 @@
 		retryOrFail(failure.kind() + ": " + failure.reason());
 	}
 
+	// The runner itself may be sound, and another host may reach it.
+	private boolean isLostLink(RunnerFailure failure) {
+		return this.context.fleet().isCutOff()
+				&& (failure.kind() == RunnerFailure.Kind.SILENT || failure.kind() == RunnerFailure.Kind.BROKEN);
+	}
+
 	private void reportCrash(Attempt ended, RunnerFailure failure) {
 		RunnerEntry runner = ended.getRunner();
 		boolean lostInProgress = switch (failure.kind()) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
@@ -101,6 +101,8 @@
 
 	private BooleanSupplier jobStateCurrent = () -> false;
 
+	private BooleanSupplier relays = () -> false;
+
 	private IntSupplier waitingItems = () -> 0;
 
 	private Supplier<Collection<LeavingRunners.Departure>> leavingRunners = List::of;
@@ -146,6 +148,14 @@
 		this.waitingItems = waiting;
 	}
 
+	/**
+	 * Sets whether this host connects others to runners.
+	 * @param isRelaying the supplier of the answer, not null
+	 */
+	public void setRelaySupplier(BooleanSupplier isRelaying) {
+		this.relays = isRelaying;
+	}
+
 	/**
 	 * Binds the socket.
 	 * @param address the local address, not null
@@ -278,7 +288,8 @@
 			.setSequence(++this.sequence)
 			.setLeaving(this.leaving.getAsBoolean())
 			.setJobsCurrent(this.jobStateCurrent.getAsBoolean())
-			.setWaitingItems(this.waitingItems.getAsInt());
+			.setWaitingItems(this.waitingItems.getAsInt())
+			.setRelays(this.relays.getAsBoolean());
 		this.leavingRunners.get()
 			.forEach((departure) -> builder.addLeavingRunners(LeavingRunner.newBuilder()
 				.setRunner(departure.runner().value())
@@ -351,7 +362,10 @@
 			LOG.log(GatewayEvent.HOST_ALIVE, host, sender.getIncarnation(), sender.getDomain());
 			this.listener.hostAlive(host);
 		}
-		this.table.find(host).ifPresent((peer) -> peer.setWaitingItems(datagram.getWaitingItems()));
+		this.table.find(host).ifPresent((peer) -> {
+			peer.setWaitingItems(datagram.getWaitingItems());
+			peer.setRelays(datagram.getRelays());
+		});
 		Map<RunnerId, LoadTracker.Load> loads = new HashMap<>();
 		datagram.getLoadsList()
 			.forEach((l) -> loads.put(RunnerId.of(l.getRunner()), new LoadTracker.Load(l.getOnline(), l.getBatch())));
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
@@ -204,6 +204,8 @@
 
 		private int waitingItems;
 
+		private boolean relays;
+
 		private long lastReceivedMillis;
 
 		private Peer(HostId host, InetSocketAddress address, FailureDomain domain, long incarnation) {
@@ -279,6 +281,18 @@
 			return this.alive && this.waitingItems > 0;
 		}
 
+		/**
+		 * Returns whether the host connects others to runners.
+		 * @return true if it reaches runners, is alive and not shutting down
+		 */
+		public boolean isRelaying() {
+			return isServing() && this.relays;
+		}
+
+		void setRelays(boolean value) {
+			this.relays = value;
+		}
+
 		void setWaitingItems(int count) {
 			this.waitingItems = count;
 		}
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/relay/RelayConnector.java
@@ -0,0 +1,205 @@
+package org.wigeonglade.gateway.relay;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.http.ClientConnection;
+import org.wigeonglade.schema.generated.gateway.RelayRequest;
+import org.wigeonglade.schema.generated.gateway.RelayResponse;
+import org.wigeonglade.schema.generated.gateway.RelayStatus;
+
+/**
+ * Opens connections to runners by way of other hosts. Confined to its event loop.
+ */
+public final class RelayConnector {
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
+
+	/**
+	 * Time in milliseconds until the other host has responded: the timeout of its
+	 * connection to the runner and some round trips.
+	 */
+	private static final long RESPONSE_TIMEOUT_MILLIS = 400;
+
+	private final EventLoop loop;
+
+	/**
+	 * Creates a connector.
+	 * @param loop the event loop of all connections, not null
+	 */
+	public RelayConnector(EventLoop loop) {
+		this.loop = loop;
+	}
+
+	/**
+	 * Opens a connection to a runner.
+	 * @param host the address of the other host, not null
+	 * @param runner the runner, not null
+	 * @param listener called once, on the event loop, not null
+	 */
+	public void connect(InetSocketAddress host, RunnerId runner, Listener listener) {
+		RelayHandler handler = new RelayHandler(listener);
+		new Bootstrap().group(this.loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
+			.handler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					RelayFrames.addCodec(channel.pipeline());
+					channel.pipeline().addLast(handler);
+				}
+			})
+			.connect(host)
+			.addListener((ChannelFuture opened) -> {
+				if (opened.isSuccess()) {
+					handler.request(opened.channel(), runner);
+				}
+				else {
+					listener.relayFailed(String.valueOf(opened.cause().getMessage()));
+				}
+			});
+	}
+
+	/**
+	 * Receives the outcome of opening a connection.
+	 */
+	public interface Listener {
+
+		/**
+		 * Called when the runner is connected.
+		 * @param connection the connection, not null
+		 */
+		void connected(ClientConnection connection);
+
+		/**
+		 * Called when the other host could not reach the runner either.
+		 * @param reason a description for the log, not null
+		 */
+		void runnerUnreachable(String reason);
+
+		/**
+		 * Called when the other host did not try to reach the runner.
+		 * @param reason a description for the log, not null
+		 */
+		void relayFailed(String reason);
+
+	}
+
+	/**
+	 * Takes off the framing once the runner is connected.
+	 */
+	private final class RelayHandler extends ChannelInboundHandlerAdapter {
+
+		private final Listener listener;
+
+		private ScheduledFuture<?> timeout;
+
+		private boolean responded;
+
+		private boolean connected;
+
+		private boolean ended;
+
+		private RelayHandler(Listener listener) {
+			this.listener = listener;
+		}
+
+		private void request(Channel channel, RunnerId runner) {
+			this.timeout = RelayConnector.this.loop.schedule(() -> {
+				fail("the other host did not respond");
+				channel.close();
+			}, RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+			byte[] request = RelayRequest.newBuilder().setRunner(runner.value()).build().toByteArray();
+			channel.writeAndFlush(Unpooled.wrappedBuffer(request));
+		}
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			ByteBuf frame = (ByteBuf) message;
+			if (this.connected && !RelayFrames.isEnd(frame)) {
+				context.fireChannelRead(frame);
+				return;
+			}
+			byte[] bytes = ByteBufUtil.getBytes(frame);
+			frame.release();
+			if (this.connected) {
+				this.ended = true;
+				context.close();
+			}
+			else if (!this.responded) {
+				readResponse(context, bytes);
+			}
+		}
+
+		private void readResponse(ChannelHandlerContext context, byte[] bytes) {
+			this.responded = true;
+			this.timeout.cancel(false);
+			RelayResponse response;
+			try {
+				response = RelayResponse.parseFrom(bytes);
+			}
+			catch (InvalidProtocolBufferException ex) {
+				this.listener.relayFailed("the response cannot be decoded: " + ex.getMessage());
+				context.close();
+				return;
+			}
+			if (response.getStatus() == RelayStatus.RELAY_STATUS_CONNECTED) {
+				this.connected = true;
+				this.listener.connected(ClientConnection.ofRelay(context.channel()));
+				return;
+			}
+			context.close();
+			if (response.getStatus() == RelayStatus.RELAY_STATUS_RUNNER_UNREACHABLE) {
+				this.listener.runnerUnreachable(response.getReason());
+			}
+			else {
+				this.listener.relayFailed(response.getReason());
+			}
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			fail("the other host closed the connection");
+			if (this.connected && !this.ended) {
+				context.fireExceptionCaught(new IOException("the connection to the relaying host was lost"));
+			}
+			context.fireChannelInactive();
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			if (this.connected) {
+				context.fireExceptionCaught(cause);
+			}
+			context.close();
+		}
+
+		private void fail(String reason) {
+			if (!this.responded) {
+				this.responded = true;
+				this.timeout.cancel(false);
+				this.listener.relayFailed(reason);
+			}
+		}
+
+	}
+
+}
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -85,6 +85,9 @@
 	private Consumer<RunnerId> limitListener = (runner) -> {
 	};
 
+	private Runnable cutOffListener = () -> {
+	};
+
 	private RoutingTable table;
 
 	/**
@@ -100,6 +103,7 @@
 		this.domain = domain;
 		this.ticker = ticker;
 		pool.getPaths().setRegisteredCount(() -> this.directory.getEntries().size());
+		pool.getPaths().onCutOff(this::forgetFailures);
 	}
 
 	/**
@@ -186,6 +190,9 @@
 	 * @return the time in milliseconds for which this host avoids the runner
 	 */
 	public long recordFailure(RunnerEntry runner, String kind) {
+		if (this.pool.getPaths().isRelayed() && mayBeDueToLostLinks(kind)) {
+			return 0;
+		}
 		long now = this.ticker.millis();
 		long millis = this.health.recordFailure(runner.id(), now) - now;
 		LOG.log(GatewayEvent.RUNNER_AVOIDED, runner.id(), millis, kind);
@@ -193,11 +200,30 @@
 	}
 
 	/**
-	 * Records that a runner has not responded in time.
-	 * @param runner the runner, not null
+	 * Returns whether this host has lost its way to the runners.
+	 * @return true until a direct connection succeeds
+	 */
+	public boolean isCutOff() {
+		return this.pool.getPaths().isCutOff();
+	}
+
+	/**
+	 * Sets the listener that is called when this host has lost its way to the runners.
+	 * @param listener called on the event loop, not null
 	 */
-	public void recordSilence(RunnerEntry runner) {
-		this.pool.getPaths().recordSilence(runner);
+	public void onCutOff(Runnable listener) {
+		this.cutOffListener = listener;
+	}
+
+	// What failed were the links of this host and not the runners.
+	private void forgetFailures() {
+		this.health.clear();
+		this.cutOffListener.run();
+	}
+
+	// While connections are relayed, a runner that is unreachable is so for others too.
+	private static boolean mayBeDueToLostLinks(String kind) {
+		return RunnerFailure.Kind.BROKEN.name().equals(kind) || RunnerFailure.Kind.SILENT.name().equals(kind);
 	}
 
 	/**
@@ -324,6 +350,7 @@
 		this.health.removeUnregistered(this.directory);
 		this.requestLimits.removeUnregistered(this.directory, this.ticker.wallMillis());
 		this.pool.closeExpired(this.directory);
+		this.pool.probe(this.directory);
 		this.runnerHoldTimes.keySet().removeIf((id) -> this.directory.find(id).isEmpty());
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -84,6 +84,23 @@
 		return this.sent;
 	}
 
+	/**
+	 * Returns whether the call uses a connection by way of another host.
+	 * @return false for a direct connection, or if there is no connection yet
+	 */
+	public boolean isRelayed() {
+		return this.connection != null && this.connection.isRelayed();
+	}
+
+	/**
+	 * Records that the runner has not responded in time.
+	 */
+	public void recordSilence() {
+		if (this.connection != null && !isRelayed()) {
+			this.fleet.getPool().getPaths().recordSilence(this.runner);
+		}
+	}
+
 	/**
 	 * Cancels the call by closing its connection, at which the runner drops the request.
 	 * The listener is not called any more.
@@ -117,7 +134,9 @@
 	public void head(HttpResponse response) {
 		if (!this.ended) {
 			this.responseHead = this.fleet.getProtocol().read(response);
-			this.fleet.getPool().getPaths().recordResponse();
+			if (!isRelayed()) {
+				this.fleet.getPool().getPaths().recordResponse();
+			}
 			if (this.responseHead.leaving() && !this.responseHead.wrongRunner()) {
 				this.fleet.markLeaving(this.runner.id(), this.runner.startedMillis(), "the runner");
 			}
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerConnectionPool.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerConnectionPool.java
@@ -32,6 +32,8 @@
 
 	private final Map<RunnerId, IdleConnections> idleConnections = new HashMap<>();
 
+	private final Map<RunnerId, IdleConnections> idleRelayed = new HashMap<>();
+
 	private final Map<RunnerId, Integer> inUse = new HashMap<>();
 
 	/**
@@ -54,7 +56,7 @@
 	 * null
 	 */
 	void acquire(RunnerEntry runner, boolean fresh, int limit, Listener listener) {
-		IdleConnections idle = idleConnections(runner.id());
+		IdleConnections idle = idleConnections(runner.id(), this.paths.isRelayed());
 		if (fresh) {
 			idle.closeAll();
 		}
@@ -72,7 +74,7 @@
 		this.inUse.merge(runner.id(), 1, Integer::sum);
 		this.paths.connect(runner, new RunnerPaths.Listener() {
 			@Override
-			public void connected(ClientConnection connection) {
+			public void connected(RunnerEntry connected, ClientConnection connection) {
 				listener.acquired(connection, false);
 			}
 
@@ -94,7 +96,8 @@
 			return;
 		}
 		long limit = head.idleSeconds().isPresent() ? head.idleSeconds().getAsLong() * 1_000 : DEFAULT_IDLE_MILLIS;
-		idleConnections(runner).keep(connection, this.ticker.millis(), Math.max(0, limit - IDLE_MARGIN_MILLIS));
+		idleConnections(runner, connection.isRelayed()).keep(connection, this.ticker.millis(),
+				Math.max(0, limit - IDLE_MARGIN_MILLIS));
 	}
 
 	// Closes a connection whose response is incomplete.
@@ -109,22 +112,47 @@
 	 * @param directory the registered runners, not null
 	 */
 	public void closeExpired(RunnerDirectory directory) {
+		closeExpired(this.idleConnections, directory);
+		closeExpired(this.idleRelayed, directory);
+	}
+
+	/**
+	 * Tries to open a direct connection while this host is cut off, and keeps it.
+	 * @param directory the registered runners, not null
+	 */
+	public void probe(RunnerDirectory directory) {
+		this.paths.probe(directory.getEntries(), new RunnerPaths.Listener() {
+			@Override
+			public void connected(RunnerEntry runner, ClientConnection connection) {
+				idleConnections(runner.id(), connection.isRelayed()).keep(connection,
+						RunnerConnectionPool.this.ticker.millis(), DEFAULT_IDLE_MILLIS - IDLE_MARGIN_MILLIS);
+			}
+
+			@Override
+			public void failed(RunnerFailure failure) {
+				// The next probe tries another runner.
+			}
+		});
+	}
+
+	private void closeExpired(Map<RunnerId, IdleConnections> idle, RunnerDirectory directory) {
 		long now = this.ticker.millis();
-		this.idleConnections.forEach((runner, connections) -> {
+		idle.forEach((runner, connections) -> {
 			if (directory.find(runner).isEmpty()) {
 				connections.closeAll();
 			}
 			connections.closeExpired(now);
 		});
-		this.idleConnections.values().removeIf(IdleConnections::isEmpty);
+		idle.values().removeIf(IdleConnections::isEmpty);
 	}
 
 	RunnerPaths getPaths() {
 		return this.paths;
 	}
 
-	private IdleConnections idleConnections(RunnerId runner) {
-		return this.idleConnections.computeIfAbsent(runner, (r) -> new IdleConnections());
+	private IdleConnections idleConnections(RunnerId runner, boolean relayed) {
+		return (relayed ? this.idleRelayed : this.idleConnections).computeIfAbsent(runner,
+				(r) -> new IdleConnections());
 	}
 
 	private void decrementInUse(RunnerId runner) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPaths.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPaths.java
@@ -1,19 +1,29 @@
 package org.wigeonglade.gateway.runner;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 
 import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerReachability;
 import org.wigeonglade.gateway.http.ClientConnection;
 import org.wigeonglade.gateway.http.Connector;
 import org.wigeonglade.gateway.log.GatewayEvent;
+import org.wigeonglade.gateway.peer.PeerTable;
+import org.wigeonglade.gateway.relay.RelayConnector;
 
 /**
- * Opens connections to runners and tracks whether this host can reach any. Confined to
- * the event loop.
+ * Opens connections to runners: directly, or by way of another host while this host
+ * cannot reach any runner and another one can. Confined to the event loop.
  */
 public final class RunnerPaths {
 
@@ -25,53 +35,146 @@
 	 */
 	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
 
+	/** Number of hosts that are asked to relay one connection. */
+	private static final int MAX_RELAYS = 2;
+
 	private final Connector connector;
 
+	private final RelayConnector relayConnector;
+
 	private final Ticker ticker;
 
 	private final RunnerReachability reachability = new RunnerReachability();
 
+	private Function<Set<HostId>, Optional<PeerTable.Peer>> relaySelector = (excluded) -> Optional.empty();
+
 	private IntSupplier registeredCount = () -> 1;
 
+	private Runnable cutOffListener = () -> {
+	};
+
+	private int probes;
+
 	/**
 	 * Creates paths that are not known to be interrupted.
-	 * @param connector opens connections, not null
+	 * @param connector opens direct connections, not null
+	 * @param relayConnector opens connections by way of other hosts, not null
 	 * @param ticker the clock, not null
 	 */
-	public RunnerPaths(Connector connector, Ticker ticker) {
+	public RunnerPaths(Connector connector, RelayConnector relayConnector, Ticker ticker) {
 		this.connector = connector;
+		this.relayConnector = relayConnector;
 		this.ticker = ticker;
 	}
 
+	/**
+	 * Sets how the host that relays a connection is selected.
+	 * @param selector returns a host other than the given ones, empty if there is none;
+	 * not null
+	 */
+	public void setRelaySelector(Function<Set<HostId>, Optional<PeerTable.Peer>> selector) {
+		this.relaySelector = selector;
+	}
+
+	/**
+	 * Returns whether this host has lost its way to the runners.
+	 * @return true until a direct connection succeeds
+	 */
+	public boolean isCutOff() {
+		return this.reachability.isCutOff();
+	}
+
 	void setRegisteredCount(IntSupplier supplier) {
 		this.registeredCount = supplier;
 	}
 
+	void onCutOff(Runnable listener) {
+		this.cutOffListener = listener;
+	}
+
+	// Returns whether connections are opened by way of other hosts.
+	boolean isRelayed() {
+		return isCutOff() && this.relaySelector.apply(Set.of()).isPresent();
+	}
+
 	// Opens a connection to a runner.
 	void connect(RunnerEntry runner, Listener listener) {
+		if (isRelayed()) {
+			connectByRelay(runner, new HashSet<>(), listener);
+		}
+		else {
+			connectDirectly(runner, listener);
+		}
+	}
+
+	// Tries one runner after the other until this host reaches them again.
+	void probe(Collection<RunnerEntry> runners, Listener listener) {
+		if (isCutOff() && !runners.isEmpty()) {
+			List<RunnerEntry> entries = new ArrayList<>(runners);
+			RunnerEntry runner = entries.get(Math.floorMod(this.probes++, entries.size()));
+			connectDirectly(runner, listener);
+		}
+	}
+
+	// Records a response on a direct connection that was opened before.
+	void recordResponse() {
+		this.reachability.recordResponse();
+	}
+
+	// Records that a runner has not responded in time on a direct connection.
+	void recordSilence(RunnerEntry runner) {
+		recordFailure(runner, RunnerFailure.Kind.SILENT);
+	}
+
+	private void connectDirectly(RunnerEntry runner, Listener listener) {
 		this.connector.connect(runner.address(), CONNECT_TIMEOUT, new Connector.Listener() {
 			@Override
 			public void connected(ClientConnection connection) {
 				recordConnected(runner);
-				listener.connected(connection);
+				listener.connected(runner, connection);
 			}
 
 			@Override
 			public void failed(Throwable cause) {
 				recordFailure(runner, RunnerFailure.Kind.UNREACHABLE);
-				listener.failed(new RunnerFailure(RunnerFailure.Kind.UNREACHABLE, String.valueOf(cause.getMessage())));
+				if (isRelayed()) {
+					connectByRelay(runner, new HashSet<>(), listener);
+				}
+				else {
+					listener
+						.failed(new RunnerFailure(RunnerFailure.Kind.UNREACHABLE, String.valueOf(cause.getMessage())));
+				}
 			}
 		});
 	}
 
-	// Records a response on a connection that was opened before.
-	void recordResponse() {
-		this.reachability.recordResponse();
-	}
+	private void connectByRelay(RunnerEntry runner, Set<HostId> excluded, Listener listener) {
+		Optional<PeerTable.Peer> relay = (excluded.size() < MAX_RELAYS) ? this.relaySelector.apply(excluded)
+				: Optional.empty();
+		if (relay.isEmpty()) {
+			listener.failed(new RunnerFailure(RunnerFailure.Kind.NO_CONNECTION,
+					"no other host connects this one to the runner"));
+			return;
+		}
+		HostId host = relay.get().getHost();
+		this.relayConnector.connect(relay.get().getAddress(), runner.id(), new RelayConnector.Listener() {
+			@Override
+			public void connected(ClientConnection connection) {
+				listener.connected(runner, connection);
+			}
 
-	// Records that a runner has not responded in time.
-	void recordSilence(RunnerEntry runner) {
-		recordFailure(runner, RunnerFailure.Kind.SILENT);
+			@Override
+			public void runnerUnreachable(String reason) {
+				listener.failed(new RunnerFailure(RunnerFailure.Kind.UNREACHABLE, reason + " from " + host));
+			}
+
+			@Override
+			public void relayFailed(String reason) {
+				LOG.log(GatewayEvent.RELAY_FAILED, host, runner.id(), reason);
+				excluded.add(host);
+				connectByRelay(runner, excluded, listener);
+			}
+		});
 	}
 
 	private void recordConnected(RunnerEntry runner) {
@@ -87,6 +190,7 @@
 				: this.reachability.recordConnectFailure(runner.id(), registered, this.ticker.millis());
 		if (cutOff) {
 			LOG.log(GatewayEvent.HOST_CUT_OFF, runner.id(), kind, registered);
+			this.cutOffListener.run();
 		}
 	}
 
@@ -97,9 +201,10 @@
 
 		/**
 		 * Called with an open connection.
+		 * @param runner the runner, not null
 		 * @param connection the connection, not null
 		 */
-		void connected(ClientConnection connection);
+		void connected(RunnerEntry runner, ClientConnection connection);
 
 		/**
 		 * Called when no connection could be opened.
