--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/RequestConstraints.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/RequestConstraints.java
@@ -9,7 +9,7 @@
  * stream, of its first event; negative once the target is missed
  * @param untilDeadline the time left until the caller's deadline
  * @param refusable whether the request may be refused as not executed: no runner has
- * started it
+ * started it, nor the stream that it resumes
  */
 public record RequestConstraints(Duration untilTarget, Duration untilDeadline, boolean refusable) {
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -250,8 +250,8 @@
 		long now = this.context.ticker().millis();
 		List<Candidate> candidates = findCandidates();
 		RequestConstraints constraints = new RequestConstraints(Duration.ofMillis(this.targetTimeMillis - now),
-				Duration.ofMillis(this.deadlineMillis - now),
-				this.retryPolicy.isNotRun() && !this.response.isCommitted());
+				Duration.ofMillis(this.deadlineMillis - now), this.retryPolicy.isNotRun()
+						&& !this.response.isCommitted() && this.binding instanceof StreamBinding.Open);
 		if (candidates.isEmpty() && !(this.binding instanceof StreamBinding.Open)) {
 			refuseResumption();
 			return;
