Begin an item anew when the wait for its version is too long

An item with output waited for a slot of its version however long that took, while runners of another version were idle. It begins anew there once it has waited as long as its output took, so that it never costs more than twice the better choice; an item whose version has left begins anew with the next slot. Runners of a service are listed once for each step instead of once an item.

--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRetryPolicy.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRetryPolicy.java
@@ -39,6 +39,19 @@
 		return (failures >= maxAttempts) ? Optional.of("it failed " + failures + " times") : Optional.empty();
 	}
 
+	/**
+	 * Decides whether an item that waits for a slot of the version of its output begins
+	 * anew at another version that has an idle slot: once it has waited as long as its
+	 * output took. Whenever a slot would have come, this costs at most twice the time of
+	 * the better choice.
+	 * @param waited the time since the last run, not null
+	 * @param runTime the time that the output took, not null
+	 * @return true if the item may discard its output
+	 */
+	public static boolean mayBeginAnew(Duration waited, Duration runTime) {
+		return waited.compareTo(runTime) >= 0;
+	}
+
 	/**
 	 * Decides whether an item is too old to be run.
 	 * @param age the time since the submission of the job, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -66,6 +66,8 @@
 
 	private long runMillis;
 
+	private long endedMillis;
+
 	ItemRun(Job job, SubmittedItem item, Listener listener) {
 		this.job = job;
 		this.item = item;
@@ -108,6 +110,10 @@
 		return this.output.toByteArray();
 	}
 
+	long getEndedMillis() {
+		return this.endedMillis;
+	}
+
 	StreamBinding getBinding() {
 		return this.binding;
 	}
@@ -200,7 +206,8 @@
 		}
 
 		private void addRunTime() {
-			ItemRun.this.runMillis += this.ticker.millis() - this.startedMillis;
+			ItemRun.this.endedMillis = this.ticker.millis();
+			ItemRun.this.runMillis += ItemRun.this.endedMillis - this.startedMillis;
 		}
 
 		@Override
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
 import org.wigeonglade.core.event.EventLogger;
@@ -170,10 +171,11 @@
 		List<WaitingItem> waiting = findWaitingItems();
 		Set<HostId> contenders = findContenders();
 		Set<Demand> full = new HashSet<>();
+		Map<ServiceName, List<Candidate>> accepting = new HashMap<>();
 		int remaining = waiting.size();
 		for (WaitingItem next : waiting) {
 			ServiceName service = next.route.chooseService(next.item.id().value());
-			Demand demand = new Demand(service, bindingOf(next.key));
+			Demand demand = demandOf(next.key, service, accepting);
 			if (giveUpIfLimitReached(next) || (!full.contains(demand) && start(next, demand, contenders))) {
 				remaining--;
 			}
@@ -329,14 +331,15 @@
 		Route route = waiting.route;
 		long now = this.ticker.millis();
 		this.pausedUntil.values().removeIf((until) -> until <= now);
-		discardOutputOfDepartedVersion(waiting.key, demand.service);
-		StreamBinding binding = bindingOf(waiting.key);
-		List<Candidate> candidates = this.fleet.candidates(demand.service, this.pausedUntil.keySet())
-			.stream()
-			.filter((candidate) -> binding.permits(candidate.entry()))
-			.toList();
-		Optional<RunnerEntry> runner = this.policy.placeBatch(candidates,
-				(candidate) -> tryAllocateSlot(candidate, contenders));
+		List<Candidate> candidates = this.fleet.candidates(demand.service, this.pausedUntil.keySet());
+		Predicate<Candidate> slotAllocator = (candidate) -> tryAllocateSlot(candidate, contenders);
+		Optional<RunnerEntry> runner = this.policy.placeBatch(
+				candidates.stream().filter((candidate) -> demand.binding.permits(candidate.entry())).toList(),
+				slotAllocator);
+		if (runner.isEmpty() && demand.mayBeginAnew) {
+			runner = this.policy.placeBatch(candidates, slotAllocator);
+			runner.ifPresent((r) -> discardOutput(waiting.key));
+		}
 		if (runner.isEmpty()) {
 			return false;
 		}
@@ -349,23 +352,25 @@
 		return true;
 	}
 
-	// An item waits for a runner of the version that it has output of, unless none is
-	// left.
-	private void discardOutputOfDepartedVersion(ItemKey key, ServiceName service) {
+	// An item waits for a runner of the version of its output, unless none is left or the
+	// wait is too long.
+	private Demand demandOf(ItemKey key, ServiceName service, Map<ServiceName, List<Candidate>> accepting) {
 		ItemRun run = this.runs.get(key);
 		if (run == null || run.getEvents() == 0) {
-			return;
-		}
-		List<Candidate> candidates = this.fleet.candidates(service, Set.of());
-		if (!candidates.isEmpty() && candidates.stream().noneMatch((c) -> run.getBinding().permits(c.entry()))) {
-			LOG.log(GatewayEvent.ITEM_OUTPUT_DISCARDED, key.job(), key.item(), run.getBinding(), lastEvent(run));
-			run.discardOutput();
+			return new Demand(service, new StreamBinding.Open(), false);
 		}
+		List<Candidate> candidates = accepting.computeIfAbsent(service, (s) -> this.fleet.candidates(s, Set.of()));
+		boolean departed = !candidates.isEmpty()
+				&& candidates.stream().noneMatch((candidate) -> run.getBinding().permits(candidate.entry()));
+		boolean waitedLong = ItemRetryPolicy.mayBeginAnew(
+				Duration.ofMillis(this.ticker.millis() - run.getEndedMillis()), Duration.ofMillis(run.getRunMillis()));
+		return new Demand(service, run.getBinding(), departed || waitedLong);
 	}
 
-	private StreamBinding bindingOf(ItemKey key) {
+	private void discardOutput(ItemKey key) {
 		ItemRun run = this.runs.get(key);
-		return (run != null) ? run.getBinding() : new StreamBinding.Open();
+		LOG.log(GatewayEvent.ITEM_OUTPUT_DISCARDED, key.job(), key.item(), run.getBinding(), lastEvent(run));
+		run.discardOutput();
 	}
 
 	private boolean giveUpIfLimitReached(WaitingItem waiting) {
@@ -492,7 +497,7 @@
 	 * What an item needs a slot of. If there is none for one item, there is none for
 	 * others with the same demand.
 	 */
-	private record Demand(ServiceName service, StreamBinding binding) {
+	private record Demand(ServiceName service, StreamBinding binding, boolean mayBeginAnew) {
 
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -179,8 +179,8 @@
 	/** An item has a result. */
 	ITEM_DONE(4508, Level.INFO, "item has a result", "job", "item", "state", "reason", "events", "runner"),
 
-	/** An item begins anew because no runner of its version is left. */
-	ITEM_OUTPUT_DISCARDED(4516, Level.INFO, "output of an item is discarded; no runner of its version is left", "job",
+	/** An item begins anew at another version. */
+	ITEM_OUTPUT_DISCARDED(4516, Level.INFO, "output of an item is discarded; it begins anew at another version", "job",
 			"item", "binding", "last_event"),
 
 	/** The store acknowledged a group of records. */
--- a/gateway/src/test/java/org/wigeonglade/gateway/job/ItemRetryPolicyTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/job/ItemRetryPolicyTests.java
@@ -22,6 +22,12 @@
 				{ 400, 1, false } };
 	}
 
+	@Test
+	public void itemNeitherWaitsForItsVersionWithoutEndNorDiscardsLongOutputForAShortWait() {
+		Assert.assertTrue(ItemRetryPolicy.mayBeginAnew(Duration.ofSeconds(2), Duration.ofSeconds(2)));
+		Assert.assertFalse(ItemRetryPolicy.mayBeginAnew(Duration.ofMillis(1_999), Duration.ofSeconds(2)));
+	}
+
 	@Test
 	public void itemIsGivenUpAfterRetention() {
 		Assert.assertTrue(ItemRetryPolicy.giveUpAtAge(Duration.ofSeconds(61), Duration.ofSeconds(60)).isPresent());
