Resume a completion only with tokens of the version that began it

The cause of mixed versions at the users' machines existed in entry too: a completion whose engine was lost, or a preempted item, was resumed at any engine with the model, also at one with another version of it, and the text was joined without a sign of it.

Chunks name the version of the engine (system_fingerprint). The first token that has another version than the one before ends the attempt, so that another engine is tried, or the stream ends with an error event. Engines that name no version are not told apart.

OnlineFailureTests.streamIsNotContinuedByAnEngineOfAnotherVersion fails without the check and passes with it; a stream still goes on at an engine of its version.

--- a/adapters/src/main/java/org/wigeonglade/adapters/engine/CompletionStream.java
+++ b/adapters/src/main/java/org/wigeonglade/adapters/engine/CompletionStream.java
@@ -1,5 +1,7 @@
 package org.wigeonglade.adapters.engine;
 
+import java.util.Objects;
+
 import io.smallrye.mutiny.subscription.MultiEmitter;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -154,16 +156,16 @@
 		JsonObject choice = choices.getJsonObject(0);
 		String text = choice.getString("text", "");
 		if (!text.isEmpty()) {
-			acceptToken(text);
+			acceptToken(text, Objects.requireNonNullElse(chunk.getString("system_fingerprint"), ""));
 		}
 		this.finishReason = choice.getString("finish_reason", this.finishReason);
 	}
 
-	private void acceptToken(String text) {
+	private void acceptToken(String text, String version) {
 		if (this.nextTokenIndex >= this.request.maxTokens()) {
 			throw new IllegalArgumentException("more than " + this.request.maxTokens() + " tokens");
 		}
-		this.emitter.emit(new EngineEvent.Token(this.nextTokenIndex, text));
+		this.emitter.emit(new EngineEvent.Token(this.nextTokenIndex, text, version));
 		this.nextTokenIndex++;
 	}
 
--- a/adapters/src/test/java/org/wigeonglade/adapters/engine/HttpEngineClientTests.java
+++ b/adapters/src/test/java/org/wigeonglade/adapters/engine/HttpEngineClientTests.java
@@ -78,6 +78,14 @@
 		Assert.assertEquals(this.engine.recorder().startsByRequest(), Map.of("r1", 1));
 	}
 
+	@Test
+	void tokensNameTheVersionOfTheEngine() {
+		AdapterFixture.await(this.client.command(new EngineCommand(5, "m", "2", List.of("a"), "serve")));
+		AdapterFixture.waitUntil(() -> this.engine.state().version().equals("2"), "loaded");
+		List<EngineEvent> events = run(this.client, request("r11", "[tokens:2] x", 50, List.of()));
+		Assert.assertEquals(((EngineEvent.Token) events.get(0)).version(), "2");
+	}
+
 	@Test
 	void resumesAfterTheGivenTokens() {
 		List<String> tokens = CompletionText.tokens("[tokens:12] x", 50);
--- a/core/src/main/java/org/wigeonglade/core/engine/EngineEvent.java
+++ b/core/src/main/java/org/wigeonglade/core/engine/EngineEvent.java
@@ -11,8 +11,20 @@
 	 * @param index the position in the completion, from 0; tokens of earlier attempts
 	 * count
 	 * @param text the text of the token
+	 * @param version the version of the engine that generated it, empty if the engine
+	 * names none
 	 */
-	record Token(int index, String text) implements EngineEvent {
+	record Token(int index, String text, String version) implements EngineEvent {
+
+		/**
+		 * Creates a token of an engine that names no version.
+		 * @param index the position in the completion, from 0
+		 * @param text the text of the token
+		 */
+		public Token(int index, String text) {
+			this(index, text, "");
+		}
+
 	}
 
 	/**
--- a/entry/src/main/java/org/wigeonglade/entry/online/Attempt.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/Attempt.java
@@ -29,6 +29,8 @@
 
 	private final long startedNanos;
 
+	private final String version;
+
 	private int nextIndex;
 
 	private Flow.Subscription subscription;
@@ -39,11 +41,13 @@
 
 	private boolean done;
 
-	Attempt(EventLoop loop, Listener listener, RunnerState runner, int firstIndex, long startedNanos) {
+	// The version is that of the tokens before the first index, empty if not known.
+	Attempt(EventLoop loop, Listener listener, RunnerState runner, int firstIndex, String version, long startedNanos) {
 		this.loop = loop;
 		this.listener = listener;
 		this.runner = runner;
 		this.nextIndex = firstIndex;
+		this.version = version;
 		this.startedNanos = startedNanos;
 	}
 
@@ -128,6 +132,11 @@
 			abort(incomplete("the runner sent token " + token.index() + " instead of " + this.nextIndex));
 			return;
 		}
+		if (!this.version.isEmpty() && !token.version().isEmpty() && !token.version().equals(this.version)) {
+			abort(new UpstreamException(ErrorCode.UPSTREAM_FAILED, ExecutionState.RAN, false, "the runner has version "
+					+ token.version() + ", but version " + this.version + " began the completion", null));
+			return;
+		}
 		this.nextIndex++;
 		this.listener.onToken(this, token);
 	}
--- a/entry/src/main/java/org/wigeonglade/entry/online/BatchStream.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/BatchStream.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import com.google.protobuf.ByteString;
+import org.wigeonglade.core.engine.EngineEvent;
 import org.wigeonglade.core.engine.EngineRequest;
 import org.wigeonglade.core.error.WigeongladeException;
 import org.wigeonglade.core.id.RequestId;
@@ -24,6 +25,8 @@
 
 	private final List<String> tokens = new ArrayList<>();
 
+	private String version = "";
+
 	private Attempt attempt;
 
 	private int attempts;
@@ -51,6 +54,15 @@
 		return this.tokens;
 	}
 
+	String getVersion() {
+		return this.version;
+	}
+
+	void addToken(EngineEvent.Token token) {
+		this.tokens.add(token.text());
+		this.version = token.version();
+	}
+
 	Attempt getAttempt() {
 		return this.attempt;
 	}
--- a/entry/src/main/java/org/wigeonglade/entry/online/OnlineStream.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/OnlineStream.java
@@ -57,6 +57,8 @@
 
 	private long lastEventNanos;
 
+	private String version = "";
+
 	private long firstTokenNanos;
 
 	private int firstTokenIndex;
@@ -130,7 +132,7 @@
 		this.context.arrivals().announce(runner);
 		long now = this.context.ticker().nanos();
 		this.lastEventNanos = now;
-		this.attempt = new Attempt(this.context.loop(), this, runner, this.tokens.size(), now);
+		this.attempt = new Attempt(this.context.loop(), this, runner, this.tokens.size(), this.version, now);
 		if (this.paused) {
 			this.attempt.pause();
 		}
@@ -234,6 +236,7 @@
 			this.firstTokenNanos = now;
 		}
 		this.tokens.add(token.text());
+		this.version = token.version();
 		this.sink.onToken(token);
 	}
 
--- a/entry/src/main/java/org/wigeonglade/entry/online/RunnerDispatcher.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/RunnerDispatcher.java
@@ -202,7 +202,7 @@
 	public void onToken(Attempt source, EngineEvent.Token token) {
 		BatchStream stream = find(source);
 		if (stream != null) {
-			stream.getTokens().add(token.text());
+			stream.addToken(token);
 		}
 	}
 
@@ -266,7 +266,8 @@
 
 	private void start(BatchStream stream) {
 		this.runner.beginBatch();
-		Attempt attempt = new Attempt(this.loop, this, this.runner, stream.getTokens().size(), this.ticker.nanos());
+		Attempt attempt = new Attempt(this.loop, this, this.runner, stream.getTokens().size(), stream.getVersion(),
+				this.ticker.nanos());
 		attempt.start(stream.beginAttempt(attempt), true);
 	}
 
--- a/entry/src/test/java/org/wigeonglade/entry/online/OnlineFailureTests.java
+++ b/entry/src/test/java/org/wigeonglade/entry/online/OnlineFailureTests.java
@@ -2,6 +2,7 @@
 
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -104,6 +105,31 @@
 		}
 	}
 
+	@Test
+	public void streamIsNotContinuedByAnEngineOfAnotherVersion() {
+		HostFixture fixture = new HostFixture();
+		for (String version : List.of("a", "b")) {
+			fixture.withEngine("runner-" + version, (request) -> request.resumeTokens().isEmpty()
+					? failAfter(request, 2, version) : completeWith(request, version));
+		}
+		HttpResponse<String> response = postToNewHost(fixture, BODY.formatted("Talvi", "true"));
+		boolean first = response.body().contains("a0 ");
+		Assert.assertFalse(response.body().contains(first ? "b2 " : "a2 "), response.body());
+		Assert.assertFalse(response.body().contains("[DONE]"), response.body());
+	}
+
+	@Test
+	public void streamIsContinuedByAnotherEngineOfItsVersion() {
+		HostFixture fixture = new HostFixture();
+		for (String name : List.of("runner-1", "runner-2")) {
+			fixture.withEngine(name, (request) -> request.resumeTokens().isEmpty() ? failAfter(request, 2, "a")
+					: completeWith(request, "a"));
+		}
+		HttpResponse<String> response = postToNewHost(fixture, BODY.formatted("Talvi", "true"));
+		Assert.assertTrue(response.body().contains("a2 "), response.body());
+		Assert.assertTrue(response.body().contains("[DONE]"), response.body());
+	}
+
 	@DataProvider
 	public Object[][] runnerCounts() {
 		return new Object[][] { { 1 }, { 2 } };
@@ -271,6 +297,26 @@
 			.streams(Multi.createFrom().iterable(events), Multi.createFrom().failure(failure));
 	}
 
+	private static Multi<EngineEvent> failAfter(EngineRequest request, int tokens, String version) {
+		return Multi.createBy()
+			.concatenating()
+			.streams(Multi.createFrom().iterable(tokens(0, tokens, version)),
+					Multi.createFrom().failure(connectionLost(ExecutionState.RAN, true)));
+	}
+
+	private static Multi<EngineEvent> completeWith(EngineRequest request, String version) {
+		int first = request.resumeTokens().size();
+		List<EngineEvent> events = new ArrayList<>(tokens(first, request.maxTokens(), version));
+		events.add(new EngineEvent.End("length", 3, request.maxTokens()));
+		return Multi.createFrom().iterable(events);
+	}
+
+	private static List<EngineEvent> tokens(int from, int to, String version) {
+		return IntStream.range(from, to)
+			.<EngineEvent>mapToObj((i) -> new EngineEvent.Token(i, version + i + " ", version))
+			.toList();
+	}
+
 	private static UpstreamException connectionLost(ExecutionState executionState, boolean connectionLost) {
 		return new UpstreamException(ErrorCode.UPSTREAM_FAILED, executionState, connectionLost, "connection lost",
 				null);
--- a/standins/src/main/java/org/wigeonglade/standins/engine/EngineRoutes.java
+++ b/standins/src/main/java/org/wigeonglade/standins/engine/EngineRoutes.java
@@ -69,8 +69,8 @@
 			StandInResponse.error(context, 422, "resume_mismatch");
 			return;
 		}
-		EngineStream stream = new EngineStream(requestId(context, body), body.getString("model", ""), prompt, maxTokens,
-				resume.size(), context.response());
+		EngineStream stream = new EngineStream(requestId(context, body), body.getString("model", ""),
+				this.engine.state().version(), prompt, maxTokens, resume.size(), context.response());
 		EngineScheduler scheduler = this.engine.scheduler();
 		context.response().closeHandler((ignored) -> scheduler.cancel(stream));
 		context.response().exceptionHandler((ignored) -> scheduler.cancel(stream));
--- a/standins/src/main/java/org/wigeonglade/standins/engine/EngineStream.java
+++ b/standins/src/main/java/org/wigeonglade/standins/engine/EngineStream.java
@@ -16,6 +16,8 @@
 
 	private final String model;
 
+	private final String version;
+
 	private final String prompt;
 
 	private final int maxTokens;
@@ -32,10 +34,11 @@
 
 	private boolean done;
 
-	EngineStream(String requestId, String model, String prompt, int maxTokens, int resumeFrom,
+	EngineStream(String requestId, String model, String version, String prompt, int maxTokens, int resumeFrom,
 			HttpServerResponse response) {
 		this.requestId = requestId;
 		this.model = model;
+		this.version = version;
 		this.prompt = prompt;
 		this.maxTokens = maxTokens;
 		this.resumeFrom = resumeFrom;
@@ -108,6 +111,7 @@
 		JsonObject body = new JsonObject().put("id", this.requestId)
 			.put("object", "text_completion")
 			.put("model", this.model)
+			.put("system_fingerprint", this.version)
 			.put("choices", new JsonArray().add(choice));
 		if (finishReason != null) {
 			body.put("usage", new JsonObject().put("prompt_tokens", CompletionText.promptTokens(this.prompt))
