--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -29,7 +29,6 @@
 import org.wigeonglade.gateway.runner.RunnerResponseHead;
 import org.wigeonglade.gateway.store.KeyedRecord;
 import org.wigeonglade.gateway.store.RecordWriter;
-import org.wigeonglade.gateway.stream.StreamBinding;
 
 /**
  * Scheduler of batch items: runs the items that this host owns on idle runner slots in
@@ -170,12 +169,12 @@
 		}
 		List<WaitingItem> waiting = findWaitingItems();
 		Set<HostId> contenders = findContenders();
-		Set<Demand> full = new HashSet<>();
+		Set<ItemDemand> full = new HashSet<>();
 		Map<ServiceName, List<Candidate>> accepting = new HashMap<>();
 		int remaining = waiting.size();
 		for (WaitingItem next : waiting) {
 			ServiceName service = next.route.chooseService(next.item.id().value());
-			Demand demand = demandOf(next.key, service, accepting);
+			ItemDemand demand = demandOf(next.key, service, accepting);
 			if (giveUpIfLimitReached(next) || (!full.contains(demand) && start(next, demand, contenders))) {
 				remaining--;
 			}
@@ -325,18 +324,16 @@
 		}
 	}
 
-	private boolean start(WaitingItem waiting, Demand demand, Set<HostId> contenders) {
+	private boolean start(WaitingItem waiting, ItemDemand demand, Set<HostId> contenders) {
 		long wallMillis = this.ticker.wallMillis();
 		Duration age = Duration.ofMillis(wallMillis - waiting.job.getSubmittedAtMillis());
 		Route route = waiting.route;
 		long now = this.ticker.millis();
 		this.pausedUntil.values().removeIf((until) -> until <= now);
-		List<Candidate> candidates = this.fleet.candidates(demand.service, this.pausedUntil.keySet());
+		List<Candidate> candidates = this.fleet.candidates(demand.service(), this.pausedUntil.keySet());
 		Predicate<Candidate> slotAllocator = (candidate) -> tryAllocateSlot(candidate, contenders);
-		Optional<RunnerEntry> runner = this.policy.placeBatch(
-				candidates.stream().filter((candidate) -> demand.binding.permits(candidate.entry())).toList(),
-				slotAllocator);
-		if (runner.isEmpty() && demand.mayBeginAnew) {
+		Optional<RunnerEntry> runner = this.policy.placeBatch(demand.selectFitting(candidates), slotAllocator);
+		if (runner.isEmpty() && demand.mayBeginAnew()) {
 			runner = this.policy.placeBatch(candidates, slotAllocator);
 			runner.ifPresent((r) -> discardOutput(waiting.key));
 		}
@@ -352,19 +349,14 @@
 		return true;
 	}
 
-	// An item waits for a runner of the version of its output, unless none is left or the
-	// wait is too long.
-	private Demand demandOf(ItemKey key, ServiceName service, Map<ServiceName, List<Candidate>> accepting) {
+	private ItemDemand demandOf(ItemKey key, ServiceName service, Map<ServiceName, List<Candidate>> accepting) {
 		ItemRun run = this.runs.get(key);
 		if (run == null || run.getEvents() == 0) {
-			return new Demand(service, new StreamBinding.Open(), false);
+			return ItemDemand.ofNewItem(service);
 		}
-		List<Candidate> candidates = accepting.computeIfAbsent(service, (s) -> this.fleet.candidates(s, Set.of()));
-		boolean departed = !candidates.isEmpty()
-				&& candidates.stream().noneMatch((candidate) -> run.getBinding().permits(candidate.entry()));
-		boolean waitedLong = ItemRetryPolicy.mayBeginAnew(
+		return ItemDemand.ofResumedItem(service, run.getBinding(),
+				accepting.computeIfAbsent(service, (s) -> this.fleet.candidates(s, Set.of())),
 				Duration.ofMillis(this.ticker.millis() - run.getEndedMillis()), Duration.ofMillis(run.getRunMillis()));
-		return new Demand(service, run.getBinding(), departed || waitedLong);
 	}
 
 	private void discardOutput(ItemKey key) {
@@ -493,14 +485,6 @@
 		return run.getLastEvent().isPresent() ? run.getLastEvent().getAsLong() : null;
 	}
 
-	/**
-	 * What an item needs a slot of. If there is none for one item, there is none for
-	 * others with the same demand.
-	 */
-	private record Demand(ServiceName service, StreamBinding binding, boolean mayBeginAnew) {
-
-	}
-
 	private record WaitingItem(ItemKey key, Job job, SubmittedItem item, Route route, ItemOrder.Entry entry) {
 
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -61,12 +61,6 @@
 	 */
 	private static final long STALE_CLOSE_MILLIS = 20;
 
-	/**
-	 * Time after the beginning of a stream within which its caller may resume it, in
-	 * multiples of the timeout of its route.
-	 */
-	private static final int RESUMABLE_TIMEOUTS = 4;
-
 	private static final int SERVICE_UNAVAILABLE = 503;
 
 	private static final int BAD_GATEWAY = 502;
@@ -146,7 +140,7 @@
 		request.deadlineTimer = context.loop()
 			.schedule(request::deadlineExceeded, Math.max(0, remaining), TimeUnit.MILLISECONDS);
 		if (request.route.getKind() == RouteKind.STREAM && request.response.getLastEventId().isPresent()) {
-			request.findOrigin();
+			new StreamOriginFinder(context, route, request.service).find(request.resumedStream, request::resumeFrom);
 		}
 		else {
 			request.startNextAttempt();
@@ -202,20 +196,10 @@
 		return alternativeExists;
 	}
 
-	private void findOrigin() {
-		if (this.resumedStream == null) {
-			resumeFrom(Optional.empty());
-		}
-		else {
-			this.context.origins().find(this.resumedStream, this::resumeFrom);
-		}
-	}
-
-	private void resumeFrom(Optional<StreamOrigin> recorded) {
+	private void resumeFrom(Optional<StreamOrigin> origin) {
 		if (this.exchange.isEnded()) {
 			return;
 		}
-		Optional<StreamOrigin> origin = recorded.or(this::findOnlyOrigin);
 		this.binding = StreamBinding.ofResumed(origin);
 		LOG.log(GatewayEvent.STREAM_RESUMED, this.id, this.resumedStream, lastEventId(),
 				origin.map(StreamOrigin::service).orElse(null), origin.map(StreamOrigin::version).orElse(null),
@@ -224,14 +208,6 @@
 		startNextAttempt();
 	}
 
-	// Without a record, the stream began at the only version that there was.
-	private Optional<StreamOrigin> findOnlyOrigin() {
-		Duration period = this.route.getTimeout().multipliedBy(RESUMABLE_TIMEOUTS);
-		return this.context.fleet()
-			.findOnlyVersion(this.service, period)
-			.map((version) -> new StreamOrigin(this.service, version));
-	}
-
 	private List<Candidate> findCandidates() {
 		return this.context.fleet()
 			.candidates(this.service, this.triedRunners)
--- a/gateway/src/main/java/org/wigeonglade/gateway/stream/StreamOriginIndex.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/stream/StreamOriginIndex.java
@@ -10,7 +10,10 @@
  */
 public final class StreamOriginIndex {
 
-	/** Time in milliseconds for which an origin is kept: several times a time limit. */
+	/**
+	 * Time in milliseconds for which an origin is kept: several times the timeout of a
+	 * route.
+	 */
 	static final long RETENTION_MILLIS = 30_000;
 
 	private final Map<String, Entry> entries = new LinkedHashMap<>();
