Probe for direct connections only directly

While a host was cut off, each failed probe of a direct connection, four a second, opened a relayed one that nothing needed. The fallback to a relay is now part of opening a connection for a request only.

InterruptedHostTests passes.

--- a/gateway/src/main/java/org/wigeonglade/gateway/online/StreamOriginFinder.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/StreamOriginFinder.java
@@ -31,9 +31,8 @@
 		this.service = service;
 	}
 
-	// The stream is null if the caller does not name it. The listener may be called
-	// before
-	// this method returns; it receives no origin if that is not known.
+	// The stream is null if the caller does not name it. The listener receives no origin
+	// if that is not known; it may be called before this method returns.
 	void find(String stream, Consumer<Optional<StreamOrigin>> listener) {
 		if (stream == null) {
 			listener.accept(findOnlyOrigin());
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPaths.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPaths.java
@@ -103,7 +103,7 @@
 			connectByRelay(runner, new HashSet<>(), listener);
 		}
 		else {
-			connectDirectly(runner, listener);
+			connectOrRelay(runner, listener);
 		}
 	}
 
@@ -126,6 +126,25 @@
 		recordFailure(runner, RunnerFailure.Kind.SILENT);
 	}
 
+	private void connectOrRelay(RunnerEntry runner, Listener listener) {
+		connectDirectly(runner, new Listener() {
+			@Override
+			public void connected(RunnerEntry connected, ClientConnection connection) {
+				listener.connected(connected, connection);
+			}
+
+			@Override
+			public void failed(RunnerFailure failure) {
+				if (isRelayed()) {
+					connectByRelay(runner, new HashSet<>(), listener);
+				}
+				else {
+					listener.failed(failure);
+				}
+			}
+		});
+	}
+
 	private void connectDirectly(RunnerEntry runner, Listener listener) {
 		this.connector.connect(runner.address(), CONNECT_TIMEOUT, new Connector.Listener() {
 			@Override
@@ -137,13 +156,7 @@
 			@Override
 			public void failed(Throwable cause) {
 				recordFailure(runner, RunnerFailure.Kind.UNREACHABLE);
-				if (isRelayed()) {
-					connectByRelay(runner, new HashSet<>(), listener);
-				}
-				else {
-					listener
-						.failed(new RunnerFailure(RunnerFailure.Kind.UNREACHABLE, String.valueOf(cause.getMessage())));
-				}
+				listener.failed(new RunnerFailure(RunnerFailure.Kind.UNREACHABLE, String.valueOf(cause.getMessage())));
 			}
 		});
 	}
