Give hosts in tests a port that is free for TCP as well

The fixture looked for a port that was free for UDP only, in the range from which outgoing TCP connections take theirs. It now takes one outside that range that is free for both.

--- a/bench/src/main/java/org/wigeonglade/bench/demo/MachinesDemo.java
+++ b/bench/src/main/java/org/wigeonglade/bench/demo/MachinesDemo.java
@@ -120,7 +120,7 @@
 		}
 		for (int i = 0; i < HOSTS; i++) {
 			JsonObject file = MachineOperatorStandIn.settings("host-" + i, "zone-a", 0, 0,
-					MachineOperatorStandIn.findDatagramPort(), this.store.getPort());
+					MachineOperatorStandIn.findPeerPort(), this.store.getPort());
 			MachineSettings settings = MachineSettings.read(file.toBuffer().getBytes());
 			GatewayHost host = new GatewayHost(settings.gateway(),
 					new PlatformAdapters(settings.store(), Ticker.system()), Ticker.system(), new Random(i));
--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineOperatorStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineOperatorStandIn.java
@@ -1,8 +1,10 @@
 package org.wigeonglade.standins.machines;
 
+import java.io.IOException;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
-import java.net.SocketException;
+import java.net.ServerSocket;
+import java.util.concurrent.ThreadLocalRandom;
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -22,6 +24,12 @@
 
 	private static final int RETENTION_SECONDS = 60;
 
+	private static final int FIRST_PEER_PORT = 20_000;
+
+	private static final int LAST_PEER_PORT = 32_000;
+
+	private static final int PEER_PORT_TRIES = 100;
+
 	private final MachineStoreStandIn store;
 
 	private int version;
@@ -102,17 +110,30 @@
 	}
 
 	/**
-	 * Returns a free UDP port on loopback. Processes need theirs in the settings, before
-	 * they start. The port is not reserved.
+	 * Returns a port on loopback that is free for UDP and TCP. Processes need theirs in
+	 * the settings, before they start. The port is not reserved, but outside the range
+	 * from which the ports of outgoing connections are taken.
 	 * @return the port
 	 * @throws IllegalStateException if no port can be bound
 	 */
-	public static int findDatagramPort() {
-		try (DatagramSocket socket = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
-			return socket.getLocalPort();
+	public static int findPeerPort() {
+		for (int i = 0; i < PEER_PORT_TRIES; i++) {
+			int port = ThreadLocalRandom.current().nextInt(FIRST_PEER_PORT, LAST_PEER_PORT);
+			if (isFree(port)) {
+				return port;
+			}
+		}
+		throw new IllegalStateException("could not bind a port for UDP and TCP on 127.0.0.1");
+	}
+
+	private static boolean isFree(int port) {
+		InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+		try (DatagramSocket datagrams = new DatagramSocket(address); ServerSocket connections = new ServerSocket()) {
+			connections.bind(address);
+			return datagrams.isBound();
 		}
-		catch (SocketException ex) {
-			throw new IllegalStateException("could not bind a UDP port on 127.0.0.1", ex);
+		catch (IOException ex) {
+			return false;
 		}
 	}
 
