Do not ask a relay again that has failed

Cause: a killed host counts as alive for 1.5 s and refuses connections at once. Each connection tried two relays, each time any of them, so that the attempts of a request were used up in milliseconds. The class of fault is that of the failure detector: what one connection learns was not used by the next.

A host that fails to relay counts as not relaying until its next datagram, and up to four relays are tried for a connection.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -188,6 +188,7 @@
 		RunnerPaths paths = new RunnerPaths(connector, new RelayConnector(this.loop), ticker);
 		paths.setRelaySelector(
 				(excluded) -> RelaySelection.select(this.peers.getPeers(), settings.domain(), excluded, random));
+		paths.onRelayFailure(this.peers::recordRelayFailure);
 		this.fleet = new Fleet(new RunnerConnectionPool(paths, ticker), adapters.getRunnerProtocol(), settings.domain(),
 				ticker);
 		this.fleet.setLiveHostCount(() -> this.peers.getLiveCount() + 1);
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
@@ -129,6 +129,15 @@
 		return peer != null && peer.incarnation >= incarnation;
 	}
 
+	/**
+	 * Records that a host did not connect this one to a runner. It counts as not relaying
+	 * until its next datagram.
+	 * @param host the host, not null
+	 */
+	public void recordRelayFailure(HostId host) {
+		find(host).ifPresent((peer) -> peer.setRelays(false));
+	}
+
 	/**
 	 * Returns all registered hosts, including those that are not alive.
 	 * @return a live view, not to be modified
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPaths.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPaths.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 
@@ -36,7 +37,7 @@
 	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
 
 	/** Number of hosts that are asked to relay one connection. */
-	private static final int MAX_RELAYS = 2;
+	private static final int MAX_RELAYS = 4;
 
 	private final Connector connector;
 
@@ -48,6 +49,9 @@
 
 	private Function<Set<HostId>, Optional<PeerTable.Peer>> relaySelector = (excluded) -> Optional.empty();
 
+	private Consumer<HostId> relayFailureListener = (host) -> {
+	};
+
 	private IntSupplier registeredCount = () -> 1;
 
 	private Runnable cutOffListener = () -> {
@@ -76,6 +80,14 @@
 		this.relaySelector = selector;
 	}
 
+	/**
+	 * Sets the listener to hosts that did not relay a connection.
+	 * @param listener called on the event loop, not null
+	 */
+	public void onRelayFailure(Consumer<HostId> listener) {
+		this.relayFailureListener = listener;
+	}
+
 	/**
 	 * Returns whether this host has lost its way to the runners.
 	 * @return true until a direct connection succeeds
@@ -185,6 +197,7 @@
 			public void relayFailed(String reason) {
 				LOG.log(GatewayEvent.RELAY_FAILED, host, runner.id(), reason);
 				excluded.add(host);
+				RunnerPaths.this.relayFailureListener.accept(host);
 				connectByRelay(runner, excluded, listener);
 			}
 		});
--- a/gateway/src/test/java/org/wigeonglade/gateway/peer/RelaySelectionTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/peer/RelaySelectionTests.java
@@ -67,6 +67,16 @@
 		Assert.assertEquals(select(HostId.of("a1"), HostId.of("b1")), Optional.empty());
 	}
 
+	// A host that was killed counts as alive for some time.
+	@Test
+	public void hostThatHasFailedIsNotAskedForOtherConnectionsUntilItsNextDatagram() {
+		add("a1", OWN, true, false);
+		this.table.recordRelayFailure(HostId.of("a1"));
+		Assert.assertEquals(select(), Optional.empty());
+		add("a1", OWN, true, false);
+		Assert.assertEquals(select(), Optional.of("a1"));
+	}
+
 	private Optional<String> select(HostId... excluded) {
 		return RelaySelection.select(this.table.getPeers(), OWN, Set.of(excluded), this.random)
 			.map((peer) -> peer.getHost().value());
