--- /dev/null
+++ b/review/harness/RelistCase.java
@@ -0,0 +1,97 @@
+package review;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Clients resend jobs to a machine that has just been killed and started again. */
+final class RelistCase {
+
+	private static final int JOBS = 90;
+
+	private static final int RECENT = 10;
+
+	private static final int ITEMS = 10;
+
+	private static final int BODY_BYTES = 15_000;
+
+	public static void main(String[] args) throws Exception {
+		Fixture.main(args, RelistCase::run);
+	}
+
+	private static boolean run(Fixture fixture) throws Exception {
+		fixture.start(3, 6, 8, List.of(Fixture.route("fill", "batch", 3)));
+		fixture.runners.forEach((runner) -> runner.eventMillis = 5);
+		List<Fixture.Job> jobs = new ArrayList<>();
+		for (int i = 0; i < JOBS; i++) {
+			Fixture.Job job = new Fixture.Job("fill", ITEMS, BODY_BYTES);
+			int status = fixture.submit(job, fixture.machines.get(i % 3));
+			if (status != 202) {
+				throw new IllegalStateException("a job was answered " + status);
+			}
+			jobs.add(job);
+			Thread.sleep(240);
+		}
+		Thread.sleep(1_000);
+		List<Fixture.Job> recent = jobs.subList(JOBS - RECENT, JOBS);
+		Machine reader = fixture.machines.get(0);
+		Machine killed = fixture.machines.get(1);
+		Map<Fixture.Job, List<String>> read = new LinkedHashMap<>();
+		for (Fixture.Job job : recent) {
+			List<String> ids = fixture.read(job, reader, 0).ids();
+			read.put(job, ids);
+		}
+		fixture.log("clients: " + JOBS + " jobs accepted, " + fixture.store.bytes("keyed.wigeonglade") / 1_000
+				+ " kB in the store; " + read.values().stream().mapToInt(List::size).sum() + " results of " + RECENT
+				+ " recent jobs read at " + reader.name);
+		if (Fixture.TROUBLE) {
+			killed.kill();
+			fixture.log(killed.name + " is killed and starts again");
+			killed.start();
+		}
+		AtomicInteger accepted = new AtomicInteger();
+		ExecutorService clients = Executors.newVirtualThreadPerTaskExecutor();
+		for (Fixture.Job job : recent) {
+			clients.submit(() -> {
+				long deadline = System.currentTimeMillis() + 10_000;
+				while (System.currentTimeMillis() < deadline) {
+					if (fixture.submit(job, killed) == 202) {
+						accepted.incrementAndGet();
+						return;
+					}
+					Fixture.sleepQuietly(50);
+				}
+			});
+		}
+		clients.shutdown();
+		clients.awaitTermination(15, TimeUnit.SECONDS);
+		fixture.log("clients: " + accepted + " of " + RECENT + " jobs sent again to " + killed.name + " are accepted");
+		fixture.await("the machine to be ready", 20_000, killed::isReady);
+		Thread.sleep(10_000);
+		int missing = 0;
+		int moved = 0;
+		for (Map.Entry<Fixture.Job, List<String>> entry : read.entrySet()) {
+			List<String> before = entry.getValue();
+			Fixture.Results now = fixture.read(entry.getKey(), killed, 0);
+			List<String> ids = now.ids();
+			if (now.status != 200 || ids.size() < before.size()) {
+				missing++;
+				fixture.log("client: job " + entry.getKey().id + " at " + killed.name + ": status " + now.status + ", "
+						+ ids.size() + " results, " + before.size() + " had been read");
+			}
+			else if (!ids.subList(0, before.size()).equals(before)) {
+				moved++;
+				fixture.log("client: job " + entry.getKey().id + " at " + killed.name
+						+ ": other results at positions that had been read");
+			}
+		}
+		fixture.log("clients: results are missing in " + missing + " jobs and at other positions in " + moved);
+		return missing + moved == 0;
+	}
+
+}
