--- a/review/harness/Fixture.java
+++ b/review/harness/Fixture.java
@@ -22,6 +22,11 @@
 
 	static final String SERVICE = "rotulo";
 
+	/** Items of a job, and bytes of the body of each: 350 tokens of 2 bytes. */
+	static final int ITEMS = 10;
+
+	static final int BODY_BYTES = 700;
+
 	static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
 	final Store store = new Store();
@@ -230,6 +235,29 @@
 		return status;
 	}
 
+	/**
+	 * Submits jobs at the rate of the sheet, 4.15 a second for a minute, with bursts of six
+	 * times as many for 3 s.
+	 */
+	List<Job> submitTraffic(String route, List<Integer> burstsMillis) {
+		long interval = 241;
+		List<Job> jobs = new ArrayList<>();
+		long start = System.currentTimeMillis();
+		for (long next = 0; next < 60_000;) {
+			sleepQuietly(start + next - System.currentTimeMillis());
+			Job job = new Job(route, ITEMS, BODY_BYTES);
+			int status = submit(job, this.machines.get(jobs.size() % this.machines.size()));
+			if (status != 202) {
+				throw new IllegalStateException("a job was answered " + status);
+			}
+			jobs.add(job);
+			long now = next;
+			boolean burst = burstsMillis.stream().anyMatch((from) -> now >= from && now < from + 3_000);
+			next += burst ? interval / 6 : interval;
+		}
+		return jobs;
+	}
+
 	/** Reads the results of a job from a position; null unless the status is 200. */
 	Results read(Job job, Machine machine, int after) {
 		Http.Message answer = Http.call(machine.frontend, "GET", "/api/lots/" + job.id + "?after=" + after,
