--- a/review/harness/Fixture.java
+++ b/review/harness/Fixture.java
@@ -227,10 +227,15 @@
 
 	}
 
+	/** Submits a job; null without an answer. */
+	Http.Message send(Job job, Machine machine) {
+		return Http.call(machine.frontend, "POST", "/" + job.route + "/" + job.id.substring(0, 6),
+				Map.of("Host", HOST, "Request-Id", job.id, "Content-Type", "application/json"), job.body, 5_000);
+	}
+
 	/** Submits a job; returns the status, 0 without an answer. */
 	int submit(Job job, Machine machine) {
-		Http.Message answer = Http.call(machine.frontend, "POST", "/" + job.route + "/" + job.id.substring(0, 6),
-				Map.of("Host", HOST, "Request-Id", job.id, "Content-Type", "application/json"), job.body, 5_000);
+		Http.Message answer = send(job, machine);
 		int status = (answer != null) ? answer.status() : 0;
 		if (status == 202) {
 			job.acceptedMillis = System.currentTimeMillis();
--- a/review/harness/RelistCase.java
+++ b/review/harness/RelistCase.java
@@ -6,13 +6,17 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Clients resend jobs to a machine that has just been killed and started again. */
 final class RelistCase {
 
-	private static final int RECENT = 20;
+	private static final int RECENT = 40;
+
+	/** Time after the restart in which the jobs are sent again, each at a random moment. */
+	private static final long RESEND_MILLIS = 1_000;
 
 	private static final List<Integer> BURSTS = List.of(8_000, 22_000, 36_000, 50_000);
 
@@ -20,6 +24,21 @@
 		Fixture.main(args, RelistCase::run);
 	}
 
+	// After a refusal the client comes back once, when it was told to; without an answer it
+	// goes to another machine.
+	private static boolean sendAgain(Fixture fixture, Fixture.Job job, Machine machine, Machine other) {
+		Http.Message answer = fixture.send(job, machine);
+		if (answer != null && answer.status() == 503) {
+			String retryAfter = answer.header("Retry-After");
+			Fixture.sleepQuietly(retryAfter.isEmpty() ? 500 : Math.round(1_000 * Double.parseDouble(retryAfter)));
+			answer = fixture.send(job, machine);
+		}
+		if (answer == null) {
+			fixture.send(job, other);
+		}
+		return answer != null && answer.status() == 202;
+	}
+
 	private static boolean run(Fixture fixture) throws Exception {
 		fixture.start(3, 6, 8, List.of(Fixture.route("fill", "batch", 3)));
 		fixture.runners.forEach((runner) -> {
@@ -46,15 +65,13 @@
 		}
 		AtomicInteger accepted = new AtomicInteger();
 		ExecutorService clients = Executors.newVirtualThreadPerTaskExecutor();
-		for (Fixture.Job job : recent) {
+		for (int i = 0; i < RECENT; i++) {
+			Fixture.Job job = recent.get(i);
+			long delayMillis = ThreadLocalRandom.current().nextLong(RESEND_MILLIS);
 			clients.submit(() -> {
-				long deadline = System.currentTimeMillis() + 10_000;
-				while (System.currentTimeMillis() < deadline) {
-					if (fixture.submit(job, killed) == 202) {
-						accepted.incrementAndGet();
-						return;
-					}
-					Fixture.sleepQuietly(20);
+				Fixture.sleepQuietly(delayMillis);
+				if (sendAgain(fixture, job, killed, reader)) {
+					accepted.incrementAndGet();
 				}
 			});
 		}
