Complete a listing by what was appended during it

Cause: records at or after the end of the first page were dropped from the listing and left to the reads that follow. A part of a job that had been appended again was thus missing for a moment, and the job was removed with its results.

StreamListing adds the records appended during the listing before it is handed over, so that the state is that of the stream at one offset. The same covers ends of jobs, registrations, crashes and limits of runners.

--- a/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
@@ -155,36 +155,40 @@
 		}
 		this.reading = true;
 		if (this.next < 0) {
-			list(new ArrayList<>(), null, -1, this.ticker.millis());
+			list(new StreamListing(), null, this.ticker.millis());
 		}
 		else {
 			read();
 		}
 	}
 
-	private void list(List<KeyedRecord> collected, String afterKey, long end, long startMillis) {
+	private void list(StreamListing listing, String afterKey, long startMillis) {
 		this.log.list(this.stream, afterKey).subscribe().with((page) -> this.loop.execute(() -> {
-			collected.addAll(page.records());
-			long from = (end >= 0) ? end : page.end();
+			listing.addPage(page);
 			if (page.truncated() && !page.records().isEmpty()) {
-				list(collected, page.records().get(page.records().size() - 1).key(), from, startMillis);
+				list(listing, page.records().get(page.records().size() - 1).key(), startMillis);
 			}
 			else {
-				completeListing(collected, from, startMillis);
+				completeListing(listing, startMillis);
 			}
 		}), this::handleFailureOnLoop);
 	}
 
-	// Records at or after the end offset of the first page are left to the reads that
-	// follow, so that all records are delivered in stream order.
-	private void completeListing(List<KeyedRecord> collected, long end, long startMillis) {
-		List<KeyedRecord> records = new ArrayList<>(collected);
-		records.removeIf((r) -> r.offset() >= end);
-		records.sort((a, b) -> Long.compare(a.offset(), b.offset()));
+	private void completeListing(StreamListing listing, long startMillis) {
+		if (!listing.isComplete()) {
+			this.log.read(this.stream, listing.getNextOffset(), Duration.ZERO)
+				.subscribe()
+				.with((slice) -> this.loop.execute(() -> {
+					listing.addSlice(slice);
+					completeListing(listing, startMillis);
+				}), this::handleFailureOnLoop);
+			return;
+		}
+		List<KeyedRecord> records = listing.toRecords();
+		this.next = listing.getNextOffset();
 		recordSuccess(startMillis);
-		this.next = end;
 		this.listed = true;
-		LOG.log(GatewayEvent.STREAM_LISTED, this.stream, records.size(), end);
+		LOG.log(GatewayEvent.STREAM_LISTED, this.stream, records.size(), this.next);
 		this.listener.listed(records);
 		this.reading = false;
 		schedule(0);
