Give items up only on a configuration read afterwards

Cause: the configuration and the jobs come by separate streams. A host whose connection for the configuration was silent read a job before its route, took the route for removed, and gave the items up for good.

An item that has reached a limit is no longer run, and is given up on a configuration whose read started after that. The configuration on which the job was accepted is older than such a read. The same cause gave items up after the attempts of an older configuration, and told callers 404, after which they do not retry: 404 now needs such a read as well, else 503 is sent.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
@@ -1,7 +1,9 @@
 package org.wigeonglade.gateway.host;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 
 import org.wigeonglade.core.error.InvalidRequestException;
@@ -15,7 +17,6 @@
 import org.wigeonglade.gateway.online.OnlineRequest;
 import org.wigeonglade.gateway.route.Route;
 import org.wigeonglade.gateway.route.RouteKind;
-import org.wigeonglade.gateway.route.RoutingTable;
 import org.wigeonglade.gateway.store.StreamFollower;
 
 /**
@@ -28,11 +29,16 @@
 	private static final EventLogger LOG = EventLogger.of(CallRouter.class);
 
 	/**
-	 * Retry delay in milliseconds if no configuration has been read; it is read soon
-	 * after the start.
+	 * Retry delay in milliseconds if the newest configuration has not been read; it is
+	 * read soon after the start.
 	 */
 	private static final long NO_CONFIGURATION_RETRY_MILLIS = 250;
 
+	/**
+	 * Maximum time that a request without a route waits for the newest configuration.
+	 */
+	private static final Duration FRESH_CONFIGURATION_WAIT = Duration.ofMillis(900);
+
 	private final CallerProtocol protocol;
 
 	private final JobService jobs;
@@ -61,7 +67,7 @@
 			call.respond(503, this.protocol.refusalHeaders(0), new byte[0]);
 			return;
 		}
-		try {
+		handleSafely(call, () -> {
 			CallerOperation parsed = this.protocol.read(call.getRequest().method(), call.getRequest().uri(),
 					call.getRequest().headers());
 			if (parsed instanceof CallerOperation.Routed) {
@@ -70,6 +76,12 @@
 			else {
 				this.jobs.handle(call, parsed);
 			}
+		});
+	}
+
+	private void handleSafely(CallerExchange call, Runnable handler) {
+		try {
+			handler.run();
 		}
 		catch (InvalidRequestException ex) {
 			call.respond(400, List.of(), ex.getMessage().getBytes(StandardCharsets.UTF_8));
@@ -86,19 +98,39 @@
 	}
 
 	private void route(CallerExchange call) {
-		RoutingTable table = this.online.fleet().getRoutingTable();
-		if (table == null) {
-			call.respond(503, this.protocol.refusalHeaders(NO_CONFIGURATION_RETRY_MILLIS), new byte[0]);
+		if (this.online.fleet().getRoutingTable() == null) {
+			refuseWithoutConfiguration(call);
 			return;
 		}
-		String hostName = call.getRequest().headers().get("Host");
-		Route route = table.find(hostName, call.getPath()).orElse(null);
-		if (route == null) {
-			LOG.log(GatewayEvent.NO_ROUTE, requestId(call), hostName, call.getPath(), table.getVersion(),
-					this.configurationFollower.getAgeMillis());
-			call.respond(404, List.of(), new byte[0]);
+		Optional<Route> route = findRoute(call);
+		if (route.isPresent()) {
+			start(call, route.get());
+		}
+		else {
+			confirmMissingRoute(call);
+		}
+	}
+
+	// Callers do not retry after 404, so a missing route is confirmed by a configuration
+	// that is read after the request has arrived.
+	private void confirmMissingRoute(CallerExchange call) {
+		if (!this.configurationFollower.isReachable()) {
+			refuseWithoutConfiguration(call);
+			return;
 		}
-		else if (route.getKind() == RouteKind.BATCH) {
+		this.configurationFollower.whenCaughtUp(FRESH_CONFIGURATION_WAIT, () -> handleSafely(call, () -> {
+			if (!call.isEnded()) {
+				findRoute(call).ifPresentOrElse((route) -> start(call, route), () -> respondNoRoute(call));
+			}
+		}), () -> refuseWithoutConfiguration(call));
+	}
+
+	private Optional<Route> findRoute(CallerExchange call) {
+		return this.online.fleet().getRoutingTable().find(hostName(call), call.getPath());
+	}
+
+	private void start(CallerExchange call, Route route) {
+		if (route.getKind() == RouteKind.BATCH) {
 			this.jobs.submit(call, route);
 		}
 		else {
@@ -106,6 +138,21 @@
 		}
 	}
 
+	private void respondNoRoute(CallerExchange call) {
+		LOG.log(GatewayEvent.NO_ROUTE, requestId(call), hostName(call), call.getPath(),
+				this.online.fleet().getRoutingTable().getVersion(), this.configurationFollower.getAgeMillis());
+		call.respond(404, List.of(), new byte[0]);
+	}
+
+	private void refuseWithoutConfiguration(CallerExchange call) {
+		LOG.log(GatewayEvent.CONFIGURATION_UNCERTAIN, requestId(call), this.configurationFollower.getAgeMillis(), 503);
+		call.respond(503, this.protocol.refusalHeaders(NO_CONFIGURATION_RETRY_MILLIS), new byte[0]);
+	}
+
+	private static String hostName(CallerExchange call) {
+		return call.getRequest().headers().get("Host");
+	}
+
 	private String requestId(CallerExchange call) {
 		return this.protocol.requestId(call.getRequest().headers()).orElse(null);
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -213,7 +213,7 @@
 		this.fleet.onCutOff(this.exchange::scheduleReport);
 		this.fleet.onLoadChanged(this.exchange::scheduleReport);
 		this.items = ItemScheduler.of(settings.host(), this.self.getIncarnation(), this.jobTable, this.peers,
-				this.fleet, policy, this.loop, ticker, this.writer);
+				this.fleet, policy, this.loop, ticker, this.writer, this.configurationFollower);
 		this.exchange.setStateSuppliers(() -> this.shutdown != null, this::isJobStateCurrent,
 				this.items::getWaitingCount, this.fleet::getLeaving, this.items::getFailures);
 		this.items.onFailure(this.exchange::scheduleReport);
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRetryPolicy.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRetryPolicy.java
@@ -13,19 +13,12 @@
 	}
 
 	/**
-	 * Decides after an error response of a runner: status 422 is permanent, 500 counts as
-	 * a failed run, and any other status is retried.
+	 * Returns whether an error response of a runner means that no run can succeed.
 	 * @param status the HTTP status of the response
-	 * @param failures the number of failed runs of the item, including this one
-	 * @param maxAttempts the number of failed runs after which an item is given up, at
-	 * least 1
-	 * @return the reason for giving the item up, empty if it is run again
+	 * @return true for status 422
 	 */
-	public static Optional<String> giveUpAfter(int status, int failures, int maxAttempts) {
-		if (status == 422) {
-			return Optional.of("the runner can never do it");
-		}
-		return (status == 500) ? giveUpAfter(failures, maxAttempts) : Optional.empty();
+	public static boolean isPermanent(int status) {
+		return status == 422;
 	}
 
 	/**
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -29,6 +29,7 @@
 import org.wigeonglade.gateway.runner.RunnerResponseHead;
 import org.wigeonglade.gateway.store.KeyedRecord;
 import org.wigeonglade.gateway.store.RecordWriter;
+import org.wigeonglade.gateway.store.StreamFollower;
 
 /**
  * Scheduler of batch items: runs the items that this host owns on idle runner slots in
@@ -107,6 +108,10 @@
 
 	private final FailureCounter failures;
 
+	private final StreamFollower configuration;
+
+	private final GiveUpConfirmation giveUps = new GiveUpConfirmation();
+
 	private long caughtUpSinceMillis = -1;
 
 	private Runnable failureListener = () -> {
@@ -119,7 +124,7 @@
 	private int waitingCount;
 
 	private ItemScheduler(HostId self, long incarnation, JobTable jobTable, PeerTable peers, Fleet fleet,
-			PlacementPolicy policy, EventLoop loop, Ticker ticker, RecordWriter writer) {
+			PlacementPolicy policy, EventLoop loop, Ticker ticker, RecordWriter writer, StreamFollower configuration) {
 		this.self = self;
 		this.jobTable = jobTable;
 		this.peers = peers;
@@ -128,6 +133,7 @@
 		this.loop = loop;
 		this.ticker = ticker;
 		this.writer = writer;
+		this.configuration = configuration;
 		this.writerKey = self + "." + incarnation;
 		this.failures = new FailureCounter(this.writerKey);
 		this.idleSlotAllocator = new IdleSlotAllocator(self);
@@ -145,11 +151,13 @@
 	 * @param loop the event loop, not null
 	 * @param ticker the clock, not null
 	 * @param writer appends results to the stream, not null
+	 * @param configuration reads the configuration, not null
 	 * @return a scheduler, never null
 	 */
 	public static ItemScheduler of(HostId self, long incarnation, JobTable jobTable, PeerTable peers, Fleet fleet,
-			PlacementPolicy policy, EventLoop loop, Ticker ticker, RecordWriter writer) {
-		return new ItemScheduler(self, incarnation, jobTable, peers, fleet, policy, loop, ticker, writer);
+			PlacementPolicy policy, EventLoop loop, Ticker ticker, RecordWriter writer, StreamFollower configuration) {
+		return new ItemScheduler(self, incarnation, jobTable, peers, fleet, policy, loop, ticker, writer,
+				configuration);
 	}
 
 	/**
@@ -303,11 +311,8 @@
 		if (head.wrongRunner()) {
 			this.fleet.recordFailure(runner, "WRONG_RUNNER");
 		}
-		int maxAttempts = routeOf(run.getJob()).map(Route::getMaxAttempts).orElse(1);
-		Optional<String> reason = executed ? ItemRetryPolicy.giveUpAfter(head.status(), failed, maxAttempts)
-				: Optional.empty();
-		if (reason.isPresent()) {
-			giveUp(run.getJob(), run.getItem(), reason.get());
+		if (executed && ItemRetryPolicy.isPermanent(head.status())) {
+			giveUp(run.getJob(), run.getItem(), "the runner can never do it");
 		}
 		else {
 			run.delayUntil(this.ticker.millis() + RETRY_DELAY_MILLIS);
@@ -365,12 +370,28 @@
 		run.discardOutput();
 	}
 
+	// Returns whether the item must not run; it is given up once that is confirmed.
 	private boolean giveUpIfLimitReached(WaitingItem waiting) {
 		Duration age = Duration.ofMillis(this.ticker.wallMillis() - waiting.job.getSubmittedAtMillis());
 		Optional<String> limit = ItemRetryPolicy.giveUpAtAge(age, waiting.route.getRetention())
 			.or(() -> ItemRetryPolicy.giveUpAfter(this.failures.getTotal(waiting.key), waiting.route.getMaxAttempts()));
-		limit.ifPresent((reason) -> giveUp(waiting.job, waiting.item, reason));
-		return limit.isPresent();
+		if (limit.isEmpty()) {
+			this.giveUps.clear(waiting.key);
+			return false;
+		}
+		giveUpIfConfirmed(waiting.job, waiting.item, limit.get());
+		return true;
+	}
+
+	private void giveUpIfConfirmed(Job job, SubmittedItem item, String reason) {
+		ItemKey key = new ItemKey(job.getId(), item.id());
+		if (this.giveUps.record(key, this.ticker.millis())) {
+			this.configuration.whenCaughtUp(() -> {
+			});
+		}
+		else if (this.giveUps.isConfirmed(key, this.configuration.getCurrentAsOfMillis())) {
+			giveUp(job, item, reason);
+		}
 	}
 
 	private Set<HostId> findContenders() {
@@ -391,6 +412,7 @@
 	private void discardObsoleteRuns() {
 		long now = this.ticker.millis();
 		this.failures.removeIf((key) -> this.jobTable.find(key.job()).filter((j) -> !j.isOpen(key.item())).isPresent());
+		this.giveUps.removeIf((key) -> this.jobTable.find(key.job()).filter((j) -> j.isOpen(key.item())).isEmpty());
 		this.pendingOutcomes.keySet()
 			.removeIf((key) -> this.jobTable.find(key.job()).filter((j) -> j.isOpen(key.item())).isEmpty());
 		this.runs.entrySet().removeIf((entry) -> {
@@ -436,7 +458,7 @@
 					continue;
 				}
 				if (route.isEmpty()) {
-					giveUp(job, item, "its route no longer exists");
+					giveUpIfConfirmed(job, item, "its route no longer exists");
 					continue;
 				}
 				ItemRun run = this.runs.get(key);
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -1,6 +1,7 @@
 package org.wigeonglade.gateway.job;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -39,8 +40,8 @@
 	 */
 	private static final long MAX_STATE_AGE_MILLIS = 700;
 
-	/** Maximum time in milliseconds that a request waits for freshly read state. */
-	private static final long FRESH_STATE_WAIT_MILLIS = 900;
+	/** Maximum time that a request waits for freshly read state. */
+	private static final Duration FRESH_STATE_WAIT = Duration.ofMillis(900);
 
 	/** Retry delay in milliseconds sent to callers while the store is unavailable. */
 	static final long STORE_RETRY_AFTER_MILLIS = 400;
@@ -153,16 +154,12 @@
 			action.accept(job.get());
 			return;
 		}
-		this.follower.whenCaughtUp(() -> {
+		Runnable respond = () -> {
 			if (!exchange.isEnded()) {
 				this.jobTable.find(id).ifPresentOrElse(action, () -> respondUnknownJob(exchange, id));
 			}
-		});
-		this.loop.schedule(() -> {
-			if (!exchange.isEnded() && this.jobTable.find(id).isEmpty()) {
-				respondUnknownJob(exchange, id);
-			}
-		}, FRESH_STATE_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+		};
+		this.follower.whenCaughtUp(FRESH_STATE_WAIT, respond, respond);
 	}
 
 	private void respondUnknownJob(CallerExchange exchange, JobId id) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -62,6 +62,10 @@
 	NO_ROUTE(2508, Level.INFO, "no route matches", "request_id", "host_name", "path", "config_version",
 			"config_age_ms"),
 
+	/** A request has no route, and the newest configuration could not be read. */
+	CONFIGURATION_UNCERTAIN(2516, Level.WARNING, "newest configuration cannot be read for a request without a route",
+			"request_id", "config_age_ms", "status"),
+
 	/** A request is suspected of crashing runners. */
 	QUARANTINED(2509, Level.WARNING,
 			"request is quarantined and not retried; it was in progress on runners that were lost", "request_id",
--- a/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
@@ -4,8 +4,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.PlatformException;
 import org.wigeonglade.core.event.EventLogger;
@@ -50,16 +52,20 @@
 
 	private boolean stopped;
 
-	private boolean scheduled;
+	private Future<?> nextPoll;
 
 	private boolean reading;
 
+	private boolean probing;
+
 	private long backoffMillis = INITIAL_BACKOFF_MILLIS;
 
 	private long currentAsOfMillis = Long.MIN_VALUE;
 
 	private List<Runnable> readCallbacks = new ArrayList<>();
 
+	private List<Runnable> probeCallbacks = new ArrayList<>();
+
 	/**
 	 * Creates a follower that is not started.
 	 * @param log the store, not null
@@ -111,45 +117,112 @@
 
 	/**
 	 * Returns the staleness of the state derived from the stream: the time since the
-	 * start of the last successful read.
+	 * start of the last read that reached its end.
 	 * @return the age in milliseconds, very large before the first listing
 	 */
 	public long getAgeMillis() {
 		return this.listed ? this.ticker.millis() - this.currentAsOfMillis : Long.MAX_VALUE / 2;
 	}
 
+	/**
+	 * Returns when the last read that reached the end of the stream was started. The
+	 * state derived from the stream is at least as new.
+	 * @return the monotonic time in milliseconds, very low before the first listing
+	 */
+	public long getCurrentAsOfMillis() {
+		return this.currentAsOfMillis;
+	}
+
+	/**
+	 * Returns whether the last call of the store succeeded.
+	 * @return false before the first response and during an outage
+	 */
+	public boolean isReachable() {
+		return this.reachable;
+	}
+
 	/**
 	 * Runs a callback once a read that started after this call has reached the end of the
-	 * stream. If a long poll is in progress, an additional read is made, so that the
-	 * callback does not wait for the long poll to return.
+	 * stream. The read is started at once, unless the store is unavailable.
 	 * @param callback the callback, not null
 	 */
 	public void whenCaughtUp(Runnable callback) {
-		if (!this.reading || this.next < 0) {
+		if (this.next < 0 || !this.reading) {
 			this.readCallbacks.add(callback);
+			if (this.next >= 0 && this.reachable) {
+				poll();
+			}
 			return;
 		}
+		this.probeCallbacks.add(callback);
+		if (!this.probing) {
+			probe();
+		}
+	}
+
+	/**
+	 * Runs a callback once a read that started after this call has reached the end of the
+	 * stream, or another one if that takes too long.
+	 * @param timeout the maximum time, not null
+	 * @param onCaughtUp run at most once, not null
+	 * @param onTimeout run instead after the timeout, not null
+	 */
+	public void whenCaughtUp(Duration timeout, Runnable onCaughtUp, Runnable onTimeout) {
+		AtomicBoolean ended = new AtomicBoolean();
+		Future<?> timer = this.loop.schedule(() -> {
+			if (ended.compareAndSet(false, true)) {
+				onTimeout.run();
+			}
+		}, timeout.toMillis(), TimeUnit.MILLISECONDS);
+		whenCaughtUp(() -> {
+			if (ended.compareAndSet(false, true)) {
+				timer.cancel(false);
+				onCaughtUp.run();
+			}
+		});
+	}
+
+	// Reads beside the long poll in progress, so that callbacks do not wait for its end.
+	// Callbacks that are added meanwhile share the next probe.
+	private void probe() {
+		this.probing = true;
 		long startMillis = this.ticker.millis();
+		List<Runnable> callbacks = this.probeCallbacks;
+		this.probeCallbacks = new ArrayList<>();
 		this.log.read(this.stream, this.next, Duration.ZERO)
 			.subscribe()
-			.with((slice) -> this.loop.execute(() -> probeCompleted(slice, startMillis, callback)),
-					(failure) -> this.loop.execute(() -> this.readCallbacks.add(callback)));
+			.with((slice) -> this.loop.execute(() -> probeCompleted(slice, startMillis, callbacks)),
+					(failure) -> this.loop.execute(() -> probeFailed(callbacks)));
 	}
 
 	// Records beyond the next offset are delivered by the long poll in progress, which
-	// returns as soon as they are appended; the callback is run after the next read.
-	private void probeCompleted(KeyedSlice slice, long startMillis, Runnable callback) {
+	// returns as soon as they are appended; the callbacks are run after the next read.
+	private void probeCompleted(KeyedSlice slice, long startMillis, List<Runnable> callbacks) {
+		this.probing = false;
+		if (!this.probeCallbacks.isEmpty()) {
+			probe();
+		}
 		if (slice.end() <= this.next) {
 			this.currentAsOfMillis = Math.max(this.currentAsOfMillis, startMillis);
-			callback.run();
+			callbacks.forEach(Runnable::run);
 		}
 		else {
-			this.readCallbacks.add(callback);
+			this.readCallbacks.addAll(callbacks);
 		}
 	}
 
+	private void probeFailed(List<Runnable> callbacks) {
+		this.probing = false;
+		this.readCallbacks.addAll(callbacks);
+		this.readCallbacks.addAll(this.probeCallbacks);
+		this.probeCallbacks.clear();
+	}
+
 	private void poll() {
-		this.scheduled = false;
+		if (this.nextPoll != null) {
+			this.nextPoll.cancel(false);
+			this.nextPoll = null;
+		}
 		if (this.stopped || this.reading) {
 			return;
 		}
@@ -186,7 +259,8 @@
 		}
 		List<KeyedRecord> records = listing.toRecords();
 		this.next = listing.getNextOffset();
-		recordSuccess(startMillis);
+		this.currentAsOfMillis = startMillis;
+		recordSuccess();
 		this.listed = true;
 		LOG.log(GatewayEvent.STREAM_LISTED, this.stream, records.size(), this.next);
 		this.listener.listed(records);
@@ -200,7 +274,7 @@
 		this.readCallbacks = new ArrayList<>();
 		Duration wait = callbacks.isEmpty() ? this.timing.maxWait() : Duration.ZERO;
 		this.log.read(this.stream, this.next, wait).subscribe().with((slice) -> this.loop.execute(() -> {
-			recordSuccess(startMillis);
+			recordSuccess();
 			this.next = Math.max(this.next, slice.next());
 			if (!slice.records().isEmpty()) {
 				this.listener.appended(slice.records());
@@ -211,17 +285,17 @@
 				schedule(0);
 				return;
 			}
+			this.currentAsOfMillis = Math.max(this.currentAsOfMillis, startMillis);
 			callbacks.forEach(Runnable::run);
 			long elapsedMillis = this.ticker.millis() - startMillis;
-			schedule(Math.max(0, this.timing.interval().toMillis() - elapsedMillis));
+			schedule(this.readCallbacks.isEmpty() ? Math.max(0, this.timing.interval().toMillis() - elapsedMillis) : 0);
 		}), (failure) -> {
 			this.loop.execute(() -> this.readCallbacks.addAll(callbacks));
 			handleFailureOnLoop(failure);
 		});
 	}
 
-	private void recordSuccess(long startMillis) {
-		this.currentAsOfMillis = startMillis;
+	private void recordSuccess() {
 		this.backoffMillis = INITIAL_BACKOFF_MILLIS;
 		if (!this.reachable) {
 			this.reachable = true;
@@ -252,15 +326,8 @@
 	}
 
 	private void schedule(long delayMillis) {
-		if (this.scheduled) {
-			return;
-		}
-		this.scheduled = true;
-		if (delayMillis <= 0) {
-			this.loop.execute(this::poll);
-		}
-		else {
-			this.loop.schedule(this::poll, delayMillis, TimeUnit.MILLISECONDS);
+		if (this.nextPoll == null) {
+			this.nextPoll = this.loop.schedule(this::poll, delayMillis, TimeUnit.MILLISECONDS);
 		}
 	}
 
