Keep limits of runners that a host has not read yet

A host that could not read the registrations of runners removed the records of their limits from the gateway stream, for all hosts. Hosts that started later sent a limited runner more than it takes.

Records are removed only if the runner is missing at two checks in a row, on registrations read within two seconds.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -98,6 +98,12 @@
 	 */
 	private static final long MAX_JOB_STATE_AGE_MILLIS = 2_000;
 
+	/**
+	 * Maximum age in milliseconds of the registrations of runners for this host to
+	 * conclude that a runner is gone.
+	 */
+	private static final long MAX_RUNNER_STATE_AGE_MILLIS = 2_000;
+
 	/** Interval between removals of expired jobs and lost hosts, in milliseconds. */
 	private static final long CLEANUP_INTERVAL_MILLIS = 5_000;
 
@@ -391,7 +397,7 @@
 			this.peerMonitor.deregisterSilentHosts();
 			if (this.peerMonitor.isLowestEligibleHost()) {
 				this.crashReports.removeExpiredRecords();
-				this.limits.removeObsoleteRecords();
+				this.limits.removeObsoleteRecords(this.runnerFollower.getAgeMillis() <= MAX_RUNNER_STATE_AGE_MILLIS);
 			}
 		}
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/RequestLimitPublisher.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/RequestLimitPublisher.java
@@ -1,9 +1,11 @@
 package org.wigeonglade.gateway.host;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.function.Predicate;
 
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -45,6 +47,8 @@
 
 	private final Map<RunnerId, Long> publishedMillis = new HashMap<>();
 
+	private Set<String> missingBefore = Set.of();
+
 	RequestLimitPublisher(Fleet fleet, PeerStateExchange exchange, RecordWriter writer, Ticker ticker) {
 		this.fleet = fleet;
 		this.exchange = exchange;
@@ -108,14 +112,21 @@
 
 	/**
 	 * Removes the records of limits that have ended, and of runners that are gone, from
-	 * the gateway stream.
+	 * the gateway stream. A runner counts as gone if it is missing at two calls in a row,
+	 * since its limit may be known before its registration is read.
+	 * @param runnersCurrent whether the registrations of runners were read recently
 	 */
-	void removeObsoleteRecords() {
+	void removeObsoleteRecords(boolean runnersCurrent) {
+		Set<String> missing = new HashSet<>();
 		this.records.forEach((key, limit) -> {
-			if (limit.requestsPerSecond().isEmpty() || this.fleet.getDirectory().find(limit.runner()).isEmpty()) {
+			if (runnersCurrent && this.fleet.getDirectory().find(limit.runner()).isEmpty()) {
+				missing.add(key);
+			}
+			if (limit.requestsPerSecond().isEmpty() || (missing.contains(key) && this.missingBefore.contains(key))) {
 				this.writer.add(() -> limit.equals(this.records.get(key)) ? KeyedRecord.of(key, null) : null);
 			}
 		});
+		this.missingBefore = missing;
 	}
 
 	private void publish(RunnerId runner) {
--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineStoreStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineStoreStandIn.java
@@ -97,6 +97,16 @@
 		topic(topic).add(key, value);
 	}
 
+	/**
+	 * Returns whether a listing of a topic shows a key.
+	 * @param topic the topic, not null
+	 * @param key the key, not null
+	 * @return true if its newest record has a value
+	 */
+	public synchronized boolean contains(String topic, String key) {
+		return topic(topic).newestByKey.containsKey(key);
+	}
+
 	/**
 	 * Removes the records of a topic; listings still return the newest record of each
 	 * key.
