Accept late requests in a shutdown only if their limit fits

Cause: requests were accepted until 60 % of the grace period and abandoned at 90 % of it, whatever their own limits.

After the delay of the load balancer a request is accepted only if its limit ends before requests are abandoned; others get 503 at once. The limits of what is accepted during a stop are cut to the time left, and the append of a job is answered at the limit of its submitter also while a call is in progress.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
@@ -39,6 +39,14 @@
 	 */
 	private static final Duration FRESH_CONFIGURATION_WAIT = Duration.ofMillis(900);
 
+	/**
+	 * Time before requests in progress are abandoned at which a request is answered that
+	 * was accepted during the shutdown.
+	 */
+	private static final Duration ANSWER_MARGIN = Duration.ofMillis(150);
+
+	private static final Duration UNLIMITED = Duration.ofDays(1);
+
 	private final CallerProtocol protocol;
 
 	private final JobService jobs;
@@ -60,25 +68,37 @@
 	}
 
 	void handle(CallerExchange call) {
-		GracefulShutdown current = this.shutdown.get();
-		long now = this.online.ticker().millis();
-		if (current != null && !current.isAccepting(now)) {
-			LOG.log(GatewayEvent.REFUSED_AT_STOP, requestId(call), current.getElapsed(now), 503);
-			call.respond(503, this.protocol.refusalHeaders(0), new byte[0]);
-			return;
-		}
 		handleSafely(call, () -> {
 			CallerOperation parsed = this.protocol.read(call.getRequest().method(), call.getRequest().uri(),
 					call.getRequest().headers());
 			if (parsed instanceof CallerOperation.Routed) {
 				route(call);
 			}
-			else {
-				this.jobs.handle(call, parsed);
+			else if (isAccepting(call, JobService.getMaxTime(parsed))) {
+				this.jobs.handle(call, parsed, getTimeToAnswer());
 			}
 		});
 	}
 
+	// Refuses a request that may not be complete before the process ends; another host
+	// serves it.
+	private boolean isAccepting(CallerExchange call, Duration limit) {
+		GracefulShutdown current = this.shutdown.get();
+		long now = this.online.ticker().millis();
+		if (current == null || current.isAccepting(limit, now)) {
+			return true;
+		}
+		LOG.log(GatewayEvent.REFUSED_AT_STOP, requestId(call), current.getElapsed(now), 503);
+		call.respond(503, this.protocol.refusalHeaders(0), new byte[0]);
+		return false;
+	}
+
+	// The time until requests in progress are abandoned.
+	private Duration getTimeToAnswer() {
+		GracefulShutdown current = this.shutdown.get();
+		return (current != null) ? current.getRemaining(this.online.ticker().millis()).minus(ANSWER_MARGIN) : UNLIMITED;
+	}
+
 	private void handleSafely(CallerExchange call, Runnable handler) {
 		try {
 			handler.run();
@@ -118,6 +138,9 @@
 			refuseWithoutConfiguration(call);
 			return;
 		}
+		if (!isAccepting(call, FRESH_CONFIGURATION_WAIT)) {
+			return;
+		}
 		this.configurationFollower.whenCaughtUp(FRESH_CONFIGURATION_WAIT, () -> handleSafely(call, () -> {
 			if (!call.isEnded()) {
 				findRoute(call).ifPresentOrElse((route) -> start(call, route), () -> respondNoRoute(call));
@@ -130,11 +153,19 @@
 	}
 
 	private void start(CallerExchange call, Route route) {
+		long timeout = route.getTimeout().toMillis();
+		Duration limit = Duration
+			.ofMillis(Math.min(timeout, this.protocol.waitMillis(call.getRequest().headers()).orElse(timeout)));
+		if (!isAccepting(call, limit)) {
+			return;
+		}
+		Duration timeToAnswer = getTimeToAnswer();
+		Duration wait = (limit.compareTo(timeToAnswer) < 0) ? limit : timeToAnswer;
 		if (route.getKind() == RouteKind.BATCH) {
-			this.jobs.submit(call, route);
+			this.jobs.submit(call, route, wait);
 		}
 		else {
-			OnlineRequest.start(this.online, call, route);
+			OnlineRequest.start(this.online, call, route, wait);
 		}
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GracefulShutdown.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GracefulShutdown.java
@@ -13,11 +13,11 @@
 record GracefulShutdown(long startMillis, Duration gracePeriod) {
 
 	/**
-	 * Time in milliseconds after the signal until idle connections are closed. The load
-	 * balancer stops opening connections after two failed probes, which it sends once a
-	 * second.
+	 * Time in milliseconds after the signal until the load balancer opens no further
+	 * connections: it stops after two failed probes, which it sends once a second. Until
+	 * then every request is accepted, and idle connections are kept.
 	 */
-	static final long IDLE_CLOSE_DELAY_MILLIS = 2_800;
+	static final long BALANCER_DELAY_MILLIS = 2_800;
 
 	/**
 	 * Fraction of the grace period after which items in progress are cancelled and left
@@ -25,12 +25,6 @@
 	 */
 	static final double ITEM_DRAIN_FRACTION = 0.6;
 
-	/**
-	 * Fraction of the grace period after which new requests are refused, because a
-	 * request accepted later might not complete before the process ends.
-	 */
-	static final double ACCEPTANCE_FRACTION = 0.6;
-
 	/** Fraction of the grace period after which requests in progress are abandoned. */
 	static final double DRAIN_FRACTION = 0.9;
 
@@ -39,23 +33,31 @@
 	}
 
 	boolean isKeepingIdleConnections(long nowMillis) {
-		return getElapsed(nowMillis) < IDLE_CLOSE_DELAY_MILLIS;
+		return getElapsed(nowMillis) < BALANCER_DELAY_MILLIS;
 	}
 
 	boolean isRunningItems(long nowMillis) {
-		return isWithin(ITEM_DRAIN_FRACTION, nowMillis);
+		return getElapsed(nowMillis) < this.gracePeriod.toMillis() * ITEM_DRAIN_FRACTION;
+	}
+
+	// A request is accepted after the delay of the load balancer only if its own limit
+	// ends before requests are abandoned: callers are served by other hosts by then.
+	boolean isAccepting(Duration limit, long nowMillis) {
+		return isDraining(nowMillis)
+				&& (isKeepingIdleConnections(nowMillis) || limit.compareTo(getRemaining(nowMillis)) <= 0);
 	}
 
-	boolean isAccepting(long nowMillis) {
-		return isWithin(ACCEPTANCE_FRACTION, nowMillis);
+	// The time until requests in progress are abandoned.
+	Duration getRemaining(long nowMillis) {
+		return Duration.ofMillis(Math.max(0, drainMillis() - getElapsed(nowMillis)));
 	}
 
 	boolean isDraining(long nowMillis) {
-		return isWithin(DRAIN_FRACTION, nowMillis);
+		return getElapsed(nowMillis) < drainMillis();
 	}
 
-	private boolean isWithin(double fraction, long nowMillis) {
-		return getElapsed(nowMillis) < this.gracePeriod.toMillis() * fraction;
+	private long drainMillis() {
+		return Math.round(this.gracePeriod.toMillis() * DRAIN_FRACTION);
 	}
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -43,6 +43,9 @@
 	/** Maximum time that a request waits for freshly read state. */
 	private static final Duration FRESH_STATE_WAIT = Duration.ofMillis(900);
 
+	/** Maximum time until the append of the end of a job is acknowledged or fails. */
+	private static final Duration MAX_APPEND_TIME = Duration.ofMillis(2_000);
+
 	/** Retry delay in milliseconds sent to callers while the store is unavailable. */
 	static final long STORE_RETRY_AFTER_MILLIS = 400;
 
@@ -88,8 +91,9 @@
 	 * again.
 	 * @param exchange the request, not null
 	 * @param route the route of the request, not null
+	 * @param wait the time within which the request must be answered, not null
 	 */
-	public void submit(CallerExchange exchange, Route route) {
+	public void submit(CallerExchange exchange, Route route, Duration wait) {
 		Optional<String> id = this.protocol.requestId(exchange.getRequest().headers());
 		if (id.isEmpty()) {
 			respond(exchange, 400, "the job has no id");
@@ -111,25 +115,30 @@
 			respond(exchange, 400, ex.getMessage());
 			return;
 		}
-		this.submitter.submit(exchange, job, route, waitMillis(exchange, route));
+		this.submitter.submit(exchange, job, route, wait.toMillis());
 	}
 
-	private long waitMillis(CallerExchange exchange, Route route) {
-		long timeout = route.getTimeout().toMillis();
-		long wait = this.protocol.waitMillis(exchange.getRequest().headers()).orElse(timeout);
-		return Math.min(timeout, wait);
+	/**
+	 * Returns the time that a request about a job needs at most, apart from the wait that
+	 * it asks for.
+	 * @param operation the decoded operation, not null
+	 * @return the time, never null
+	 */
+	public static Duration getMaxTime(CallerOperation operation) {
+		return (operation instanceof CallerOperation.EndJob) ? MAX_APPEND_TIME : FRESH_STATE_WAIT;
 	}
 
 	/**
 	 * Handles a request about a job.
 	 * @param exchange the request, not null
 	 * @param operation the decoded operation, not null
+	 * @param maxWait the time within which the request must be answered, not null
 	 * @throws IllegalArgumentException if the operation does not concern a job
 	 */
-	public void handle(CallerExchange exchange, CallerOperation operation) {
+	public void handle(CallerExchange exchange, CallerOperation operation, Duration maxWait) {
 		switch (operation) {
 			case CallerOperation.ReadResults read ->
-				withJob(exchange, read.job(), (job) -> readResults(exchange, job, read));
+				withJob(exchange, read.job(), (job) -> readResults(exchange, job, read, maxWait));
 			case CallerOperation.ReadItem read -> withJob(exchange, read.job(), (job) -> readItem(exchange, job, read));
 			case CallerOperation.EndJob end -> withJob(exchange, end.job(), (job) -> end(exchange, job));
 			case CallerOperation.Routed routed -> throw new IllegalArgumentException("not an operation on a job");
@@ -173,14 +182,15 @@
 		}
 	}
 
-	private void readResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read) {
+	private void readResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read, Duration maxWait) {
+		long waitMillis = Math.min(read.waitMillis(), maxWait.toMillis());
 		ResultLongPoll poll = new ResultLongPoll(exchange, job, read, () -> writeResults(exchange, job, read));
-		if (read.waitMillis() <= 0) {
+		if (waitMillis <= 0) {
 			poll.finish();
 		}
 		else if (!poll.check()) {
 			this.longPolls.computeIfAbsent(job.getId(), (j) -> new ArrayList<>()).add(poll);
-			this.loop.schedule(poll::finish, read.waitMillis(), TimeUnit.MILLISECONDS);
+			this.loop.schedule(poll::finish, waitMillis, TimeUnit.MILLISECONDS);
 		}
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobSubmitter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobSubmitter.java
@@ -81,8 +81,9 @@
 	 * response
 	 */
 	void submit(CallerExchange exchange, SubmittedJob job, Route route, long waitMillis) {
-		Submission submission = new Submission(exchange, job, route, this.ticker.millis(),
-				waitMillis - RESPONSE_MARGIN_MILLIS);
+		long limitMillis = Math.max(waitMillis - RESPONSE_MARGIN_MILLIS, waitMillis / 2);
+		Submission submission = new Submission(exchange, job, route, this.ticker.millis(), limitMillis);
+		this.loop.schedule(() -> limitReached(submission), limitMillis, TimeUnit.MILLISECONDS);
 		if (this.quota.decide(job, route) == QuotaPolicy.Decision.APPEND) {
 			append(submission);
 		}
@@ -106,6 +107,13 @@
 		}
 	}
 
+	private void limitReached(Submission submission) {
+		if (!submission.exchange.isEnded()) {
+			submission.mayBeStored |= submission.appending;
+			failSubmission(submission, "the outcome was not known in time");
+		}
+	}
+
 	private void decideOnFreshState(Submission submission) {
 		int sequence = ++submission.decisionSequence;
 		this.follower.whenCaughtUp(() -> decide(submission, sequence));
@@ -148,6 +156,7 @@
 
 	private void appendIfUnchanged(Submission submission) {
 		submission.conditional = true;
+		submission.appending = true;
 		this.quota.addPending(submission.job, submission.route);
 		this.log.appendAt(KeyedStream.OWN, JobRecords.write(submission.job), this.follower.getNextOffset())
 			.subscribe()
@@ -156,6 +165,7 @@
 	}
 
 	private void conditionalAppendFailed(Submission submission, Throwable failure) {
+		submission.appending = false;
 		boolean conflict = failure instanceof PlatformException platform
 				&& platform.getCode() == ErrorCode.APPEND_CONFLICT;
 		if (conflict && !submission.mayBeStored) {
@@ -171,6 +181,7 @@
 
 	private void append(Submission submission) {
 		submission.conditional = false;
+		submission.appending = true;
 		this.quota.addPending(submission.job, submission.route);
 		this.log.append(KeyedStream.OWN, JobRecords.write(submission.job))
 			.subscribe()
@@ -192,6 +203,7 @@
 	// The job is neither confirmed nor refused while the outcome of an append is unknown.
 	private void appendFailed(Submission submission, Throwable failure) {
 		JobId id = submission.job.id();
+		submission.appending = false;
 		submission.mayBeStored |= !(failure instanceof PlatformException platform) || platform.isUnknown();
 		if (this.jobTable.find(id).isPresent()) {
 			accept(submission, null);
@@ -216,10 +228,7 @@
 			return;
 		}
 		LOG.log(GatewayEvent.JOB_APPEND_RETRIED, id, reason, elapsed(submission));
-		if (this.unconfirmed.put(id, submission) != submission) {
-			this.loop.schedule(() -> failSubmission(submission, reason), submission.limitMillis - elapsed(submission),
-					TimeUnit.MILLISECONDS);
-		}
+		this.unconfirmed.put(id, submission);
 		this.loop.schedule(() -> {
 			if (submission.exchange.isEnded()) {
 				return;
@@ -267,6 +276,8 @@
 
 		private boolean conditional;
 
+		private boolean appending;
+
 		// Incremented when a decision is started and when it is made, so that timers and
 		// callbacks of earlier decisions have no effect.
 		private int decisionSequence;
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -107,7 +107,7 @@
 
 	private AttemptOutcome.RunnerError lastError;
 
-	private OnlineRequest(OnlineContext context, CallerExchange exchange, Route route) {
+	private OnlineRequest(OnlineContext context, CallerExchange exchange, Route route, Duration wait) {
 		this.context = context;
 		this.exchange = exchange;
 		this.route = route;
@@ -118,9 +118,7 @@
 		this.headers = new DefaultHttpHeaders().set(received);
 		HopByHopHeaders.strip(this.headers);
 		this.retryPolicy = new RetryPolicy(route);
-		long timeout = route.getTimeout().toMillis();
-		long wait = Math.min(timeout, context.protocol().waitMillis(received).orElse(timeout));
-		this.deadlineMillis = exchange.getArrivedMillis() + wait;
+		this.deadlineMillis = exchange.getArrivedMillis() + wait.toMillis();
 		this.targetTimeMillis = exchange.getArrivedMillis() + route.getLatencyTarget().toMillis();
 		this.response = new CallerResponse(exchange, context.ticker(), context.protocol().resumeAfter(received));
 		context.protocol().promptParts(received).forEach((part) -> this.suspects.add(Fingerprint.ofPromptPart(part)));
@@ -132,9 +130,10 @@
 	 * @param context the shared collaborators, not null
 	 * @param exchange the request and its response, not null
 	 * @param route the route of the request, not null
+	 * @param wait the time from its arrival within which it must be answered, not null
 	 */
-	public static void start(OnlineContext context, CallerExchange exchange, Route route) {
-		OnlineRequest request = new OnlineRequest(context, exchange, route);
+	public static void start(OnlineContext context, CallerExchange exchange, Route route, Duration wait) {
+		OnlineRequest request = new OnlineRequest(context, exchange, route, wait);
 		exchange.onDisconnect(request::callerDisconnected);
 		long remaining = request.deadlineMillis - context.ticker().millis();
 		request.deadlineTimer = context.loop()
