Use no kept connection by way of a host that shuts down

Requests that a stopping host relayed for another one were cut when its process ended: kept relayed connections were used for further requests until then, and a relayed request without a byte for one second did not count as in progress.

Relayed connections are reused only while their host relays, by its datagrams, and a request counts until its response begins.

InterruptedHostTests.hostThatShutsDownCutsNoRequestThatItRelays failed before (a chunked stream broke off).

--- a/gateway/src/main/java/org/wigeonglade/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/ClientConnection.java
@@ -1,5 +1,7 @@
 package org.wigeonglade.gateway.http;
 
+import java.util.function.BooleanSupplier;
+
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -60,6 +62,8 @@
 
 	private boolean broken;
 
+	private BooleanSupplier reuseCondition = () -> true;
+
 	private long idleSinceMillis;
 
 	private long idleLimitMillis;
@@ -146,6 +150,14 @@
 		this.channel.config().setAutoRead(reading);
 	}
 
+	/**
+	 * Sets a condition under which the connection may be used for a further request.
+	 * @param condition the condition, not null
+	 */
+	public void setReuseCondition(BooleanSupplier condition) {
+		this.reuseCondition = condition;
+	}
+
 	/**
 	 * Returns whether the connection may be used for a further request.
 	 * @param nowMillis the monotonic time in milliseconds
@@ -153,7 +165,7 @@
 	 */
 	public boolean isReusable(long nowMillis) {
 		return this.exchange == null && this.keepAlive && !this.broken && this.channel.isActive()
-				&& nowMillis - this.idleSinceMillis < this.idleLimitMillis;
+				&& nowMillis - this.idleSinceMillis < this.idleLimitMillis && this.reuseCondition.getAsBoolean();
 	}
 
 	/**
--- a/gateway/src/main/java/org/wigeonglade/gateway/relay/RelayServer.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/relay/RelayServer.java
@@ -52,7 +52,8 @@
 	private static final int IDLE_SECONDS = 15;
 
 	/**
-	 * Time in milliseconds after the last byte for which a request may be in progress.
+	 * Time in milliseconds after the last byte of a runner for which a response may be in
+	 * progress.
 	 */
 	private static final long BUSY_MILLIS = 1_000;
 
@@ -149,12 +150,14 @@
 
 		private long lastTransferMillis;
 
+		private boolean awaitingResponse;
+
 		private HostSide(Channel host) {
 			this.host = host;
 		}
 
 		private boolean isBusy() {
-			return RelayServer.this.ticker.millis() - this.lastTransferMillis < BUSY_MILLIS;
+			return this.awaitingResponse || RelayServer.this.ticker.millis() - this.lastTransferMillis < BUSY_MILLIS;
 		}
 
 		@Override
@@ -168,6 +171,7 @@
 			ByteBuf frame = (ByteBuf) message;
 			if (this.runner != null) {
 				this.lastTransferMillis = RelayServer.this.ticker.millis();
+				this.awaitingResponse = true;
 				this.runner.writeAndFlush(frame);
 				this.host.config().setAutoRead(this.runner.isWritable());
 				return;
@@ -273,6 +277,7 @@
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
 			this.hostSide.lastTransferMillis = RelayServer.this.ticker.millis();
+			this.hostSide.awaitingResponse = false;
 			this.host.writeAndFlush(message);
 			context.channel().config().setAutoRead(this.host.isWritable());
 		}
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPaths.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPaths.java
@@ -185,6 +185,8 @@
 		this.relayConnector.connect(relay.get().getAddress(), runner.id(), new RelayConnector.Listener() {
 			@Override
 			public void connected(ClientConnection connection) {
+				// A host that shuts down interrupts what it still relays at its end.
+				connection.setReuseCondition(relay.get()::isRelaying);
 				listener.connected(runner, connection);
 			}
 
