Let a connection carry each request id only once

Cause: answers were told apart by the request id, which all tries of an item share. A late copy of an error on a kept connection was taken for the answer to the next try.

A further try with the same id gets another connection, so that an answer with the id proves that it belongs to the try. Answers without an id close their connection, as before.

--- a/gateway/src/main/java/org/wigeonglade/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/ClientConnection.java
@@ -1,5 +1,7 @@
 package org.wigeonglade.gateway.http;
 
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 
 import io.netty.buffer.ByteBufUtil;
@@ -42,6 +44,12 @@
 	 */
 	private static final int MAX_SKIPPED_BYTES = 1 << 20;
 
+	/**
+	 * Number of request ids after which a connection is replaced, so that they take
+	 * little memory.
+	 */
+	private static final int MAX_CARRIED_IDS = 512;
+
 	private final Channel channel;
 
 	private final boolean relayed;
@@ -64,6 +72,8 @@
 
 	private BooleanSupplier reuseCondition = () -> true;
 
+	private final Set<String> carriedIds = new HashSet<>();
+
 	private long idleSinceMillis;
 
 	private long idleLimitMillis;
@@ -150,6 +160,25 @@
 		this.channel.config().setAutoRead(reading);
 	}
 
+	/**
+	 * Records the id of a request that the connection carries. A server may repeat its
+	 * response late, so a further request with the same id needs another connection: the
+	 * id would not tell the copy from the response to that request.
+	 * @param id the id that the server repeats in its response, not null
+	 */
+	public void recordCarried(String id) {
+		this.carriedIds.add(id);
+	}
+
+	/**
+	 * Returns whether the connection has carried a request with an id.
+	 * @param id the id, not null
+	 * @return true if a response with that id proves nothing any more
+	 */
+	public boolean hasCarried(String id) {
+		return this.carriedIds.contains(id);
+	}
+
 	/**
 	 * Sets a condition under which the connection may be used for a further request.
 	 * @param condition the condition, not null
@@ -165,7 +194,8 @@
 	 */
 	public boolean isReusable(long nowMillis) {
 		return this.exchange == null && this.keepAlive && !this.broken && this.channel.isActive()
-				&& nowMillis - this.idleSinceMillis < this.idleLimitMillis && this.reuseCondition.getAsBoolean();
+				&& this.carriedIds.size() < MAX_CARRIED_IDS && nowMillis - this.idleSinceMillis < this.idleLimitMillis
+				&& this.reuseCondition.getAsBoolean();
 	}
 
 	/**
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/IdleConnections.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/IdleConnections.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * The idle connections to one server. The most recently used one is taken first, so that
@@ -19,12 +21,28 @@
 	 * @return the connection, empty if there is none
 	 */
 	public Optional<ClientConnection> take(long nowMillis) {
-		while (!this.connections.isEmpty()) {
-			ClientConnection connection = this.connections.pop();
-			if (connection.isReusable(nowMillis)) {
+		return take(nowMillis, (connection) -> true);
+	}
+
+	/**
+	 * Takes the most recently used connection that is reusable and suitable. Connections
+	 * found not to be reusable are closed.
+	 * @param nowMillis the monotonic time in milliseconds
+	 * @param suitable tests whether a connection may carry the next request, not null
+	 * @return the connection, empty if there is none
+	 */
+	public Optional<ClientConnection> take(long nowMillis, Predicate<ClientConnection> suitable) {
+		Iterator<ClientConnection> remaining = this.connections.iterator();
+		while (remaining.hasNext()) {
+			ClientConnection connection = remaining.next();
+			if (!connection.isReusable(nowMillis)) {
+				remaining.remove();
+				connection.close();
+			}
+			else if (suitable.test(connection)) {
+				remaining.remove();
 				return Optional.of(connection);
 			}
-			connection.close();
 		}
 		return Optional.empty();
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -63,8 +63,7 @@
 		RunnerCall call = new RunnerCall(fleet, runner, request, listener);
 		fleet.recordSent(runner);
 		fleet.adjustInProgress(runner.id(), request.batch(), 1);
-		fleet.getPool()
-			.acquire(runner, request.freshConnection(), fleet.connectionLimit(runner), call.new ConnectionListener());
+		fleet.getPool().acquire(runner, request, fleet.connectionLimit(runner), call.new ConnectionListener());
 		return call;
 	}
 
@@ -246,6 +245,7 @@
 			RunnerCall.this.connection = acquired;
 			RunnerCall.this.reused = wasUsed;
 			RunnerCall.this.sent = true;
+			acquired.recordCarried(RunnerCall.this.request.id());
 			acquired.send(RunnerCall.this);
 		}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerConnectionPool.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerConnectionPool.java
@@ -49,18 +49,20 @@
 	/**
 	 * Acquires an idle connection or opens a new one.
 	 * @param runner the runner, not null
-	 * @param fresh whether to close the idle connections and open a new one: when one
-	 * idle connection was reset, the others have usually been reset too
+	 * @param request the request that the connection is for, not null. If it asks for a
+	 * fresh connection, the idle ones are closed: when one of them was reset, the others
+	 * have usually been reset too
 	 * @param limit the maximum number of connections in use from this host to the runner
 	 * @param listener receives the connection, possibly before this method returns; not
 	 * null
 	 */
-	void acquire(RunnerEntry runner, boolean fresh, int limit, Listener listener) {
+	void acquire(RunnerEntry runner, RunnerRequest request, int limit, Listener listener) {
 		IdleConnections idle = idleConnections(runner.id(), this.paths.isRelayed());
-		if (fresh) {
+		if (request.freshConnection()) {
 			idle.closeAll();
 		}
-		Optional<ClientConnection> reused = idle.take(this.ticker.millis());
+		Optional<ClientConnection> reused = idle.take(this.ticker.millis(),
+				(connection) -> !connection.hasCarried(request.id()));
 		if (reused.isPresent()) {
 			this.inUse.merge(runner.id(), 1, Integer::sum);
 			listener.acquired(reused.get(), true);
