Conclude the version of a stream from fresh registrations only

Callers could get streams joined from two software versions (rule ORDER): a host that was out of step while runners of a new version joined took a stream without a readable record for one of the old version.

Cause: a search of the origins that failed counted as "no record", and the history of versions as current while the last call of the store had succeeded, however long ago.

The conclusion needs registrations that were read after the request arrived. Every registration enters the history, which begins anew with a listing. Registrations are also read once more before a stream is refused for lack of runners of its version.

VersionHistoryTests: two new tests.

--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/VersionHistory.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/VersionHistory.java
@@ -34,11 +34,28 @@
 			return;
 		}
 		this.observedSinceMillis = Math.min(this.observedSinceMillis, nowMillis);
-		entries.forEach((entry) -> this.lastSeen.computeIfAbsent(entry.service(), (s) -> new HashMap<>())
-			.put(entry.version(), nowMillis));
+		entries.forEach((entry) -> record(entry, nowMillis));
 		this.lastSeen.values().forEach((seen) -> seen.values().removeIf((t) -> nowMillis - t > RETENTION_MILLIS));
 	}
 
+	/**
+	 * Records a registration. Each one has to be recorded, since a runner may come and go
+	 * between two observations.
+	 * @param entry the registration, not null
+	 * @param nowMillis the monotonic time in milliseconds
+	 */
+	public void record(RunnerEntry entry, long nowMillis) {
+		this.lastSeen.computeIfAbsent(entry.service(), (s) -> new HashMap<>()).put(entry.version(), nowMillis);
+	}
+
+	/**
+	 * Begins the history anew, after registrations may have been missed.
+	 * @param nowMillis the monotonic time in milliseconds
+	 */
+	public void restart(long nowMillis) {
+		this.observedSinceMillis = nowMillis;
+	}
+
 	/**
 	 * Returns the version of a service if it was the only one for a time.
 	 * @param service the service, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -229,6 +229,7 @@
 				this.loop, ticker);
 		OnlineContext online = new OnlineContext(this.loop, ticker, this.fleet, policy, adapters.getCallerProtocol(),
 				this.crashReports, new StreamOriginLog(adapters.openOriginLog(connector, this.loop), this.loop, ticker),
+				this.runnerFollower::whenCaughtUp,
 				new SlotPreemptor(settings.host(), this.items, this.fleet.getLoadTracker(), this.exchange),
 				new OnlineMetrics(this.registry));
 		this.callerServer = new CallerServer(this.group, ticker, this::callerLimits,
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
@@ -117,6 +117,7 @@
 
 		@Override
 		public void listed(List<KeyedRecord> records) {
+			StreamStateUpdater.this.fleet.registrationsListed();
 			Set<RunnerId> listed = new HashSet<>();
 			for (KeyedRecord record : records) {
 				listed.add(RunnerId.of(record.key()));
@@ -159,7 +160,7 @@
 				remove(id, "registration cannot be read");
 				return;
 			}
-			if (directory().put(entry)) {
+			if (StreamStateUpdater.this.fleet.register(entry)) {
 				LOG.log(GatewayEvent.RUNNER_CHANGED, id, entry.service(), entry.version(), entry.address(),
 						entry.draining(), entry.slots(), entry.startedMillis());
 			}
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -204,9 +204,21 @@
 				origin.map(StreamOrigin::service).orElse(null), origin.map(StreamOrigin::version).orElse(null),
 				elapsedMillis());
 		origin.map(StreamOrigin::service).filter(this.route::hasService).ifPresent((s) -> this.service = s);
+		if (origin.isPresent() && findCandidates().isEmpty()) {
+			// Runners of the version may have joined since this host last read.
+			Runnable start = this::startUnlessEnded;
+			this.context.registrations().refresh(StreamOriginFinder.REGISTRATIONS_TIMEOUT, start, start);
+			return;
+		}
 		startNextAttempt();
 	}
 
+	private void startUnlessEnded() {
+		if (!this.exchange.isEnded()) {
+			startNextAttempt();
+		}
+	}
+
 	private List<Candidate> findCandidates() {
 		return this.context.fleet()
 			.candidates(this.service, this.triedRunners)
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/StreamOriginFinder.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/StreamOriginFinder.java
@@ -19,6 +19,9 @@
 	 */
 	private static final int RESUMABLE_TIMEOUTS = 4;
 
+	/** Time after which registrations that cannot be read count as out of date. */
+	static final Duration REGISTRATIONS_TIMEOUT = Duration.ofMillis(500);
+
 	private final OnlineContext context;
 
 	private final Route route;
@@ -34,15 +37,21 @@
 	// The stream is null if the caller does not name it. The listener receives no origin
 	// if that is not known; it may be called before this method returns.
 	void find(String stream, Consumer<Optional<StreamOrigin>> listener) {
+		Search search = new Search(listener);
+		this.context.registrations()
+			.refresh(REGISTRATIONS_TIMEOUT, () -> search.registrationsRead(true),
+					() -> search.registrationsRead(false));
 		if (stream == null) {
-			listener.accept(findOnlyOrigin());
+			search.recordRead(Optional.empty());
 		}
 		else {
-			this.context.origins().find(stream, (recorded) -> listener.accept(recorded.or(this::findOnlyOrigin)));
+			this.context.origins().find(stream, search::recordRead);
 		}
 	}
 
-	// Without a record, the stream began at the only version that there was.
+	// Without a record, the stream began at the only version that there was. The
+	// registrations must be as new as the request: this host may have been suspended or
+	// cut off while runners of another version joined.
 	private Optional<StreamOrigin> findOnlyOrigin() {
 		Duration period = this.route.getTimeout().multipliedBy(RESUMABLE_TIMEOUTS);
 		return this.context.fleet()
@@ -50,4 +59,45 @@
 			.map((version) -> new StreamOrigin(this.service, version));
 	}
 
+	/**
+	 * One search. The record and the registrations are read at the same time; the latter
+	 * matter only if there is no record.
+	 */
+	private final class Search {
+
+		private final Consumer<Optional<StreamOrigin>> listener;
+
+		private boolean recordMissing;
+
+		private boolean registrationsRead;
+
+		private boolean registrationsCurrent;
+
+		private Search(Consumer<Optional<StreamOrigin>> listener) {
+			this.listener = listener;
+		}
+
+		private void recordRead(Optional<StreamOrigin> recorded) {
+			if (recorded.isPresent()) {
+				this.listener.accept(recorded);
+				return;
+			}
+			this.recordMissing = true;
+			completeIfRead();
+		}
+
+		private void registrationsRead(boolean current) {
+			this.registrationsRead = true;
+			this.registrationsCurrent = current;
+			completeIfRead();
+		}
+
+		private void completeIfRead() {
+			if (this.recordMissing && this.registrationsRead) {
+				this.listener.accept(this.registrationsCurrent ? findOnlyOrigin() : Optional.empty());
+			}
+		}
+
+	}
+
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -167,6 +167,24 @@
 		return this.directory;
 	}
 
+	/**
+	 * Adds or replaces a registration.
+	 * @param entry the registration, not null
+	 * @return true if it is new or differs from the previous one
+	 */
+	public boolean register(RunnerEntry entry) {
+		this.versions.record(entry, this.ticker.millis());
+		return this.directory.put(entry);
+	}
+
+	/**
+	 * Records that all registrations were listed, so that others may have come and gone
+	 * unseen before.
+	 */
+	public void registrationsListed() {
+		this.versions.restart(this.ticker.millis());
+	}
+
 	/**
 	 * Returns the numbers of requests in progress at the runners.
 	 * @return the numbers over all hosts, never null
--- a/gateway/src/test/java/org/wigeonglade/gateway/fleet/VersionHistoryTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/fleet/VersionHistoryTests.java
@@ -61,6 +61,27 @@
 		Assert.assertEquals(find(50_250), Optional.of(SoftwareVersion.of("v1")));
 	}
 
+	// A host that was suspended reads both registrations at once.
+	@Test
+	public void versionThatCameAndWentBetweenTwoObservationsCounts() {
+		observe(0, "v1");
+		this.history.record(runner("v2"), 30_000);
+		observe(30_000, "v1");
+		Assert.assertEquals(find(49_999), Optional.empty());
+		observe(50_001, "v1");
+		Assert.assertEquals(find(50_001), Optional.of(SoftwareVersion.of("v1")));
+	}
+
+	@Test
+	public void historyBeginsAnewWithAListingThatMayHideVersions() {
+		observe(0, "v1");
+		this.history.restart(30_000);
+		observe(30_250, "v1");
+		Assert.assertEquals(find(49_999), Optional.empty());
+		observe(50_000, "v1");
+		Assert.assertEquals(find(50_000), Optional.of(SoftwareVersion.of("v1")));
+	}
+
 	private void observe(long millis, String... versions) {
 		this.history.observe(List.of(versions).stream().map(VersionHistoryTests::runner).toList(), true, millis);
 	}
--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineOperatorStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineOperatorStandIn.java
@@ -40,6 +40,8 @@
 
 	private boolean batchRoute = true;
 
+	private long timeoutMillis = TIMEOUT_MILLIS;
+
 	/**
 	 * Creates an operator.
 	 * @param store the store to publish to, not null
@@ -66,6 +68,14 @@
 		this.batchAttempts = attempts;
 	}
 
+	/**
+	 * Sets the time-out of the routes of the configurations published afterwards.
+	 * @param millis the time-out in milliseconds
+	 */
+	public void setTimeout(long millis) {
+		this.timeoutMillis = millis;
+	}
+
 	/**
 	 * Publishes the default routes with the next version: safe, once, stream,
 	 * plain-stream and batch-stream.
@@ -154,12 +164,12 @@
 		}
 	}
 
-	private static JsonObject route(String name, String kind, String service, int attempts) {
+	private JsonObject route(String name, String kind, String service, int attempts) {
 		return new JsonObject().put("name", name)
 			.put("hostname", "127.0.0.1")
 			.put("path-prefix", "/" + name + "/")
 			.put("route-type", kind)
-			.put("timeout-ms", TIMEOUT_MILLIS)
+			.put("timeout-ms", this.timeoutMillis)
 			.put("target-latency-ms", 300)
 			.put("priority", 0)
 			.put("backend", service)
