Let a damaged record cost only itself

Here an odd registration was skipped, but numbers out of range, port 0 and ids that no header can carry were taken for a runner, and an odd record in the gateway's own stream or an odd configuration ended the follower.

Cause: an exception of an unexpected type escaped from the handling of one record, and the follower stayed in the state of a read in progress.

A follower whose listener fails lists its stream anew.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/StreamOriginLog.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/StreamOriginLog.java
@@ -11,7 +11,6 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
-import org.wigeonglade.core.error.WigeongladeException;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.time.Ticker;
@@ -103,7 +102,7 @@
 					new StreamOrigin(ServiceName.of(origin.getService()), SoftwareVersion.of(origin.getVersion())),
 					this.ticker.millis());
 		}
-		catch (InvalidProtocolBufferException | WigeongladeException ex) {
+		catch (InvalidProtocolBufferException | RuntimeException ex) {
 			LOG.log(GatewayEvent.RECORD_INVALID, ex, record.offset(), record.key());
 		}
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
@@ -1,16 +1,15 @@
 package org.wigeonglade.gateway.host;
 
-import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import org.wigeonglade.core.error.WigeongladeException;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.peer.SocketAddresses;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.RunnerDirectory;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
@@ -88,7 +87,8 @@
 	// Registers another host, from its record or from a datagram that it sent.
 	void register(HostEntry entry) {
 		if (!entry.getHost().equals(this.self.getHost())) {
-			this.peers.register(HostId.of(entry.getHost()), new InetSocketAddress(entry.getIp(), entry.getPort()),
+			this.peers.register(HostId.of(entry.getHost()),
+					SocketAddresses.parse(entry.getIp() + ":" + entry.getPort(), "the address of a host"),
 					FailureDomain.of(entry.getDomain()), entry.getIncarnation(), this.ticker.millis());
 		}
 	}
@@ -101,7 +101,7 @@
 		try {
 			next = this.adapters.readConfiguration(record);
 		}
-		catch (WigeongladeException ex) {
+		catch (RuntimeException ex) {
 			LOG.log(GatewayEvent.CONFIGURATION_INVALID, record.offset(), ex.getMessage());
 			return;
 		}
@@ -155,7 +155,7 @@
 			try {
 				entry = StreamStateUpdater.this.adapters.readRunner(record);
 			}
-			catch (WigeongladeException ex) {
+			catch (RuntimeException ex) {
 				LOG.log(GatewayEvent.RUNNER_INVALID, record.key(), ex.getMessage());
 				remove(id, "registration cannot be read");
 				return;
@@ -195,7 +195,7 @@
 
 		@Override
 		public void listed(List<KeyedRecord> records) {
-			StreamStateUpdater.this.jobTable.reset(records);
+			StreamStateUpdater.this.jobTable.reset(records, GatewayStreamListener::logInvalid);
 			this.crashReports.resetRecords();
 			this.limits.resetRecords();
 			records.forEach(this::applyFleetRecord);
@@ -209,8 +209,8 @@
 				try {
 					StreamStateUpdater.this.jobTable.apply(record).ifPresent(this.jobListener);
 				}
-				catch (WigeongladeException ex) {
-					LOG.log(GatewayEvent.RECORD_INVALID, ex, record.offset(), record.key());
+				catch (RuntimeException ex) {
+					logInvalid(record, ex);
 				}
 			}
 		}
@@ -227,11 +227,15 @@
 					applyHost(record);
 				}
 			}
-			catch (InvalidProtocolBufferException | WigeongladeException ex) {
-				LOG.log(GatewayEvent.RECORD_INVALID, ex, record.offset(), record.key());
+			catch (InvalidProtocolBufferException | RuntimeException ex) {
+				logInvalid(record, ex);
 			}
 		}
 
+		private static void logInvalid(KeyedRecord record, Exception failure) {
+			LOG.log(GatewayEvent.RECORD_INVALID, failure, record.offset(), record.key());
+		}
+
 		private void applyHost(KeyedRecord record) throws InvalidProtocolBufferException {
 			if (!record.key().startsWith(HOST_KEY_PREFIX)) {
 				return;
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/Job.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/Job.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.wigeonglade.core.error.ErrorCode;
+import org.wigeonglade.core.error.PlatformException;
 import org.wigeonglade.schema.generated.gateway.JobPart;
 
 /**
@@ -163,6 +165,11 @@
 	}
 
 	void addPart(String key, JobPart part) {
+		boolean inconsistent = this.parts.values().stream().anyMatch((other) -> other.getParts() != part.getParts());
+		if (part.getPart() < 0 || part.getPart() >= part.getParts() || inconsistent) {
+			throw new PlatformException(ErrorCode.RECORD_INVALID, "part " + part.getPart() + " of " + part.getParts()
+					+ " of job " + this.id + " does not fit the other parts", null);
+		}
 		if (this.complete || this.parts.putIfAbsent(part.getPart(), part) != null) {
 			return;
 		}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 
 import org.wigeonglade.gateway.store.KeyedRecord;
 import org.wigeonglade.schema.generated.gateway.ItemResult;
@@ -28,19 +29,31 @@
 	 * Replaces the state by a listing of the stream. Results that were already applied
 	 * keep their positions, since callers may have read them.
 	 * @param records the latest record of each key in stream order, not null
+	 * @param onInvalid receives each record that cannot be decoded, not null
 	 */
-	public void reset(List<KeyedRecord> records) {
+	public void reset(List<KeyedRecord> records, BiConsumer<KeyedRecord, RuntimeException> onInvalid) {
 		Set<JobId> listed = new HashSet<>();
 		// Parts are applied first: the latest part record of a job that was submitted
 		// twice may follow its results.
-		records.stream().filter((r) -> r.key().startsWith(JobRecords.PART_PREFIX)).forEach((r) -> {
-			listed.add(jobIdOf(r.key()));
-			apply(r);
-		});
-		records.stream().filter((r) -> !r.key().startsWith(JobRecords.PART_PREFIX)).forEach(this::apply);
+		records.stream()
+			.filter((r) -> r.key().startsWith(JobRecords.PART_PREFIX))
+			.forEach((r) -> applyOrReport(r, onInvalid).ifPresent((job) -> listed.add(job.getId())));
+		records.stream()
+			.filter((r) -> !r.key().startsWith(JobRecords.PART_PREFIX))
+			.forEach((r) -> applyOrReport(r, onInvalid));
 		this.jobs.keySet().retainAll(listed);
 	}
 
+	private Optional<Job> applyOrReport(KeyedRecord record, BiConsumer<KeyedRecord, RuntimeException> onInvalid) {
+		try {
+			return apply(record);
+		}
+		catch (RuntimeException ex) {
+			onInvalid.accept(record, ex);
+			return Optional.empty();
+		}
+	}
+
 	/**
 	 * Applies an appended record. Records with an unknown key prefix are ignored.
 	 * @param record the record, not null
@@ -105,12 +118,10 @@
 	}
 
 	private Optional<Job> removeJob(String key) {
-		return key.startsWith(JobRecords.PART_PREFIX) ? Optional.ofNullable(this.jobs.remove(jobIdOf(key)))
+		int end = key.lastIndexOf('/');
+		return (key.startsWith(JobRecords.PART_PREFIX) && end >= JobRecords.PART_PREFIX.length())
+				? Optional.ofNullable(this.jobs.remove(JobId.of(key.substring(JobRecords.PART_PREFIX.length(), end))))
 				: Optional.empty();
 	}
 
-	private static JobId jobIdOf(String key) {
-		return JobId.of(key.substring(JobRecords.PART_PREFIX.length(), key.lastIndexOf('/')));
-	}
-
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -227,6 +227,10 @@
 	ORIGINS_UNREADABLE(5505, Level.WARNING, "log of stream origins cannot be read; streams are not resumed",
 			"partition", "searches", "reason"),
 
+	/** The records of a stream could not be applied. */
+	STREAM_LISTENER_FAILED(5506, Level.ERROR, "records could not be applied; the stream is listed again", "stream",
+			"next_offset"),
+
 	/** A datagram of a peer cannot be decoded. */
 	DATAGRAM_INVALID(6501, Level.WARNING, "datagram cannot be decoded", "bytes");
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
@@ -258,12 +258,14 @@
 			return;
 		}
 		List<KeyedRecord> records = listing.toRecords();
+		recordSuccess();
+		if (!deliver(() -> this.listener.listed(records))) {
+			return;
+		}
 		this.next = listing.getNextOffset();
 		this.currentAsOfMillis = startMillis;
-		recordSuccess();
 		this.listed = true;
 		LOG.log(GatewayEvent.STREAM_LISTED, this.stream, records.size(), this.next);
-		this.listener.listed(records);
 		this.reading = false;
 		schedule(0);
 	}
@@ -275,10 +277,11 @@
 		Duration wait = callbacks.isEmpty() ? this.timing.maxWait() : Duration.ZERO;
 		this.log.read(this.stream, this.next, wait).subscribe().with((slice) -> this.loop.execute(() -> {
 			recordSuccess();
-			this.next = Math.max(this.next, slice.next());
-			if (!slice.records().isEmpty()) {
-				this.listener.appended(slice.records());
+			if (!deliver(() -> deliverAppended(slice.records()))) {
+				this.readCallbacks.addAll(callbacks);
+				return;
 			}
+			this.next = Math.max(this.next, slice.next());
 			this.reading = false;
 			if (slice.next() < slice.end()) {
 				this.readCallbacks.addAll(callbacks);
@@ -295,8 +298,27 @@
 		});
 	}
 
+	// Returns whether the listener has applied the records. If it fails, the state
+	// derived
+	// from the stream is incomplete, so the stream is listed anew.
+	private boolean deliver(Runnable delivery) {
+		try {
+			delivery.run();
+			this.backoffMillis = INITIAL_BACKOFF_MILLIS;
+			return true;
+		}
+		catch (RuntimeException | StackOverflowError | OutOfMemoryError ex) {
+			LOG.log(GatewayEvent.STREAM_LISTENER_FAILED, ex, this.stream, this.next);
+			this.next = -1;
+			this.listed = false;
+			this.reading = false;
+			schedule(this.backoffMillis);
+			this.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, this.backoffMillis * 2);
+			return false;
+		}
+	}
+
 	private void recordSuccess() {
-		this.backoffMillis = INITIAL_BACKOFF_MILLIS;
 		if (!this.reachable) {
 			this.reachable = true;
 			LOG.log(GatewayEvent.STORE_REACHABLE, this.stream, this.next);
@@ -304,6 +326,12 @@
 		this.listener.storeAnswered();
 	}
 
+	private void deliverAppended(List<KeyedRecord> records) {
+		if (!records.isEmpty()) {
+			this.listener.appended(records);
+		}
+	}
+
 	private void handleFailureOnLoop(Throwable failure) {
 		this.loop.execute(() -> handleFailure(failure));
 	}
--- a/gateway/src/test/java/org/wigeonglade/gateway/job/JobListingTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/job/JobListingTests.java
@@ -179,7 +179,9 @@
 
 		@Override
 		public void listed(List<KeyedRecord> records) {
-			JobListingTests.this.jobTable.reset(records);
+			JobListingTests.this.jobTable.reset(records, (record, failure) -> {
+				throw failure;
+			});
 			JobListingTests.this.listed.countDown();
 		}
 
--- a/gateway/src/test/java/org/wigeonglade/gateway/job/JobTableTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/job/JobTableTests.java
@@ -70,9 +70,9 @@
 			List<KeyedRecord> listing = new ArrayList<>(newest.values());
 			listing.sort((a, b) -> Long.compare(a.offset(), b.offset()));
 			JobTable listed = new JobTable();
-			listed.reset(listing);
+			reset(listed, listing);
 			Assert.assertEquals(texts(listed.find(JOB).orElseThrow()), texts(following.find(JOB).orElseThrow()));
-			following.reset(listing);
+			reset(following, listing);
 			Assert.assertEquals(texts(following.find(JOB).orElseThrow()), texts(listed.find(JOB).orElseThrow()));
 		}
 	}
@@ -103,6 +103,12 @@
 		Assert.assertTrue(table.find(JOB).isEmpty());
 	}
 
+	private static void reset(JobTable table, List<KeyedRecord> listing) {
+		table.reset(listing, (record, failure) -> {
+			throw failure;
+		});
+	}
+
 	private static List<String> texts(Job job) {
 		return job.getResults(0)
 			.stream()
