List the jobs without a second copy, and tell when that fails

Cause: a listing held all records and a copy of their outputs, twice the volume, in a heap of 96 MB. The OutOfMemoryError ended the follower, and the host answered from the half-filled table.

Outputs are views of their records; bodies are kept only of items that may still run; a host that has not listed the jobs is not ready and answers 503 for them; periodic tasks survive errors.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -414,6 +414,9 @@
 		else if (this.fleet.getDirectory().getEntries().isEmpty()) {
 			reason = "no runner is registered";
 		}
+		else if (!this.gatewayStreamFollower.isListed()) {
+			reason = "the jobs have not been read";
+		}
 		if ((reason == null) != this.ready) {
 			this.ready = reason == null;
 			LOG.log(GatewayEvent.READINESS, this.ready, reason);
@@ -466,7 +469,7 @@
 			try {
 				task.run();
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | StackOverflowError | OutOfMemoryError ex) {
 				LOG.log(GatewayEvent.UNEXPECTED, ex, (Object) null);
 			}
 		};
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemOutcome.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemOutcome.java
@@ -1,5 +1,7 @@
 package org.wigeonglade.gateway.job;
 
+import com.google.protobuf.ByteString;
+
 /**
  * Final outcome of an item.
  *
@@ -9,6 +11,6 @@
  * @param output the data of all events in order, separated by line feeds; empty if the
  * item was given up
  */
-public record ItemOutcome(ItemId item, boolean completed, byte[] output) {
+public record ItemOutcome(ItemId item, boolean completed, ByteString output) {
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemOwnership.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemOwnership.java
@@ -25,7 +25,7 @@
 
 	private final PeerTable peers;
 
-	private final Map<JobId, List<SubmittedItem>> ownedItems = new HashMap<>();
+	private final Map<JobId, List<ItemId>> ownedItems = new HashMap<>();
 
 	private long version = -1;
 
@@ -54,13 +54,13 @@
 	 * @param job a complete job, not null
 	 * @return the items, including those that already have a result, never null
 	 */
-	List<SubmittedItem> getOwnedItems(Job job) {
+	List<ItemId> getOwnedItems(Job job) {
 		if (this.version != this.peers.getVersion()) {
 			this.ownedItems.clear();
 			this.version = this.peers.getVersion();
 		}
 		return this.ownedItems.computeIfAbsent(job.getId(),
-				(id) -> job.getItems().stream().filter((item) -> isOwner(id, item.id())).toList());
+				(id) -> job.getItems().stream().map(SubmittedItem::id).filter((item) -> isOwner(id, item)).toList());
 	}
 
 	/**
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -106,8 +107,8 @@
 		return this.attempts;
 	}
 
-	byte[] getOutput() {
-		return this.output.toByteArray();
+	ByteString getOutput() {
+		return ByteString.copyFrom(this.output.toByteArray());
 	}
 
 	long getEndedMillis() {
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.HostId;
@@ -450,13 +451,14 @@
 			if (!job.isComplete() || job.isDone()) {
 				continue;
 			}
-			List<SubmittedItem> owned = this.ownership.getOwnedItems(job);
+			List<ItemId> owned = this.ownership.getOwnedItems(job);
 			Optional<Route> route = owned.isEmpty() ? Optional.empty() : routeOf(job);
-			for (SubmittedItem item : owned) {
-				ItemKey key = new ItemKey(job.getId(), item.id());
-				if (!job.isOpen(item.id()) || this.pendingOutcomes.containsKey(key)) {
+			for (ItemId id : owned) {
+				ItemKey key = new ItemKey(job.getId(), id);
+				if (!job.isOpen(id) || this.pendingOutcomes.containsKey(key)) {
 					continue;
 				}
+				SubmittedItem item = job.findItem(id).orElseThrow();
 				if (route.isEmpty()) {
 					giveUpIfConfirmed(job, item, "its route no longer exists");
 					continue;
@@ -480,7 +482,7 @@
 	private void giveUp(Job job, SubmittedItem item, String reason) {
 		ItemKey key = new ItemKey(job.getId(), item.id());
 		ItemRun run = this.runs.computeIfAbsent(key, (k) -> new ItemRun(job, item, this));
-		finish(run, new ItemOutcome(item.id(), false, new byte[0]), reason, null);
+		finish(run, new ItemOutcome(item.id(), false, ByteString.EMPTY), reason, null);
 	}
 
 	private void finish(ItemRun run, ItemOutcome outcome, String reason, RunnerEntry runner) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/Job.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/Job.java
@@ -121,9 +121,9 @@
 	}
 
 	/**
-	 * Returns an item.
+	 * Returns an item. Its body is kept until it has a result or the job has ended.
 	 * @param item the item, not null
-	 * @return the item as submitted, empty if the job has no such item
+	 * @return the item, empty if the job has no such item
 	 */
 	public Optional<SubmittedItem> findItem(ItemId item) {
 		return Optional.ofNullable(this.items.get(item));
@@ -188,7 +188,10 @@
 		}
 		this.parts.clear();
 		this.open.putAll(this.items);
-		this.resultPositions.keySet().forEach(this.open::remove);
+		this.resultPositions.keySet().forEach((finished) -> {
+			this.open.remove(finished);
+			this.items.computeIfPresent(finished, (id, item) -> item.withoutBody());
+		});
 		this.openTokens = this.open.values().stream().mapToLong(SubmittedItem::tokens).sum();
 		this.complete = true;
 	}
@@ -201,6 +204,7 @@
 		this.resultPositions.put(outcome.item(), this.results.size());
 		this.results.add(outcome);
 		SubmittedItem finished = this.open.remove(outcome.item());
+		this.items.computeIfPresent(outcome.item(), (id, item) -> item.withoutBody());
 		this.openTokens -= (finished != null) ? finished.tokens() : 0;
 		return true;
 	}
@@ -208,6 +212,8 @@
 	void end(String key) {
 		this.recordKeys.add(key);
 		this.ended = true;
+		this.items.replaceAll((id, item) -> item.withoutBody());
+		this.open.replaceAll((id, item) -> item.withoutBody());
 	}
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobRecords.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobRecords.java
@@ -5,8 +5,10 @@
 import java.util.Map;
 
 import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedInputStream;
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.Parser;
+import com.google.protobuf.UnsafeByteOperations;
 import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.PlatformException;
 import org.wigeonglade.gateway.store.KeyedRecord;
@@ -84,7 +86,7 @@
 			.setJobId(job.value())
 			.setItemId(outcome.item().value())
 			.setState(outcome.completed() ? ItemState.ITEM_STATE_COMPLETED : ItemState.ITEM_STATE_DEAD_LETTER)
-			.setOutput(ByteString.copyFrom(outcome.output()))
+			.setOutput(outcome.output())
 			.setReason(reason)
 			.build();
 		return KeyedRecord.of(RESULT_PREFIX + job + "/" + outcome.item() + "/" + attemptKey, result.toByteArray());
@@ -111,9 +113,16 @@
 		return parse(record, JobEnd.parser());
 	}
 
+	// Outputs are views of the value of the record, since a second copy of all of them
+	// does
+	// not fit into the memory while the stream is listed.
 	private static <T> T parse(KeyedRecord record, Parser<T> parser) {
+		CodedInputStream input = UnsafeByteOperations.unsafeWrap(record.value()).newCodedInput();
+		input.enableAliasing(true);
 		try {
-			return parser.parseFrom(record.value());
+			T message = parser.parseFrom(input);
+			input.checkLastTagWas(0);
+			return message;
 		}
 		catch (InvalidProtocolBufferException ex) {
 			throw new PlatformException(ErrorCode.RECORD_INVALID,
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -159,13 +159,15 @@
 
 	private void withJob(CallerExchange exchange, JobId id, Consumer<Job> action) {
 		Optional<Job> job = this.jobTable.find(id);
-		if (job.isPresent()) {
+		if (job.isPresent() && this.follower.isListed()) {
 			action.accept(job.get());
 			return;
 		}
 		Runnable respond = () -> {
 			if (!exchange.isEnded()) {
-				this.jobTable.find(id).ifPresentOrElse(action, () -> respondUnknownJob(exchange, id));
+				this.jobTable.find(id)
+					.filter((found) -> this.follower.isListed())
+					.ifPresentOrElse(action, () -> respondUnknownJob(exchange, id));
 			}
 		};
 		this.follower.whenCaughtUp(FRESH_STATE_WAIT, respond, respond);
@@ -203,7 +205,7 @@
 
 	private void readItem(CallerExchange exchange, Job job, CallerOperation.ReadItem read) {
 		Optional<SubmittedItem> item = job.findItem(read.item());
-		if (item.isPresent() && !job.isEnded()) {
+		if (item.isPresent() && job.isOpen(read.item()) && !job.isEnded()) {
 			exchange.respond(200, List.of(Map.entry("Content-Type", "application/octet-stream")), item.get().body());
 		}
 		else {
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobTable.java
@@ -76,7 +76,7 @@
 			Job job = findOrCreate(JobId.of(result.getJobId()));
 			long before = job.getOpenTokens();
 			boolean added = job.addResult(record.key(), new ItemOutcome(ItemId.of(result.getItemId()),
-					result.getState() == ItemState.ITEM_STATE_COMPLETED, result.getOutput().toByteArray()));
+					result.getState() == ItemState.ITEM_STATE_COMPLETED, result.getOutput()));
 			this.finishedTokens += before - job.getOpenTokens();
 			return added ? Optional.of(job) : Optional.empty();
 		}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/SubmittedItem.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/SubmittedItem.java
@@ -14,4 +14,14 @@
  */
 public record SubmittedItem(ItemId id, String path, List<Map.Entry<String, String>> headers, byte[] body, long tokens) {
 
+	private static final byte[] NO_BODY = new byte[0];
+
+	/**
+	 * Returns this item without its headers and its body.
+	 * @return the item, never null
+	 */
+	SubmittedItem withoutBody() {
+		return new SubmittedItem(this.id, this.path, List.of(), NO_BODY, this.tokens);
+	}
+
 }
--- a/gateway/src/test/java/org/wigeonglade/gateway/job/JobListingTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/job/JobListingTests.java
@@ -1,6 +1,5 @@
 package org.wigeonglade.gateway.job;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,6 +7,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+import com.google.protobuf.ByteString;
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
 import org.testng.Assert;
@@ -163,7 +163,7 @@
 	}
 
 	private static KeyedRecord result(int job, int item, String attempt) {
-		ItemOutcome outcome = new ItemOutcome(ItemId.of("i" + item), true, "text".getBytes(StandardCharsets.UTF_8));
+		ItemOutcome outcome = new ItemOutcome(ItemId.of("i" + item), true, ByteString.copyFromUtf8("text"));
 		return JobRecords.write(job(job).id(), outcome, "", attempt);
 	}
 
--- a/gateway/src/test/java/org/wigeonglade/gateway/job/JobRetentionTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/job/JobRetentionTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 
+import com.google.protobuf.ByteString;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 import org.wigeonglade.gateway.store.KeyedRecord;
@@ -41,7 +42,7 @@
 		SubmittedItem item = new SubmittedItem(ItemId.of("i"), "/p/", List.of(), new byte[0], 1);
 		JobRecords.write(new SubmittedJob(JOB, "h", "/p/", SUBMITTED, List.of(item))).forEach(table::apply);
 		if (done) {
-			table.apply(JobRecords.write(JOB, new ItemOutcome(ItemId.of("i"), true, new byte[0]), "", "w.1"));
+			table.apply(JobRecords.write(JOB, new ItemOutcome(ItemId.of("i"), true, ByteString.EMPTY), "", "w.1"));
 		}
 		return table;
 	}
--- a/gateway/src/test/java/org/wigeonglade/gateway/job/JobTableTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/job/JobTableTests.java
@@ -1,6 +1,5 @@
 package org.wigeonglade.gateway.job;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -8,6 +7,7 @@
 import java.util.Map;
 import java.util.Random;
 
+import com.google.protobuf.ByteString;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 import org.wigeonglade.gateway.store.KeyedRecord;
@@ -77,6 +77,24 @@
 		}
 	}
 
+	// Guards against memory that grows with the bodies of all items, not only of those
+	// that
+	// may still be asked for.
+	@Test
+	public void bodiesAreKeptOnlyOfItemsWithoutAResult() {
+		JobTable table = new JobTable();
+		stream(result("i0", "early", "w.0"), accepted(3), result("i1", "x", "w.1")).forEach(table::apply);
+		Job job = table.find(JOB).orElseThrow();
+		Assert.assertEquals(bodyBytes(job), List.of(0, 0, 10));
+		table.apply(new KeyedRecord(9, JobRecords.writeEnd(JOB).key(), JobRecords.writeEnd(JOB).value()));
+		Assert.assertEquals(bodyBytes(job), List.of(0, 0, 0));
+		Assert.assertEquals(job.getItemCount(), 3);
+	}
+
+	private static List<Integer> bodyBytes(Job job) {
+		return job.getItems().stream().map((item) -> item.body().length).toList();
+	}
+
 	@Test
 	public void endedJobKeepsItsResults() {
 		JobTable table = new JobTable();
@@ -110,10 +128,7 @@
 	}
 
 	private static List<String> texts(Job job) {
-		return job.getResults(0)
-			.stream()
-			.map((r) -> r.item() + "=" + new String(r.output(), StandardCharsets.UTF_8))
-			.toList();
+		return job.getResults(0).stream().map((r) -> r.item() + "=" + r.output().toStringUtf8()).toList();
 	}
 
 	@SafeVarargs
@@ -130,7 +145,7 @@
 	}
 
 	private static List<KeyedRecord> result(String item, String text, String attempt) {
-		ItemOutcome outcome = new ItemOutcome(ItemId.of(item), true, text.getBytes(StandardCharsets.UTF_8));
+		ItemOutcome outcome = new ItemOutcome(ItemId.of(item), true, ByteString.copyFromUtf8(text));
 		return Collections.singletonList(JobRecords.write(JOB, outcome, "", attempt));
 	}
 
--- /dev/null
+++ b/gateway/src/test/java/org/wigeonglade/gateway/store/StreamFollowerTests.java
@@ -0,0 +1,180 @@
+package org.wigeonglade.gateway.store;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.wigeonglade.core.time.Ticker;
+
+/**
+ * Guards against a follower that stops to read, or counts as current, after a failure.
+ */
+public class StreamFollowerTests {
+
+	private static final long AWAIT_MILLIS = 10_000;
+
+	private final List<String> keys = new ArrayList<>();
+
+	private EventLoop loop;
+
+	private PagedLog log;
+
+	private StreamFollower follower;
+
+	private Supplier<Throwable> failure;
+
+	private String failingKey;
+
+	private int listings;
+
+	@BeforeMethod
+	public void startFollower() {
+		this.keys.clear();
+		this.failure = null;
+		this.failingKey = null;
+		this.listings = 0;
+		this.loop = new DefaultEventLoop();
+		this.log = new PagedLog(2);
+		put("a", "b", "c");
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stopFollower() {
+		this.follower.stop();
+		this.loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+	}
+
+	@DataProvider
+	public Object[][] failures() {
+		return new Object[][] { { (Supplier<Throwable>) () -> new IllegalArgumentException("port out of range") },
+				{ (Supplier<Throwable>) () -> new OutOfMemoryError("simulated") },
+				{ (Supplier<Throwable>) StackOverflowError::new } };
+	}
+
+	@Test(dataProvider = "failures")
+	public void failureOfTheListenerInAListingIsFollowedByAnotherOne(Supplier<Throwable> thrown) {
+		this.failure = thrown;
+		this.failingKey = "b";
+		follow();
+		await(() -> this.listings >= 2);
+		Assert.assertFalse(onLoop(this.follower::isListed), "counts as listed after a failure");
+		this.failingKey = null;
+		await(this.follower::isListed);
+		Assert.assertEquals(this.keys, List.of("a", "b", "c"));
+		put("d");
+		await(() -> this.keys.contains("d"));
+	}
+
+	@Test(dataProvider = "failures")
+	public void failureOfTheListenerInAReadIsFollowedByAListing(Supplier<Throwable> thrown) {
+		follow();
+		await(this.follower::isListed);
+		this.failure = thrown;
+		this.failingKey = "d";
+		put("d");
+		await(() -> this.listings >= 2);
+		this.failingKey = null;
+		await(this.follower::isListed);
+		put("e");
+		await(() -> this.keys.contains("e"));
+		Assert.assertTrue(this.keys.containsAll(List.of("a", "b", "c", "d", "e")), this.keys.toString());
+	}
+
+	@Test
+	public void failedPagesAreReadAgain() {
+		this.log.fail(3);
+		follow();
+		await(this.follower::isListed);
+		Assert.assertEquals(this.keys, List.of("a", "b", "c"));
+	}
+
+	@Test
+	public void callerThatNeedsTheNewestStateDoesNotWaitForTheNextPoll() throws Exception {
+		follow();
+		await(this.follower::isListed);
+		put("d");
+		CountDownLatch caughtUp = new CountDownLatch(1);
+		this.loop.execute(() -> this.follower.whenCaughtUp(caughtUp::countDown));
+		Assert.assertTrue(caughtUp.await(AWAIT_MILLIS, TimeUnit.MILLISECONDS));
+		Assert.assertTrue(this.keys.contains("d"));
+	}
+
+	@Test
+	public void callerThatNeedsTheNewestStateIsToldWhenItCannotBeRead() throws Exception {
+		follow();
+		await(this.follower::isListed);
+		this.log.setSilent(true);
+		CountDownLatch caughtUp = new CountDownLatch(1);
+		CountDownLatch timedOut = new CountDownLatch(1);
+		this.loop
+			.execute(() -> this.follower.whenCaughtUp(Duration.ofMillis(50), caughtUp::countDown, timedOut::countDown));
+		Assert.assertTrue(timedOut.await(AWAIT_MILLIS, TimeUnit.MILLISECONDS));
+		Assert.assertEquals(caughtUp.getCount(), 1);
+	}
+
+	private void follow() {
+		this.follower = new StreamFollower(this.log, KeyedStream.OWN,
+				new PollTiming(Duration.ofSeconds(1), Duration.ZERO), this.loop, Ticker.system(), new Listener());
+		this.loop.execute(this.follower::start);
+	}
+
+	private void put(String... added) {
+		for (String key : added) {
+			this.log.put(List.of(KeyedRecord.of(key, new byte[] { 1 })));
+		}
+	}
+
+	private boolean onLoop(BooleanSupplier query) {
+		return this.loop.submit(query::getAsBoolean).syncUninterruptibly().getNow();
+	}
+
+	private void await(BooleanSupplier condition) {
+		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AWAIT_MILLIS);
+		while (!onLoop(condition)) {
+			Assert.assertTrue(System.nanoTime() < deadline, "the condition was not met in time");
+		}
+	}
+
+	private final class Listener implements StreamFollower.Listener {
+
+		@Override
+		public void listed(List<KeyedRecord> records) {
+			StreamFollowerTests.this.listings++;
+			StreamFollowerTests.this.keys.clear();
+			records.forEach(this::apply);
+		}
+
+		@Override
+		public void appended(List<KeyedRecord> records) {
+			records.forEach(this::apply);
+		}
+
+		private void apply(KeyedRecord record) {
+			if (record.key().equals(StreamFollowerTests.this.failingKey)) {
+				throwUnchecked(StreamFollowerTests.this.failure.get());
+			}
+			StreamFollowerTests.this.keys.add(record.key());
+		}
+
+		private static void throwUnchecked(Throwable thrown) {
+			switch (thrown) {
+				case RuntimeException ex -> throw ex;
+				case Error ex -> throw ex;
+				default -> throw new AssertionError(thrown);
+			}
+		}
+
+	}
+
+}
