Defer the removal of a runner only where it may have lapsed

Cause: each start of a host counted as the end of an outage, after which the removals of runners are deferred for 2.5 s.

The grace period starts only after a failed call, and a runner that has registered since the store is back is removed at once.

RunnerDirectoryTests: 2 of 5 new tests failed before (start of a host, registration since the outage); the others keep the grace period where it is owed.

--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerDirectory.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerDirectory.java
@@ -2,15 +2,19 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The directory of registered runners. Registrations may expire while the platform's
- * store is unavailable. So that an outage does not empty the directory, removals shortly
- * after one are deferred until {@link #REREGISTRATION_GRACE_MILLIS} after the store is
- * available again; live runners register again within that time. Not thread-safe.
+ * store is unavailable. So that an outage does not empty the directory, the removal of a
+ * runner that has not registered since the store is available again is deferred until
+ * {@link #REREGISTRATION_GRACE_MILLIS} after that moment; live runners register again
+ * within that time. All other removals are those of runners that leave or have crashed.
+ * Not thread-safe.
  */
 public final class RunnerDirectory {
 
@@ -25,10 +29,16 @@
 
 	private final Map<RunnerId, Long> pendingRemovals = new HashMap<>();
 
+	private final Set<RunnerId> renewed = new HashSet<>();
+
 	private long graceEndMillis = Long.MIN_VALUE;
 
 	private boolean storeAvailable;
 
+	private boolean outageSeen;
+
+	private boolean catchingUp;
+
 	/**
 	 * Adds or replaces an entry.
 	 * @param entry the entry, not null
@@ -36,12 +46,16 @@
 	 */
 	public boolean put(RunnerEntry entry) {
 		this.pendingRemovals.remove(entry.id());
+		if (!this.catchingUp) {
+			this.renewed.add(entry.id());
+		}
 		return !entry.equals(this.entries.put(entry.id(), entry));
 	}
 
 	/**
 	 * Removes an entry, or schedules its removal for the end of the grace period after an
-	 * outage. Entries of draining runners are always removed immediately.
+	 * outage. Entries of runners that are draining or have registered since the outage
+	 * are always removed immediately.
 	 * @param id the runner, not null
 	 * @param nowMillis the monotonic time in milliseconds
 	 * @return true if the entry was removed immediately
@@ -51,11 +65,12 @@
 		if (entry == null) {
 			return false;
 		}
-		if (nowMillis < this.graceEndMillis && !entry.draining()) {
+		if (nowMillis < this.graceEndMillis && !entry.draining() && !this.renewed.contains(id)) {
 			this.pendingRemovals.putIfAbsent(id, this.graceEndMillis);
 			return false;
 		}
 		this.pendingRemovals.remove(id);
+		this.renewed.remove(id);
 		return this.entries.remove(id) != null;
 	}
 
@@ -65,18 +80,22 @@
 	 */
 	public void storeUnreachable() {
 		this.storeAvailable = false;
+		this.outageSeen = true;
 	}
 
 	/**
-	 * Records that the store responded. After an outage, and at the first call, this
-	 * starts the grace period.
+	 * Records that the store responded; called before the records of the response are
+	 * applied. After an outage, this starts the grace period. The records of the first
+	 * response may be from the time of the outage.
 	 * @param nowMillis the monotonic time in milliseconds
 	 */
 	public void storeReachable(long nowMillis) {
-		if (!this.storeAvailable) {
-			this.storeAvailable = true;
+		this.catchingUp = !this.storeAvailable && this.outageSeen;
+		if (this.catchingUp) {
 			this.graceEndMillis = nowMillis + REREGISTRATION_GRACE_MILLIS;
+			this.renewed.clear();
 		}
+		this.storeAvailable = true;
 	}
 
 	/**
--- a/gateway/src/test/java/org/wigeonglade/gateway/fleet/RunnerDirectoryTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/fleet/RunnerDirectoryTests.java
@@ -60,6 +60,61 @@
 		Assert.assertTrue(this.directory.remove(RUNNER, 10_100));
 	}
 
+	// Guards against requests to a runner that has left, from a host that has just
+	// started.
+	@Test
+	public void removalSoonAfterTheStartOfAHostIsImmediate() {
+		this.directory.storeReachable(350);
+		Assert.assertTrue(this.directory.remove(RUNNER, 400));
+		Assert.assertTrue(this.directory.find(RUNNER).isEmpty());
+	}
+
+	// Such an entry has not expired during the outage.
+	@Test
+	public void runnerThatHasRegisteredSinceTheOutageIsRemovedImmediately() {
+		this.directory.storeUnreachable();
+		this.directory.storeReachable(10_000);
+		this.directory.storeReachable(10_350);
+		this.directory.put(entry(false));
+		this.directory.storeReachable(10_700);
+		Assert.assertTrue(this.directory.remove(RUNNER, 10_700));
+	}
+
+	// The registrations that are read first may be from before the outage.
+	@Test
+	public void removalIsDeferredIfTheRunnerRegisteredBeforeTheOutage() {
+		this.directory.storeUnreachable();
+		this.directory.storeReachable(10_000);
+		this.directory.put(entry(false));
+		Assert.assertFalse(this.directory.remove(RUNNER, 10_000));
+		this.directory.storeReachable(10_350);
+		this.directory.put(entry(false));
+		this.directory.expire(60_000);
+		Assert.assertTrue(this.directory.find(RUNNER).isPresent());
+	}
+
+	@Test
+	public void hostThatStartsDuringAnOutageDefersRemovals() {
+		RunnerDirectory started = new RunnerDirectory();
+		started.storeUnreachable();
+		started.storeReachable(1_000);
+		started.put(entry(false));
+		started.storeReachable(1_350);
+		Assert.assertFalse(started.remove(RUNNER, 1_350));
+		Assert.assertTrue(started.find(RUNNER).isPresent());
+	}
+
+	@Test
+	public void secondOutageStartsAnotherGracePeriod() {
+		this.directory.storeUnreachable();
+		this.directory.storeReachable(10_000);
+		this.directory.storeReachable(10_350);
+		this.directory.put(entry(false));
+		this.directory.storeUnreachable();
+		this.directory.storeReachable(20_000);
+		Assert.assertFalse(this.directory.remove(RUNNER, 20_000));
+	}
+
 	private static RunnerEntry entry(boolean draining) {
 		return new RunnerEntry(RUNNER, ServiceName.of("llm"), new InetSocketAddress("127.0.0.1", 1),
 				FailureDomain.of("a"), SoftwareVersion.of("v1"), 8, draining, 0);
