Keep reading and writing after any failure of a task

An error outside the listener of a follower, such as an OutOfMemoryError while pages are put together, or one in the callback of a request, still ended the reading of a stream; one in the supplier of a record ended the writer, so that no result of the host was appended any more (LOST).

Each step of a listing or read is guarded as a whole, callbacks and notices of changed jobs are guarded one by one, and the writer tries again after its delay.

--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerDirectory.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerDirectory.java
@@ -117,6 +117,7 @@
 			Map.Entry<RunnerId, Long> next = i.next();
 			if (this.storeAvailable && next.getValue() <= nowMillis) {
 				this.entries.remove(next.getKey());
+				this.renewed.remove(next.getKey());
 				i.remove();
 				removed = true;
 			}
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
@@ -199,7 +199,7 @@
 			this.crashReports.resetRecords();
 			this.limits.resetRecords();
 			records.forEach(this::applyFleetRecord);
-			List.copyOf(StreamStateUpdater.this.jobTable.getJobs()).forEach(this.jobListener);
+			List.copyOf(StreamStateUpdater.this.jobTable.getJobs()).forEach(this::notifyChanged);
 		}
 
 		@Override
@@ -207,7 +207,7 @@
 			for (KeyedRecord record : records) {
 				applyFleetRecord(record);
 				try {
-					StreamStateUpdater.this.jobTable.apply(record).ifPresent(this.jobListener);
+					StreamStateUpdater.this.jobTable.apply(record).ifPresent(this::notifyChanged);
 				}
 				catch (RuntimeException ex) {
 					logInvalid(record, ex);
@@ -215,6 +215,16 @@
 			}
 		}
 
+		// A request that waits for the job and cannot be answered must not hide the job.
+		private void notifyChanged(Job job) {
+			try {
+				this.jobListener.accept(job);
+			}
+			catch (RuntimeException ex) {
+				LOG.log(GatewayEvent.UNEXPECTED, ex, job.getId());
+			}
+		}
+
 		private void applyFleetRecord(KeyedRecord record) {
 			try {
 				if (record.key().startsWith(CrashReportPublisher.KEY_PREFIX)) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/store/RecordWriter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/RecordWriter.java
@@ -90,6 +90,17 @@
 	}
 
 	private void append() {
+		try {
+			appendGroup();
+		}
+		catch (RuntimeException | OutOfMemoryError ex) {
+			LOG.log(GatewayEvent.RECORDS_APPEND_FAILED, ex, this.pending.size(), ex.getMessage());
+			this.busy = false;
+			schedule(RETRY_DELAY_MILLIS);
+		}
+	}
+
+	private void appendGroup() {
 		List<Pending> group = new ArrayList<>();
 		List<KeyedRecord> records = new ArrayList<>();
 		List<Pending> obsolete = new ArrayList<>();
--- a/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
@@ -204,7 +204,7 @@
 		}
 		if (slice.end() <= this.next) {
 			this.currentAsOfMillis = Math.max(this.currentAsOfMillis, startMillis);
-			callbacks.forEach(Runnable::run);
+			runAll(callbacks);
 		}
 		else {
 			this.readCallbacks.addAll(callbacks);
@@ -236,7 +236,7 @@
 	}
 
 	private void list(StreamListing listing, String afterKey, long startMillis) {
-		this.log.list(this.stream, afterKey).subscribe().with((page) -> this.loop.execute(() -> {
+		this.log.list(this.stream, afterKey).subscribe().with((page) -> continueOnLoop(() -> {
 			listing.addPage(page);
 			if (page.truncated() && !page.records().isEmpty()) {
 				list(listing, page.records().get(page.records().size() - 1).key(), startMillis);
@@ -244,24 +244,23 @@
 			else {
 				completeListing(listing, startMillis);
 			}
-		}), this::handleFailureOnLoop);
+		}, List.of()), this::handleFailureOnLoop);
 	}
 
 	private void completeListing(StreamListing listing, long startMillis) {
 		if (!listing.isComplete()) {
 			this.log.read(this.stream, listing.getNextOffset(), Duration.ZERO)
 				.subscribe()
-				.with((slice) -> this.loop.execute(() -> {
+				.with((slice) -> continueOnLoop(() -> {
 					listing.addSlice(slice);
 					completeListing(listing, startMillis);
-				}), this::handleFailureOnLoop);
+				}, List.of()), this::handleFailureOnLoop);
 			return;
 		}
 		List<KeyedRecord> records = listing.toRecords();
 		recordSuccess();
-		if (!deliver(() -> this.listener.listed(records))) {
-			return;
-		}
+		this.listener.listed(records);
+		this.backoffMillis = INITIAL_BACKOFF_MILLIS;
 		this.next = listing.getNextOffset();
 		this.currentAsOfMillis = startMillis;
 		this.listed = true;
@@ -275,46 +274,68 @@
 		List<Runnable> callbacks = this.readCallbacks;
 		this.readCallbacks = new ArrayList<>();
 		Duration wait = callbacks.isEmpty() ? this.timing.maxWait() : Duration.ZERO;
-		this.log.read(this.stream, this.next, wait).subscribe().with((slice) -> this.loop.execute(() -> {
-			recordSuccess();
-			if (!deliver(() -> deliverAppended(slice.records()))) {
-				this.readCallbacks.addAll(callbacks);
-				return;
+		this.log.read(this.stream, this.next, wait)
+			.subscribe()
+			.with((slice) -> continueOnLoop(() -> readCompleted(slice, startMillis, callbacks), callbacks),
+					(failure) -> {
+						this.loop.execute(() -> this.readCallbacks.addAll(callbacks));
+						handleFailureOnLoop(failure);
+					});
+	}
+
+	private void readCompleted(KeyedSlice slice, long startMillis, List<Runnable> callbacks) {
+		recordSuccess();
+		if (!slice.records().isEmpty()) {
+			this.listener.appended(slice.records());
+		}
+		this.backoffMillis = INITIAL_BACKOFF_MILLIS;
+		this.next = Math.max(this.next, slice.next());
+		this.reading = false;
+		if (slice.next() < slice.end()) {
+			this.readCallbacks.addAll(callbacks);
+			schedule(0);
+			return;
+		}
+		this.currentAsOfMillis = Math.max(this.currentAsOfMillis, startMillis);
+		runAll(callbacks);
+		long elapsedMillis = this.ticker.millis() - startMillis;
+		schedule(this.readCallbacks.isEmpty() ? Math.max(0, this.timing.interval().toMillis() - elapsedMillis) : 0);
+	}
+
+	// Continues a listing or a read on the event loop. If that fails, the state derived
+	// from
+	// the stream is incomplete, so the stream is listed anew before the callbacks are
+	// run.
+	private void continueOnLoop(Runnable task, List<Runnable> callbacks) {
+		this.loop.execute(() -> {
+			try {
+				task.run();
 			}
-			this.next = Math.max(this.next, slice.next());
-			this.reading = false;
-			if (slice.next() < slice.end()) {
+			catch (RuntimeException | StackOverflowError | OutOfMemoryError ex) {
+				LOG.log(GatewayEvent.STREAM_LISTENER_FAILED, ex, this.stream, this.next);
+				this.next = -1;
+				this.listed = false;
+				this.reading = false;
 				this.readCallbacks.addAll(callbacks);
-				schedule(0);
-				return;
+				scheduleAfterFailure();
 			}
-			this.currentAsOfMillis = Math.max(this.currentAsOfMillis, startMillis);
-			callbacks.forEach(Runnable::run);
-			long elapsedMillis = this.ticker.millis() - startMillis;
-			schedule(this.readCallbacks.isEmpty() ? Math.max(0, this.timing.interval().toMillis() - elapsedMillis) : 0);
-		}), (failure) -> {
-			this.loop.execute(() -> this.readCallbacks.addAll(callbacks));
-			handleFailureOnLoop(failure);
 		});
 	}
 
-	// Returns whether the listener has applied the records. If it fails, the state
-	// derived
-	// from the stream is incomplete, so the stream is listed anew.
-	private boolean deliver(Runnable delivery) {
-		try {
-			delivery.run();
-			this.backoffMillis = INITIAL_BACKOFF_MILLIS;
-			return true;
-		}
-		catch (RuntimeException | StackOverflowError | OutOfMemoryError ex) {
-			LOG.log(GatewayEvent.STREAM_LISTENER_FAILED, ex, this.stream, this.next);
-			this.next = -1;
-			this.listed = false;
-			this.reading = false;
-			schedule(this.backoffMillis);
-			this.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, this.backoffMillis * 2);
-			return false;
+	private void scheduleAfterFailure() {
+		schedule(this.backoffMillis);
+		this.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, this.backoffMillis * 2);
+	}
+
+	// A callback that fails ends neither the others nor the reading of the stream.
+	private void runAll(List<Runnable> callbacks) {
+		for (Runnable callback : callbacks) {
+			try {
+				callback.run();
+			}
+			catch (RuntimeException | StackOverflowError | OutOfMemoryError ex) {
+				LOG.log(GatewayEvent.UNEXPECTED, ex, (Object) null);
+			}
 		}
 	}
 
@@ -326,12 +347,6 @@
 		this.listener.storeAnswered();
 	}
 
-	private void deliverAppended(List<KeyedRecord> records) {
-		if (!records.isEmpty()) {
-			this.listener.appended(records);
-		}
-	}
-
 	private void handleFailureOnLoop(Throwable failure) {
 		this.loop.execute(() -> handleFailure(failure));
 	}
@@ -349,8 +364,7 @@
 		}
 		this.reachable = false;
 		this.listener.storeFailed();
-		schedule(this.backoffMillis);
-		this.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, this.backoffMillis * 2);
+		scheduleAfterFailure();
 	}
 
 	private void schedule(long delayMillis) {
--- a/gateway/src/test/java/org/wigeonglade/gateway/store/StreamFollowerTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/store/StreamFollowerTests.java
@@ -91,6 +91,24 @@
 		Assert.assertTrue(this.keys.containsAll(List.of("a", "b", "c", "d", "e")), this.keys.toString());
 	}
 
+	// Guards against a request that cannot be answered and ends the reading, or hides the
+	// state from other requests.
+	@Test(dataProvider = "failures")
+	public void failureOfACallbackEndsNeitherTheOthersNorTheReading(Supplier<Throwable> thrown) throws Exception {
+		follow();
+		await(this.follower::isListed);
+		CountDownLatch caughtUp = new CountDownLatch(1);
+		this.loop.execute(() -> {
+			this.follower.whenCaughtUp(() -> Listener.throwUnchecked(thrown.get()));
+			this.follower.whenCaughtUp(() -> Listener.throwUnchecked(thrown.get()));
+			this.follower.whenCaughtUp(caughtUp::countDown);
+		});
+		Assert.assertTrue(caughtUp.await(AWAIT_MILLIS, TimeUnit.MILLISECONDS));
+		put("d");
+		await(() -> this.keys.contains("d"));
+		Assert.assertEquals(this.listings, 1);
+	}
+
 	@Test
 	public void failedPagesAreReadAgain() {
 		this.log.fail(3);
