Begin the stall of a load test with its first request

The stall of 400 ms was counted from before the start of the load generator; when loading the generator takes longer, the stall is over before the first request. A sleep of 500 ms at that place fails the old test the same way (median 0.6 ms).

The stall now begins with the first request. The bound and the check of all answers are unchanged: every request is planned within 200 ms, so it waits for at least 200 ms.

--- a/bench/src/test/java/org/wigeonglade/bench/load/LoadGeneratorTests.java
+++ b/bench/src/test/java/org/wigeonglade/bench/load/LoadGeneratorTests.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -42,10 +43,16 @@
 	void aStallCountsForEveryRequestThatWaitedForIt() throws Exception {
 		Vertx vertx = Vertx.vertx();
 		Promise<Void> stallOver = Promise.promise();
-		vertx.setTimer(400, (id) -> stallOver.complete());
+		AtomicBoolean stalled = new AtomicBoolean();
 		LoadMeasurement run = LoadGenerator
-			.run(vertx, LoadPlan.steady("stall", 1, 500, Duration.ofMillis(200)),
-					(index) -> stallOver.future().compose((ignored) -> answer()))
+			.run(vertx, LoadPlan.steady("stall", 1, 500, Duration.ofMillis(200)), (index) -> {
+				// The stall begins with the first request, however late the generator
+				// starts.
+				if (stalled.compareAndSet(false, true)) {
+					vertx.setTimer(400, (id) -> stallOver.complete());
+				}
+				return stallOver.future().compose((ignored) -> answer());
+			})
 			.toCompletionStage()
 			.toCompletableFuture()
 			.get(20, TimeUnit.SECONDS);
