Name the start of the runner in the log of each attempt

Cause: logs name the id of a runner and the version that the host believes in, so a join over a restart of the runner cannot be told from one over old registrations.

No decision changes.

--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -349,7 +349,8 @@
 		ItemRun run = this.runs.computeIfAbsent(waiting.key, (k) -> new ItemRun(waiting.job, waiting.item, this));
 		Duration remaining = route.getRetention().isZero() ? DEFAULT_RUN_LIMIT : route.getRetention().minus(age);
 		LOG.log(GatewayEvent.ITEM_STARTED, waiting.job.getId(), waiting.item.id(), runner.get().id(),
-				runner.get().version(), lastEvent(run), run.getAttempts() + 1, waiting.entry.dueMillis() - wallMillis,
+				runner.get().startedMillis(), runner.get().version(), lastEvent(run), run.getAttempts() + 1,
+				waiting.entry.dueMillis() - wallMillis,
 				this.fleet.getLoadTracker().getLoad(runner.get().id()).getTotal());
 		run.start(this.fleet, this.loop, this.ticker, runner.get(), remaining);
 		return true;
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -30,9 +30,9 @@
 			"address", "reason"),
 
 	/** A runner was chosen for a request. */
-	PLACED(2501, Level.INFO, "request placed", "request_id", "route", "service", "runner", "version", "attempt",
-			"resumes", "resume_after", "online", "batch", "slots", "expected_wait_ms", "preempted_hosts", "load_age_ms",
-			"config_version"),
+	PLACED(2501, Level.INFO, "request placed", "request_id", "route", "service", "runner", "started_ms", "version",
+			"attempt", "resumes", "resume_after", "online", "batch", "slots", "expected_wait_ms", "preempted_hosts",
+			"load_age_ms", "config_version"),
 
 	/** A request sent to a runner still waits there behind batch items. */
 	ITEMS_PREEMPTED_FOR_WAIT(2502, Level.INFO, "request still waits for a slot; batch items are preempted",
@@ -170,8 +170,8 @@
 	JOB_ENDED(4504, Level.INFO, "job ended by its submitter", "job", "offset"),
 
 	/** An item was started. */
-	ITEM_STARTED(4505, Level.INFO, "item started", "job", "item", "runner", "version", "resume_after", "attempt",
-			"due_ms", "occupancy"),
+	ITEM_STARTED(4505, Level.INFO, "item started", "job", "item", "runner", "started_ms", "version", "resume_after",
+			"attempt", "due_ms", "occupancy"),
 
 	/** An item was preempted to free its slot. */
 	ITEM_PREEMPTED(4506, Level.INFO, "item preempted", "job", "item", "runner", "last_event"),
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -473,9 +473,10 @@
 			this.lastPreemptionMillis = this.context.ticker().millis();
 			preemptedHosts = this.context.preemptor().preempt(send.runner(), send.preemptions());
 		}
-		LOG.log(GatewayEvent.PLACED, this.id, this.route.getName(), this.service, runner, send.runner().version(),
-				this.retryPolicy.getAttempts() + 1, this.resumedStream, lastEventId(), load.online(), load.batch(),
-				send.runner().slots(), send.expectedWait().toMillis(), preemptedHosts, reportAge, configVersion());
+		LOG.log(GatewayEvent.PLACED, this.id, this.route.getName(), this.service, runner, send.runner().startedMillis(),
+				send.runner().version(), this.retryPolicy.getAttempts() + 1, this.resumedStream, lastEventId(),
+				load.online(), load.batch(), send.runner().slots(), send.expectedWait().toMillis(), preemptedHosts,
+				reportAge, configVersion());
 	}
 
 	private void logFailedAttempt(Attempt ended, String kind, String reason, boolean notRun, Long avoided) {
