Identify the process of a runner before streams depend on it

What callers saw: streams, and texts of items, joined from two software versions, in one response or over two tries.

Cause: a runner was identified by its id. After a start under the same id, a host took it for the process whose registration it had read: a broken stream went on there at another version, or a stream began there and was bound to the former version, for this host and, in the log of origins, for all. The class of fault: an identity that outlives what it names.

Change: before a stream or an item is sent on a connection for the first time, its process is asked when it started (RunnerDirectory.identify). A connection does not outlive its process, so the answer holds for all further requests on it, direct or relayed. A later process takes the place of the registered one, with an unknown version, until its own registration is read. New streams begin there and are bound to the process itself; the binding and the record of the origin gain the version once it is known. A broken stream goes on there only then, and a request that must not goes elsewhere, as not run. If a runner does not report, registrations that are read after the connection was opened decide. While a process is unregistered, no version counts as the only one.

A success without an id is skipped on a connection, since it may be a late copy of a report.

--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerDirectory.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerDirectory.java
@@ -40,11 +40,15 @@
 	private boolean catchingUp;
 
 	/**
-	 * Adds or replaces an entry.
+	 * Adds or replaces an entry, unless a later process of the runner has been seen.
 	 * @param entry the entry, not null
 	 * @return true if the entry is new or differs from the previous one
 	 */
 	public boolean put(RunnerEntry entry) {
+		RunnerEntry present = this.entries.get(entry.id());
+		if (present != null && !present.version().isKnown() && entry.startedMillis() < present.startedMillis()) {
+			return false;
+		}
 		this.pendingRemovals.remove(entry.id());
 		if (!this.catchingUp) {
 			this.renewed.add(entry.id());
@@ -52,6 +56,28 @@
 		return !entry.equals(this.entries.put(entry.id(), entry));
 	}
 
+	/**
+	 * Identifies the process that a connection leads to. A later process than the
+	 * registered one takes its place until it is registered itself.
+	 * @param placed the entry by which the connection was opened, not null
+	 * @param startedMillis the start of the process in milliseconds since the epoch, by
+	 * its own report on the connection
+	 * @return the identity, never null
+	 */
+	public ProcessIdentity identify(RunnerEntry placed, long startedMillis) {
+		RunnerEntry known = this.entries.getOrDefault(placed.id(), placed);
+		if (startedMillis < known.startedMillis()) {
+			return new ProcessIdentity.Former();
+		}
+		if (startedMillis > known.startedMillis()) {
+			RunnerEntry restarted = known.withRestart(startedMillis);
+			this.entries.replace(placed.id(), restarted);
+			return new ProcessIdentity.Unregistered(restarted);
+		}
+		return known.version().isKnown() ? new ProcessIdentity.Registered(known)
+				: new ProcessIdentity.Unregistered(known);
+	}
+
 	/**
 	 * Removes an entry, or schedules its removal for the end of the grace period after an
 	 * outage. Entries of runners that are draining or have registered since the outage
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerEntry.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerEntry.java
@@ -21,4 +21,33 @@
 public record RunnerEntry(RunnerId id, ServiceName service, InetSocketAddress address, FailureDomain domain,
 		SoftwareVersion version, int slots, boolean draining, long startedMillis) {
 
+	/** A start that no registration names. */
+	private static final long UNKNOWN_START_MILLIS = -1;
+
+	/**
+	 * Returns the process that is registered.
+	 * @return the process, never null
+	 */
+	public RunnerLifetime getLifetime() {
+		return new RunnerLifetime(this.id, this.startedMillis);
+	}
+
+	/**
+	 * Returns the entry of a later process that has not been registered yet.
+	 * @param laterMillis its start, in milliseconds since the epoch
+	 * @return a copy with an unknown version, never null
+	 */
+	public RunnerEntry withRestart(long laterMillis) {
+		return new RunnerEntry(this.id, this.service, this.address, this.domain, SoftwareVersion.UNKNOWN, this.slots,
+				false, laterMillis);
+	}
+
+	/**
+	 * Returns the entry of a process of the runner of which nothing is known.
+	 * @return a copy with an unknown version and start, never null
+	 */
+	public RunnerEntry withUnknownProcess() {
+		return withRestart(UNKNOWN_START_MILLIS);
+	}
+
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/SoftwareVersion.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/SoftwareVersion.java
@@ -10,6 +10,9 @@
  */
 public record SoftwareVersion(String value) {
 
+	/** The version of a process whose registration is not known. */
+	public static final SoftwareVersion UNKNOWN = new SoftwareVersion("");
+
 	/**
 	 * Creates the version; rejects null.
 	 */
@@ -26,6 +29,14 @@
 		return new SoftwareVersion(value);
 	}
 
+	/**
+	 * Returns whether the version is known. Runners of unknown versions may differ.
+	 * @return false for {@link #UNKNOWN}
+	 */
+	public boolean isKnown() {
+		return !this.value.isEmpty();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/VersionHistory.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/VersionHistory.java
@@ -19,6 +19,10 @@
 
 	private final Map<ServiceName, Map<SoftwareVersion, Long>> lastSeen = new HashMap<>();
 
+	private final Map<RunnerLifetime, Sighting> processes = new HashMap<>();
+
+	private final Map<RunnerLifetime, Sighting> unregistered = new HashMap<>();
+
 	private long observedSinceMillis = Long.MAX_VALUE;
 
 	/**
@@ -36,15 +40,24 @@
 		this.observedSinceMillis = Math.min(this.observedSinceMillis, nowMillis);
 		entries.forEach((entry) -> record(entry, nowMillis));
 		this.lastSeen.values().forEach((seen) -> seen.values().removeIf((t) -> nowMillis - t > RETENTION_MILLIS));
+		this.processes.values().removeIf((seen) -> nowMillis - seen.seenMillis > RETENTION_MILLIS);
+		this.unregistered.values().removeIf((seen) -> nowMillis - seen.seenMillis > RETENTION_MILLIS);
 	}
 
 	/**
-	 * Records a registration. Each one has to be recorded, since a runner may come and go
-	 * between two observations.
+	 * Records a registration, or a process that has not been registered yet. Each one has
+	 * to be recorded, since a runner may come and go between two observations.
 	 * @param entry the registration, not null
 	 * @param nowMillis the monotonic time in milliseconds
 	 */
 	public void record(RunnerEntry entry, long nowMillis) {
+		Sighting seen = new Sighting(entry.service(), entry.version(), nowMillis);
+		if (!entry.version().isKnown()) {
+			this.unregistered.put(entry.getLifetime(), seen);
+			return;
+		}
+		this.processes.put(entry.getLifetime(), seen);
+		this.unregistered.remove(entry.getLifetime());
 		this.lastSeen.computeIfAbsent(entry.service(), (s) -> new HashMap<>()).put(entry.version(), nowMillis);
 	}
 
@@ -56,6 +69,15 @@
 		this.observedSinceMillis = nowMillis;
 	}
 
+	/**
+	 * Returns the version of a process of a runner.
+	 * @param process the process, not null
+	 * @return the version, empty if no registration of the process was seen
+	 */
+	public Optional<SoftwareVersion> findVersion(RunnerLifetime process) {
+		return Optional.ofNullable(this.processes.get(process)).map(Sighting::version);
+	}
+
 	/**
 	 * Returns the version of a service if it was the only one for a time.
 	 * @param service the service, not null
@@ -65,7 +87,10 @@
 	 */
 	public Optional<SoftwareVersion> findOnlyVersion(ServiceName service, Duration period, long nowMillis) {
 		long since = nowMillis - period.toMillis();
-		if (this.observedSinceMillis > since) {
+		boolean otherSeen = this.unregistered.values()
+			.stream()
+			.anyMatch((seen) -> seen.service.equals(service) && seen.seenMillis >= since);
+		if (otherSeen || this.observedSinceMillis > since) {
 			return Optional.empty();
 		}
 		Map<SoftwareVersion, Long> recent = new HashMap<>(this.lastSeen.getOrDefault(service, Map.of()));
@@ -73,4 +98,15 @@
 		return (recent.size() == 1) ? recent.keySet().stream().findFirst() : Optional.empty();
 	}
 
+	/**
+	 * A process of a runner.
+	 *
+	 * @param service the service, not null
+	 * @param version the version, unknown before its registration is seen
+	 * @param seenMillis the monotonic time in milliseconds when it was last seen
+	 */
+	private record Sighting(ServiceName service, SoftwareVersion version, long seenMillis) {
+
+	}
+
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -211,6 +211,7 @@
 				this.loop, ticker, this.stateUpdater.configurationListener());
 		this.runnerFollower = new StreamFollower(log, KeyedStream.RUNNERS, RUNNER_POLL_TIMING, this.loop, ticker,
 				this.stateUpdater.runnerListener());
+		this.fleet.setRegistrations(this.runnerFollower::whenCaughtUp);
 		this.gatewayStreamFollower = new StreamFollower(log, KeyedStream.OWN, GATEWAY_STREAM_POLL_TIMING, this.loop,
 				ticker, this.stateUpdater.gatewayStreamListener(this::jobChanged, this.crashReports, this.limits));
 		this.relayServer = new RelayServer(this.loop, ticker, this.fleet.getDirectory()::find,
@@ -229,7 +230,6 @@
 				this.loop, ticker);
 		OnlineContext online = new OnlineContext(this.loop, ticker, this.fleet, policy, adapters.getCallerProtocol(),
 				this.crashReports, new StreamOriginLog(adapters.openOriginLog(connector, this.loop), this.loop, ticker),
-				this.runnerFollower::whenCaughtUp,
 				new SlotPreemptor(settings.host(), this.items, this.fleet.getLoadTracker(), this.exchange),
 				new OnlineMetrics(this.registry));
 		this.callerServer = new CallerServer(this.group, ticker, this::callerLimits,
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/StreamOriginLog.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/StreamOriginLog.java
@@ -14,6 +14,8 @@
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.fleet.RunnerLifetime;
 import org.wigeonglade.gateway.fleet.SoftwareVersion;
 import org.wigeonglade.gateway.log.GatewayEvent;
 import org.wigeonglade.gateway.online.OnlineContext;
@@ -66,11 +68,7 @@
 	public void record(String stream, StreamOrigin origin) {
 		String key = keyOf(stream);
 		this.index.add(key, origin, this.ticker.millis());
-		byte[] value = OriginRecord.newBuilder()
-			.setService(origin.service().value())
-			.setVersion(origin.version().value())
-			.build()
-			.toByteArray();
+		byte[] value = write(origin).toByteArray();
 		partitionOf(key).writer.add(() -> this.index.find(key).isPresent() ? KeyedRecord.of(key, value) : null);
 	}
 
@@ -91,16 +89,29 @@
 		return Hashing.murmur3_128().hashString(stream, StandardCharsets.UTF_8).toString();
 	}
 
+	private static OriginRecord write(StreamOrigin origin) {
+		OriginRecord.Builder record = OriginRecord.newBuilder()
+			.setService(origin.service().value())
+			.setVersion(origin.version().value());
+		origin.process()
+			.ifPresent((process) -> record.setRunner(process.runner().value()).setStartedMs(process.startedMillis()));
+		return record.build();
+	}
+
+	private static StreamOrigin read(OriginRecord record) {
+		ServiceName service = ServiceName.of(record.getService());
+		SoftwareVersion version = SoftwareVersion.of(record.getVersion());
+		return version.isKnown() ? StreamOrigin.ofVersion(service, version) : StreamOrigin.ofProcess(service,
+				new RunnerLifetime(RunnerId.of(record.getRunner()), record.getStartedMs()));
+	}
+
 	private Partition partitionOf(String key) {
 		return this.partitions.get(Math.floorMod(key.hashCode(), this.partitions.size()));
 	}
 
 	private void apply(KeyedRecord record) {
 		try {
-			OriginRecord origin = OriginRecord.parseFrom(record.value());
-			this.index.add(record.key(),
-					new StreamOrigin(ServiceName.of(origin.getService()), SoftwareVersion.of(origin.getVersion())),
-					this.ticker.millis());
+			this.index.add(record.key(), read(OriginRecord.parseFrom(record.value())), this.ticker.millis());
 		}
 		catch (InvalidProtocolBufferException | RuntimeException ex) {
 			LOG.log(GatewayEvent.RECORD_INVALID, ex, record.offset(), record.key());
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/ClientConnection.java
@@ -1,6 +1,7 @@
 package org.wigeonglade.gateway.http;
 
 import java.util.HashSet;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 
@@ -70,6 +71,8 @@
 
 	private boolean broken;
 
+	private OptionalLong serverStartMillis = OptionalLong.empty();
+
 	private BooleanSupplier reuseCondition = () -> true;
 
 	private final Set<String> carriedIds = new HashSet<>();
@@ -179,6 +182,31 @@
 		return this.carriedIds.contains(id);
 	}
 
+	/**
+	 * Records the start of the process at the other end, which the connection does not
+	 * outlive.
+	 * @param millis the start in milliseconds since the epoch
+	 */
+	public void setServerStart(long millis) {
+		this.serverStartMillis = OptionalLong.of(millis);
+	}
+
+	/**
+	 * Returns the start of the process at the other end.
+	 * @return the start in milliseconds since the epoch, empty if it was not recorded
+	 */
+	public OptionalLong getServerStart() {
+		return this.serverStartMillis;
+	}
+
+	/**
+	 * Returns whether a request may be sent now.
+	 * @return false if the connection is closed or the server will close it
+	 */
+	public boolean isOpen() {
+		return this.keepAlive && !this.broken && this.channel.isActive();
+	}
+
 	/**
 	 * Sets a condition under which the connection may be used for a further request.
 	 * @param condition the condition, not null
@@ -193,9 +221,8 @@
 	 * @return true if it is open, idle, and within its idle limit
 	 */
 	public boolean isReusable(long nowMillis) {
-		return this.exchange == null && this.keepAlive && !this.broken && this.channel.isActive()
-				&& this.carriedIds.size() < MAX_CARRIED_IDS && nowMillis - this.idleSinceMillis < this.idleLimitMillis
-				&& this.reuseCondition.getAsBoolean();
+		return this.exchange == null && isOpen() && this.carriedIds.size() < MAX_CARRIED_IDS
+				&& nowMillis - this.idleSinceMillis < this.idleLimitMillis && this.reuseCondition.getAsBoolean();
 	}
 
 	/**
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -119,6 +119,11 @@
 		return this.binding;
 	}
 
+	// Adds the version of the process that began the output, if it is known by now.
+	void resolveBinding(Fleet fleet) {
+		this.binding = this.binding.resolve(fleet::findVersion);
+	}
+
 	/**
 	 * Discards the output, so that any runner may begin the item anew.
 	 */
@@ -146,7 +151,8 @@
 		}
 		headers.set(HttpHeaderNames.HOST, this.job.getHostName());
 		RunnerRequest request = new RunnerRequest(this.item.id().value(), HttpMethod.POST, this.item.path(), headers,
-				this.item.body(), remaining, this.sequence.getLast(), true, this.freshConnection);
+				this.item.body(), remaining, this.sequence.getLast(), Optional.of(this.binding), true,
+				this.freshConnection);
 		Receiver current = new Receiver(loop, ticker, runner);
 		this.receiver = current;
 		RunnerCall started = RunnerCall.start(fleet, runner, request, current);
@@ -241,7 +247,7 @@
 					abort(RunnerFailure.Kind.BROKEN, fault.get());
 					return;
 				}
-				ItemRun.this.binding = ItemRun.this.binding.afterEventFrom(this.runner);
+				ItemRun.this.binding = ItemRun.this.binding.afterEventFrom(ItemRun.this.call.getRunner());
 				if (ItemRun.this.events++ > 0) {
 					ItemRun.this.output.write('\n');
 				}
@@ -267,7 +273,10 @@
 
 		@Override
 		public void failed(RunnerFailure failure) {
-			ItemRun.this.freshConnection = failure.kind() == RunnerFailure.Kind.STALE_CONNECTION;
+			ItemRun.this.freshConnection = switch (failure.kind()) {
+				case STALE_CONNECTION, RESTARTED -> true;
+				case UNREACHABLE, NO_CONNECTION, UNIDENTIFIED, BROKEN, SILENT -> false;
+			};
 			finish();
 			ItemRun.this.listener.aborted(ItemRun.this, this.runner, failure);
 		}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -324,9 +324,11 @@
 	public void aborted(ItemRun run, RunnerEntry runner, RunnerFailure failure) {
 		LOG.log(GatewayEvent.ITEM_FAILED, run.getJob().getId(), run.getItem().id(), runner.id(),
 				failure.kind() + ": " + failure.reason(), this.failures.getTotal(keyOf(run)), lastEvent(run));
-		if (failure.kind() != RunnerFailure.Kind.STALE_CONNECTION
-				&& failure.kind() != RunnerFailure.Kind.NO_CONNECTION) {
-			this.fleet.recordFailure(runner, failure.kind().name());
+		switch (failure.kind()) {
+			case UNREACHABLE, BROKEN, SILENT -> this.fleet.recordFailure(runner, failure.kind().name());
+			case STALE_CONNECTION, NO_CONNECTION, RESTARTED, UNIDENTIFIED -> {
+				// The runner itself is sound.
+			}
 		}
 	}
 
@@ -361,6 +363,7 @@
 		if (run == null || run.getEvents() == 0) {
 			return ItemDemand.ofNewItem(service);
 		}
+		run.resolveBinding(this.fleet);
 		return ItemDemand.ofResumedItem(service, run.getBinding(),
 				accepting.computeIfAbsent(service, (s) -> this.fleet.candidates(s, Set.of())),
 				Duration.ofMillis(this.ticker.millis() - run.getEndedMillis()), Duration.ofMillis(run.getRunMillis()));
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -157,6 +157,10 @@
 	RELAY_UNAVAILABLE(3519, Level.WARNING, "address for relayed connections cannot be used; none are relayed",
 			"address", "reason"),
 
+	/** A connection leads to a later process of a runner than the registered one. */
+	RUNNER_RESTARTED(3520, Level.INFO, "runner has started again; its new registration is not known yet", "runner",
+			"registered_start_ms", "started_ms"),
+
 	/** A job was accepted. */
 	JOB_ACCEPTED(4501, Level.INFO, "job accepted", "job", "items", "offset", "append_ms"),
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
@@ -142,8 +142,13 @@
 		}
 	}
 
+	/**
+	 * Returns the runner.
+	 * @return the process that responds, or the runner as placed before the request is
+	 * sent
+	 */
 	RunnerEntry getRunner() {
-		return this.runner;
+		return (this.call != null) ? this.call.getRunner() : this.runner;
 	}
 
 	/**
@@ -239,10 +244,11 @@
 	}
 
 	private void abort(RunnerFailure.Kind kind, String reason) {
+		RunnerFailure.Kind effective = isSent() ? kind : RunnerFailure.Kind.UNREACHABLE;
 		if (this.call != null) {
 			this.call.cancel();
 		}
-		finish(incomplete(kind, reason));
+		finish(incomplete(effective, reason));
 	}
 
 	private void finish(AttemptOutcome outcome) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
@@ -1,6 +1,5 @@
 package org.wigeonglade.gateway.online;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -25,13 +24,11 @@
  * @param protocol reads and writes the headers of callers, not null
  * @param crashReporter finds out which requests crash runners, not null
  * @param origins keeps what began each stream, not null
- * @param registrations reads the registrations of runners, not null
  * @param preemptor preempts batch items, not null
  * @param metrics the metrics of online requests, not null
  */
 public record OnlineContext(EventLoop loop, Ticker ticker, Fleet fleet, PlacementPolicy policy, CallerProtocol protocol,
-		CrashReporter crashReporter, StreamOrigins origins, Registrations registrations, Preemptor preemptor,
-		OnlineMetrics metrics) {
+		CrashReporter crashReporter, StreamOrigins origins, Preemptor preemptor, OnlineMetrics metrics) {
 
 	/**
 	 * Preempts batch items.
@@ -71,21 +68,6 @@
 
 	}
 
-	/**
-	 * Reads the registrations of runners.
-	 */
-	public interface Registrations {
-
-		/**
-		 * Brings the registrations that this host knows up to date.
-		 * @param timeout the maximum time, not null
-		 * @param onCurrent run once they are at least as new as this call, not null
-		 * @param onTimeout run instead after the timeout, not null
-		 */
-		void refresh(Duration timeout, Runnable onCurrent, Runnable onTimeout);
-
-	}
-
 	/**
 	 * Finds out which requests crash runners, together with the other hosts.
 	 */
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -207,7 +207,7 @@
 		if (origin.isPresent() && findCandidates().isEmpty()) {
 			// Runners of the version may have joined since this host last read.
 			Runnable start = this::startUnlessEnded;
-			this.context.registrations().refresh(StreamOriginFinder.REGISTRATIONS_TIMEOUT, start, start);
+			this.context.fleet().refreshRegistrations(start, start);
 			return;
 		}
 		startNextAttempt();
@@ -220,10 +220,12 @@
 	}
 
 	private List<Candidate> findCandidates() {
+		this.binding = this.binding.resolve(this.context.fleet()::findVersion);
+		StreamBinding fitting = this.binding;
 		return this.context.fleet()
 			.candidates(this.service, this.triedRunners)
 			.stream()
-			.filter((candidate) -> this.binding.permits(candidate.entry()))
+			.filter((candidate) -> fitting.permits(candidate.entry()))
 			.toList();
 	}
 
@@ -257,7 +259,9 @@
 		Duration remaining = Duration.ofMillis(Math.max(1, this.deadlineMillis - this.context.ticker().millis()));
 		RunnerRequest request = new RunnerRequest(this.id, this.exchange.getRequest().method(),
 				this.exchange.getRequest().uri(), this.headers, this.exchange.getBody(), remaining,
-				this.response.getLastEventId(), false, this.freshConnection);
+				this.response.getLastEventId(),
+				(this.route.getKind() == RouteKind.STREAM) ? Optional.of(this.binding) : Optional.empty(), false,
+				this.freshConnection);
 		this.attempt = new Attempt(this.context, this.route, this.response, this, runner, expectedWaitMillis);
 		this.attempt.start(request);
 	}
@@ -340,11 +344,11 @@
 	private void handleIncomplete(Attempt ended, RunnerFailure failure) {
 		RunnerEntry runner = ended.getRunner();
 		Long avoided = switch (failure.kind()) {
-			case STALE_CONNECTION, NO_CONNECTION -> null;
+			case STALE_CONNECTION, NO_CONNECTION, RESTARTED, UNIDENTIFIED -> null;
 			case UNREACHABLE, BROKEN, SILENT -> this.context.fleet().recordFailure(runner, failure.kind().name());
 		};
 		logFailedAttempt(ended, failure.kind().name(), failure.reason(), failure.isNotRun(), avoided);
-		if (failure.kind() == RunnerFailure.Kind.STALE_CONNECTION) {
+		if (failure.kind() == RunnerFailure.Kind.STALE_CONNECTION || failure.kind() == RunnerFailure.Kind.RESTARTED) {
 			this.freshConnection = true;
 		}
 		else if (!isLostLink(failure)) {
@@ -371,7 +375,7 @@
 		boolean lostInProgress = switch (failure.kind()) {
 			case BROKEN -> true;
 			case STALE_CONNECTION -> ended.getElapsedMillis() >= STALE_CLOSE_MILLIS;
-			case UNREACHABLE, NO_CONNECTION, SILENT -> false;
+			case UNREACHABLE, NO_CONNECTION, RESTARTED, UNIDENTIFIED, SILENT -> false;
 		};
 		if (lostInProgress) {
 			Long sinceFirstByte = sinceFirstByteMillis();
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/StreamOriginFinder.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/StreamOriginFinder.java
@@ -19,9 +19,6 @@
 	 */
 	private static final int RESUMABLE_TIMEOUTS = 4;
 
-	/** Time after which registrations that cannot be read count as out of date. */
-	static final Duration REGISTRATIONS_TIMEOUT = Duration.ofMillis(500);
-
 	private final OnlineContext context;
 
 	private final Route route;
@@ -38,9 +35,8 @@
 	// if that is not known; it may be called before this method returns.
 	void find(String stream, Consumer<Optional<StreamOrigin>> listener) {
 		Search search = new Search(listener);
-		this.context.registrations()
-			.refresh(REGISTRATIONS_TIMEOUT, () -> search.registrationsRead(true),
-					() -> search.registrationsRead(false));
+		this.context.fleet()
+			.refreshRegistrations(() -> search.registrationsRead(true), () -> search.registrationsRead(false));
 		if (stream == null) {
 			search.recordRead(Optional.empty());
 		}
@@ -56,18 +52,20 @@
 		Duration period = this.route.getTimeout().multipliedBy(RESUMABLE_TIMEOUTS);
 		return this.context.fleet()
 			.findOnlyVersion(this.service, period)
-			.map((version) -> new StreamOrigin(this.service, version));
+			.map((version) -> StreamOrigin.ofVersion(this.service, version));
 	}
 
 	/**
 	 * One search. The record and the registrations are read at the same time; the latter
-	 * matter only if there is no record.
+	 * matter only if there is no record, or one without a version.
 	 */
 	private final class Search {
 
 		private final Consumer<Optional<StreamOrigin>> listener;
 
-		private boolean recordMissing;
+		private Optional<StreamOrigin> record = Optional.empty();
+
+		private boolean recordRead;
 
 		private boolean registrationsRead;
 
@@ -78,11 +76,12 @@
 		}
 
 		private void recordRead(Optional<StreamOrigin> recorded) {
-			if (recorded.isPresent()) {
+			if (recorded.filter((origin) -> origin.version().isKnown()).isPresent()) {
 				this.listener.accept(recorded);
 				return;
 			}
-			this.recordMissing = true;
+			this.record = recorded;
+			this.recordRead = true;
 			completeIfRead();
 		}
 
@@ -92,9 +91,14 @@
 			completeIfRead();
 		}
 
+		private StreamOrigin resolve(StreamOrigin origin) {
+			return origin.resolve(StreamOriginFinder.this.context.fleet()::findVersion);
+		}
+
 		private void completeIfRead() {
-			if (this.recordMissing && this.registrationsRead) {
-				this.listener.accept(this.registrationsCurrent ? findOnlyOrigin() : Optional.empty());
+			if (this.recordRead && this.registrationsRead) {
+				this.listener.accept(this.record.isPresent() ? this.record.map(this::resolve)
+						: (this.registrationsCurrent ? findOnlyOrigin() : Optional.empty()));
 			}
 		}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,12 +23,14 @@
 import org.wigeonglade.gateway.fleet.HoldTimeEstimate;
 import org.wigeonglade.gateway.fleet.LeavingRunners;
 import org.wigeonglade.gateway.fleet.LoadTracker;
+import org.wigeonglade.gateway.fleet.ProcessIdentity;
 import org.wigeonglade.gateway.fleet.RequestLimit;
 import org.wigeonglade.gateway.fleet.RequestLimits;
 import org.wigeonglade.gateway.fleet.RunnerDirectory;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerHealth;
 import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.fleet.RunnerLifetime;
 import org.wigeonglade.gateway.fleet.SoftwareVersion;
 import org.wigeonglade.gateway.fleet.VersionHistory;
 import org.wigeonglade.gateway.log.GatewayEvent;
@@ -48,6 +51,9 @@
 	 */
 	private static final int DEFAULT_CONNECTIONS = 16;
 
+	/** Time after which registrations that cannot be read count as out of date. */
+	private static final Duration REGISTRATIONS_TIMEOUT = Duration.ofMillis(500);
+
 	/** Lower bound of the limit of connections from one host to a runner. */
 	private static final int MIN_CONNECTIONS = 8;
 
@@ -61,6 +67,8 @@
 
 	private final VersionHistory versions = new VersionHistory();
 
+	private final Set<RunnerLifetime> reportless = new HashSet<>();
+
 	private final RequestLimits requestLimits = new RequestLimits(new Random());
 
 	private final Map<ServiceName, HoldTimeEstimate> serviceHoldTimes = new HashMap<>();
@@ -88,6 +96,8 @@
 	private Runnable cutOffListener = () -> {
 	};
 
+	private Registrations registrations = (timeout, onCurrent, onTimeout) -> onTimeout.run();
+
 	private RoutingTable table;
 
 	/**
@@ -177,6 +187,68 @@
 		return this.directory.put(entry);
 	}
 
+	/**
+	 * Sets how registrations are read on demand.
+	 * @param reader reads them, not null
+	 */
+	public void setRegistrations(Registrations reader) {
+		this.registrations = reader;
+	}
+
+	/**
+	 * Brings the registrations of runners up to date.
+	 * @param onCurrent run once they are at least as new as this call, not null
+	 * @param onTimeout run instead if they cannot be read in time, not null
+	 */
+	public void refreshRegistrations(Runnable onCurrent, Runnable onTimeout) {
+		this.registrations.refresh(REGISTRATIONS_TIMEOUT, onCurrent, onTimeout);
+	}
+
+	/**
+	 * Identifies the process of a runner that a connection leads to.
+	 * @param placed the entry by which the connection was opened, not null
+	 * @param startedMillis the start of the process in milliseconds since the epoch, by
+	 * its own report on the connection
+	 * @return the identity, never null
+	 */
+	ProcessIdentity identify(RunnerEntry placed, long startedMillis) {
+		boolean seen = this.directory.find(placed.id())
+			.filter((entry) -> entry.startedMillis() == startedMillis)
+			.isPresent();
+		ProcessIdentity identity = this.directory.identify(placed, startedMillis);
+		if (!seen && identity instanceof ProcessIdentity.Unregistered unregistered) {
+			LOG.log(GatewayEvent.RUNNER_RESTARTED, placed.id(), placed.startedMillis(), startedMillis);
+			this.versions.record(unregistered.entry(), this.ticker.millis());
+		}
+		return identity;
+	}
+
+	/**
+	 * Records that a process of a runner does not tell when it started.
+	 * @param runner the runner, not null
+	 */
+	void recordReportless(RunnerEntry runner) {
+		this.reportless.add(runner.getLifetime());
+	}
+
+	/**
+	 * Returns whether a process of a runner is known not to tell when it started.
+	 * @param runner the runner, not null
+	 * @return true if it need not be asked
+	 */
+	boolean isReportless(RunnerEntry runner) {
+		return this.reportless.contains(runner.getLifetime());
+	}
+
+	/**
+	 * Returns the software version of a process of a runner.
+	 * @param process the process, not null
+	 * @return the version, empty if its registration has not been read
+	 */
+	public Optional<SoftwareVersion> findVersion(RunnerLifetime process) {
+		return this.versions.findVersion(process);
+	}
+
 	/**
 	 * Records that all registrations were listed, so that others may have come and gone
 	 * unseen before.
@@ -367,6 +439,9 @@
 		this.leaving.expire(now);
 		this.health.removeUnregistered(this.directory);
 		this.requestLimits.removeUnregistered(this.directory, this.ticker.wallMillis());
+		this.reportless.removeIf((process) -> this.directory.find(process.runner())
+			.filter((entry) -> entry.getLifetime().equals(process))
+			.isEmpty());
 		this.pool.closeExpired(this.directory);
 		this.pool.probe(this.directory);
 		this.runnerHoldTimes.keySet().removeIf((id) -> this.directory.find(id).isEmpty());
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import org.wigeonglade.gateway.fleet.ProcessIdentity;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.http.ClientConnection;
 import org.wigeonglade.gateway.http.ClientExchange;
@@ -26,14 +27,16 @@
 
 	private final Fleet fleet;
 
-	private final RunnerEntry runner;
-
 	private final RunnerRequest request;
 
 	private final Listener listener;
 
+	private RunnerEntry runner;
+
 	private ClientConnection connection;
 
+	private boolean startInquired;
+
 	private RunnerResponseHead responseHead;
 
 	private boolean reused;
@@ -63,13 +66,14 @@
 		RunnerCall call = new RunnerCall(fleet, runner, request, listener);
 		fleet.recordSent(runner);
 		fleet.adjustInProgress(runner.id(), request.batch(), 1);
-		fleet.getPool().acquire(runner, request, fleet.connectionLimit(runner), call.new ConnectionListener());
+		call.acquireConnection();
 		return call;
 	}
 
 	/**
 	 * Returns the runner that is called.
-	 * @return the runner, never null
+	 * @return the runner; once the request is sent and its response is a stream, the
+	 * process that the connection leads to, never null
 	 */
 	public RunnerEntry getRunner() {
 		return this.runner;
@@ -126,7 +130,8 @@
 	@Override
 	public boolean matches(HttpResponse response) {
 		RunnerResponseHead head = this.fleet.getProtocol().read(response);
-		return head.requestId().isEmpty() ? !head.isSuccess() : head.requestId().get().equals(this.request.id());
+		// A success without an id may be a late copy of a report.
+		return head.requestId().isEmpty() ? head.status() / 100 != 2 : head.requestId().get().equals(this.request.id());
 	}
 
 	@Override
@@ -198,6 +203,104 @@
 		return this.request.body();
 	}
 
+	private void acquireConnection() {
+		this.fleet.getPool()
+			.acquire(this.runner, this.request, this.fleet.connectionLimit(this.runner), new ConnectionListener());
+	}
+
+	private void send() {
+		this.sent = true;
+		this.connection.recordCarried(this.request.id());
+		this.connection.send(this);
+	}
+
+	// The output of a process fits only that of others of its version, so it has to be
+	// known which one the connection leads to.
+	private void identifyProcess() {
+		if (this.connection.getServerStart().isPresent()) {
+			processIdentified(this.connection.getServerStart().getAsLong());
+		}
+		else if (this.startInquired || this.fleet.isReportless(this.runner)) {
+			identifyByRegistration();
+		}
+		else {
+			this.startInquired = true;
+			this.connection
+				.send(new StartInquiry(this.fleet.getProtocol(), this.runner, this.connection, new StartListener()));
+		}
+	}
+
+	private void processIdentified(long startedMillis) {
+		this.connection.setServerStart(startedMillis);
+		switch (this.fleet.identify(this.runner, startedMillis)) {
+			case ProcessIdentity.Registered registered -> sendIfPermitted(registered.entry());
+			case ProcessIdentity.Unregistered unregistered -> {
+				if (isPermitted(unregistered.entry())) {
+					this.fleet.refreshRegistrations(() -> {
+					}, () -> {
+					});
+					sendIfPermitted(unregistered.entry());
+				}
+				else {
+					awaitRegistration(unregistered.entry());
+				}
+			}
+			case ProcessIdentity.Former former -> {
+				finish();
+				this.fleet.getPool().discard(this.runner.id(), this.connection);
+				this.listener.failed(new RunnerFailure(RunnerFailure.Kind.RESTARTED,
+						"the connection leads to an earlier process of the runner"));
+			}
+		}
+	}
+
+	private void awaitRegistration(RunnerEntry unregistered) {
+		Runnable decide = () -> {
+			if (!this.ended) {
+				sendIfPermitted(this.fleet.getDirectory()
+					.find(unregistered.id())
+					.filter((entry) -> entry.startedMillis() == unregistered.startedMillis())
+					.orElse(unregistered));
+			}
+		};
+		this.fleet.refreshRegistrations(decide, decide);
+	}
+
+	// The runner does not tell when it started. What is registered after the connection
+	// was opened is the process that accepted it, if runners register when they start.
+	private void identifyByRegistration() {
+		this.fleet.refreshRegistrations(() -> {
+			if (!this.ended) {
+				RunnerEntry registered = this.fleet.getDirectory().find(this.runner.id()).orElse(this.runner);
+				this.connection.setServerStart(registered.startedMillis());
+				sendIfPermitted(registered);
+			}
+		}, () -> {
+			if (!this.ended) {
+				sendIfPermitted(this.runner.withUnknownProcess());
+			}
+		});
+	}
+
+	private void sendIfPermitted(RunnerEntry process) {
+		if (isPermitted(process)) {
+			this.runner = process;
+			send();
+			return;
+		}
+		finish();
+		this.fleet.getPool().releaseUnused(this.runner.id(), this.connection);
+		this.listener.failed(process.version().isKnown()
+				? new RunnerFailure(RunnerFailure.Kind.RESTARTED,
+						"the runner has started again with version " + process.version())
+				: new RunnerFailure(RunnerFailure.Kind.UNIDENTIFIED,
+						"the version of the runner's process is not known"));
+	}
+
+	private boolean isPermitted(RunnerEntry process) {
+		return this.request.binding().filter((binding) -> !binding.permits(process)).isEmpty();
+	}
+
 	private void finish() {
 		this.ended = true;
 		this.fleet.adjustInProgress(this.runner.id(), this.request.batch(), -1);
@@ -234,6 +337,48 @@
 
 	}
 
+	private final class StartListener implements StartInquiry.Listener {
+
+		@Override
+		public void answered(long startedMillis) {
+			if (RunnerCall.this.ended) {
+				return;
+			}
+			if (RunnerCall.this.connection.isOpen()) {
+				processIdentified(startedMillis);
+			}
+			else {
+				acquireAnother();
+			}
+		}
+
+		@Override
+		public void unanswered() {
+			if (!RunnerCall.this.ended) {
+				RunnerCall.this.fleet.recordReportless(RunnerCall.this.runner);
+				acquireAnother();
+			}
+		}
+
+		private void acquireAnother() {
+			RunnerCall.this.fleet.getPool().discard(RunnerCall.this.runner.id(), RunnerCall.this.connection);
+			RunnerCall.this.connection = null;
+			acquireConnection();
+		}
+
+		@Override
+		public void failed(String reason) {
+			if (!RunnerCall.this.ended) {
+				finish();
+				RunnerCall.this.fleet.getPool().discard(RunnerCall.this.runner.id(), RunnerCall.this.connection);
+				RunnerFailure.Kind kind = RunnerCall.this.reused ? RunnerFailure.Kind.RESTARTED
+						: RunnerFailure.Kind.UNREACHABLE;
+				RunnerCall.this.listener.failed(new RunnerFailure(kind, reason));
+			}
+		}
+
+	}
+
 	private final class ConnectionListener implements RunnerConnectionPool.Listener {
 
 		@Override
@@ -244,9 +389,12 @@
 			}
 			RunnerCall.this.connection = acquired;
 			RunnerCall.this.reused = wasUsed;
-			RunnerCall.this.sent = true;
-			acquired.recordCarried(RunnerCall.this.request.id());
-			acquired.send(RunnerCall.this);
+			if (RunnerCall.this.request.binding().isPresent()) {
+				identifyProcess();
+			}
+			else {
+				send();
+			}
 		}
 
 		@Override
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerConnectionPool.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerConnectionPool.java
@@ -102,6 +102,13 @@
 				Math.max(0, limit - IDLE_MARGIN_MILLIS));
 	}
 
+	// Returns a connection on which the request was not sent.
+	void releaseUnused(RunnerId runner, ClientConnection connection) {
+		decrementInUse(runner);
+		idleConnections(runner, connection.isRelayed()).keep(connection, this.ticker.millis(),
+				DEFAULT_IDLE_MILLIS - IDLE_MARGIN_MILLIS);
+	}
+
 	// Closes a connection whose response is incomplete.
 	void discard(RunnerId runner, ClientConnection connection) {
 		decrementInUse(runner);
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerFailure.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerFailure.java
@@ -13,7 +13,10 @@
 	 * @return true if the request may be retried even if it must not run twice
 	 */
 	public boolean isNotRun() {
-		return this.kind == Kind.UNREACHABLE || this.kind == Kind.NO_CONNECTION;
+		return switch (this.kind) {
+			case UNREACHABLE, NO_CONNECTION, RESTARTED, UNIDENTIFIED -> true;
+			case STALE_CONNECTION, BROKEN, SILENT -> false;
+		};
 	}
 
 	/**
@@ -27,6 +30,18 @@
 		/** This host has reached its limit of connections to the runner. */
 		NO_CONNECTION,
 
+		/**
+		 * The connection leads to another process of the runner than the one that the
+		 * request was placed on, and that one must not receive it.
+		 */
+		RESTARTED,
+
+		/**
+		 * It cannot be told which process of the runner the connection leads to, and only
+		 * some may receive the request.
+		 */
+		UNIDENTIFIED,
+
 		/** A reused idle connection failed before the head of the response. */
 		STALE_CONNECTION,
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerProtocol.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerProtocol.java
@@ -4,7 +4,9 @@
 import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
 
 /**
@@ -26,6 +28,28 @@
 	void writeHeaders(HttpHeaders headers, String requestId, RunnerId runner, Duration remaining,
 			OptionalLong resumeAfter);
 
+	/**
+	 * Creates a request for the report of a runner about itself.
+	 * @param runner the addressed runner; any other runner rejects the request
+	 * @return the request, never null
+	 */
+	HttpRequest createReportRequest(RunnerEntry runner);
+
+	/**
+	 * Returns whether a response is the report of a runner about itself.
+	 * @param response the head, not null
+	 * @return false if the body is something else
+	 */
+	boolean isReport(HttpResponse response);
+
+	/**
+	 * Decodes the start of the process from its report about itself.
+	 * @param report the body of the response, not null
+	 * @return the start in milliseconds since the epoch, empty if the report does not
+	 * name it
+	 */
+	OptionalLong readStart(byte[] report);
+
 	/**
 	 * Decodes the head of a response.
 	 * @param response the head, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
@@ -1,10 +1,12 @@
 package org.wigeonglade.gateway.runner;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import org.wigeonglade.gateway.stream.StreamBinding;
 
 /**
  * A request to a runner.
@@ -16,10 +18,13 @@
  * @param body the body, not null
  * @param remaining the time until the deadline, not null
  * @param resumeAfter the id of the last event received, empty to start at the first event
+ * @param binding the runners that may produce the next event, empty if the response is
+ * not a stream
  * @param batch whether it is a batch item rather than an online request
  * @param freshConnection whether it must be sent on a new connection
  */
 public record RunnerRequest(String id, HttpMethod method, String uri, HttpHeaders headers, byte[] body,
-		Duration remaining, OptionalLong resumeAfter, boolean batch, boolean freshConnection) {
+		Duration remaining, OptionalLong resumeAfter, Optional<StreamBinding> binding, boolean batch,
+		boolean freshConnection) {
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/stream/StreamBinding.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/stream/StreamBinding.java
@@ -1,8 +1,11 @@
 package org.wigeonglade.gateway.stream;
 
 import java.util.Optional;
+import java.util.function.Function;
 
 import org.wigeonglade.gateway.fleet.RunnerEntry;
+import org.wigeonglade.gateway.fleet.RunnerLifetime;
+import org.wigeonglade.gateway.fleet.SoftwareVersion;
 
 /**
  * The runners that may produce the next event of a stream.
@@ -26,7 +29,7 @@
 	default boolean permits(RunnerEntry runner) {
 		return switch (this) {
 			case Open open -> true;
-			case Bound bound -> bound.origin.equals(StreamOrigin.of(runner));
+			case Bound bound -> bound.origin.permits(runner);
 			case Unknown unknown -> false;
 		};
 	}
@@ -44,6 +47,16 @@
 		};
 	}
 
+	/**
+	 * Returns the binding with the version of the process that it names, if that is known
+	 * by now.
+	 * @param versions finds the version of a process, not null
+	 * @return the binding, or this one if there is nothing to add
+	 */
+	default StreamBinding resolve(Function<RunnerLifetime, Optional<SoftwareVersion>> versions) {
+		return (this instanceof Bound bound) ? new Bound(bound.origin.resolve(versions)) : this;
+	}
+
 	/**
 	 * No event has been produced, so any runner may begin.
 	 */
--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
@@ -57,6 +57,8 @@
 
 	private volatile String deadlyPart;
 
+	private volatile long startedMillis = 1;
+
 	private volatile Runnable crashListener = () -> {
 	};
 
@@ -121,6 +123,7 @@
 	 * @param startedMillis the start time, in milliseconds since the epoch
 	 */
 	public void register(MachineStoreStandIn store, String state, int port, long startedMillis) {
+		this.startedMillis = startedMillis;
 		store.put(MachineStoreStandIn.RUNNER_TOPIC, this.id,
 				new JsonObject().put("backend", this.service)
 					.put("address", "127.0.0.1:" + port)
@@ -223,6 +226,11 @@
 			response.setStatusCode(421).putHeader("Instance-Id", this.id).end();
 			return;
 		}
+		if (request.path().equals("/api/report")) {
+			response.putHeader("Content-Type", "application/json")
+				.end(new JsonObject().put("stage", "both").put("born", this.startedMillis).encode());
+			return;
+		}
 		String requestId = request.getHeader("Request-Id");
 		if (requestId == null) {
 			response.setStatusCode(400).putHeader("Not-Executed", "1").end();
