Accept only events with ids in streams that may be resumed

Cause: the sequence of a stream accepted whatever had no id, since comments have none.

Change: comments are accepted anywhere; any other text without an id breaks a stream that may be resumed, and one in which an id was seen. The attempt counts as broken, so that another runner goes on, or the response is cut. A stream that is never resumed and has no ids is passed on as it is. Items follow the same rule.

--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -49,7 +49,7 @@
 
 	private final ByteArrayOutputStream output = new ByteArrayOutputStream();
 
-	private EventSequence sequence = new EventSequence(OptionalLong.empty());
+	private EventSequence sequence = EventSequence.ofResumable(OptionalLong.empty());
 
 	private StreamBinding binding = new StreamBinding.Open();
 
@@ -131,7 +131,7 @@
 		this.output.reset();
 		this.events = 0;
 		this.runMillis = 0;
-		this.sequence = new EventSequence(OptionalLong.empty());
+		this.sequence = EventSequence.ofResumable(OptionalLong.empty());
 		this.binding = new StreamBinding.Open();
 	}
 
@@ -239,14 +239,14 @@
 				this.progressMillis = this.ticker.millis();
 			}
 			for (StreamEvent event : received) {
-				if (event.id() < 0) {
-					continue;
-				}
 				Optional<String> fault = ItemRun.this.sequence.add(event);
 				if (fault.isPresent()) {
 					abort(RunnerFailure.Kind.BROKEN, fault.get());
 					return;
 				}
+				if (event.id() < 0) {
+					continue;
+				}
 				ItemRun.this.binding = ItemRun.this.binding.afterEventFrom(ItemRun.this.call.getRunner());
 				if (ItemRun.this.events++ > 0) {
 					ItemRun.this.output.write('\n');
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/CallerResponse.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/CallerResponse.java
@@ -28,10 +28,10 @@
 
 	private long firstByteMillis = -1;
 
-	CallerResponse(CallerExchange exchange, Ticker ticker, OptionalLong lastEventId) {
+	CallerResponse(CallerExchange exchange, Ticker ticker, EventSequence sequence) {
 		this.exchange = exchange;
 		this.ticker = ticker;
-		this.sequence = new EventSequence(lastEventId);
+		this.sequence = sequence;
 	}
 
 	boolean isCommitted() {
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -31,6 +31,7 @@
 import org.wigeonglade.gateway.route.RouteKind;
 import org.wigeonglade.gateway.runner.RunnerFailure;
 import org.wigeonglade.gateway.runner.RunnerRequest;
+import org.wigeonglade.gateway.stream.EventSequence;
 import org.wigeonglade.gateway.stream.StreamBinding;
 import org.wigeonglade.gateway.stream.StreamOrigin;
 
@@ -120,11 +121,17 @@
 		this.retryPolicy = new RetryPolicy(route);
 		this.deadlineMillis = exchange.getArrivedMillis() + wait.toMillis();
 		this.targetTimeMillis = exchange.getArrivedMillis() + route.getLatencyTarget().toMillis();
-		this.response = new CallerResponse(exchange, context.ticker(), context.protocol().resumeAfter(received));
+		this.response = new CallerResponse(exchange, context.ticker(),
+				sequenceOf(route, context.protocol().resumeAfter(received)));
 		context.protocol().promptParts(received).forEach((part) -> this.suspects.add(Fingerprint.ofPromptPart(part)));
 		this.suspects.add(fingerprintOf(exchange));
 	}
 
+	private static EventSequence sequenceOf(Route route, OptionalLong resumeAfter) {
+		return (route.isResumable() || resumeAfter.isPresent()) ? EventSequence.ofResumable(resumeAfter)
+				: EventSequence.ofSingleRun();
+	}
+
 	/**
 	 * Starts the handling of a request.
 	 * @param context the shared collaborators, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/stream/EventSequence.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/stream/EventSequence.java
@@ -9,15 +9,33 @@
  */
 public final class EventSequence {
 
+	private final boolean idRequired;
+
 	private OptionalLong last;
 
+	private EventSequence(OptionalLong last, boolean idRequired) {
+		this.last = last;
+		this.idRequired = idRequired;
+	}
+
 	/**
-	 * Creates a sequence.
+	 * Returns the sequence of a stream that may be resumed, so that each of its events
+	 * has an id.
 	 * @param last the id that the first event must follow; empty if the first event may
 	 * have any id
+	 * @return the sequence, never null
 	 */
-	public EventSequence(OptionalLong last) {
-		this.last = last;
+	public static EventSequence ofResumable(OptionalLong last) {
+		return new EventSequence(last, true);
+	}
+
+	/**
+	 * Returns the sequence of a stream that is never resumed. If its first event has no
+	 * id, none needs one.
+	 * @return the sequence, never null
+	 */
+	public static EventSequence ofSingleRun() {
+		return new EventSequence(OptionalLong.empty(), false);
 	}
 
 	/**
@@ -29,14 +47,17 @@
 	}
 
 	/**
-	 * Accepts an event if its id follows the last one. Events without an id are accepted
-	 * anywhere.
+	 * Accepts an event if its id follows the last one. Comments are accepted anywhere.
+	 * Other events without an id belong to no stream that has ids, and may be the text of
+	 * an error.
 	 * @param event the event, not null
 	 * @return why the event was rejected, empty if it was accepted
 	 */
 	public Optional<String> add(StreamEvent event) {
 		if (event.id() < 0) {
-			return Optional.empty();
+			boolean accepted = event.isComment() || (!this.idRequired && this.last.isEmpty());
+			return accepted ? Optional.empty() : Optional.of("event without an id received after "
+					+ (this.last.isPresent() ? "event " + this.last.getAsLong() : "no event"));
 		}
 		if (this.last.isPresent() && event.id() != this.last.getAsLong() + 1) {
 			return Optional.of("event " + event.id() + " received after event " + this.last.getAsLong());
--- a/gateway/src/main/java/org/wigeonglade/gateway/stream/StreamEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/stream/StreamEvent.java
@@ -19,6 +19,16 @@
 		return this.id >= 0 || getData().length > 0;
 	}
 
+	/**
+	 * Returns whether the event consists of comments only, which may stand anywhere in a
+	 * stream.
+	 * @return false if it has a line that is neither blank nor a comment
+	 */
+	public boolean isComment() {
+		return new String(this.bytes, StandardCharsets.ISO_8859_1).lines()
+			.allMatch((line) -> line.isBlank() || line.startsWith(":"));
+	}
+
 	/**
 	 * Returns the data of the event. Several data lines are joined by line feeds.
 	 * @return the data, empty if there is none
