--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -41,6 +41,12 @@
 	 */
 	private static final long IDLE_TIMEOUT_MILLIS = 2_000;
 
+	/**
+	 * Largest output in bytes. The result must fit into one record of the store, which
+	 * holds 256 KiB.
+	 */
+	private static final int MAX_OUTPUT_BYTES = 250 * 1024;
+
 	private final Job job;
 
 	private final SubmittedItem item;
@@ -252,6 +258,11 @@
 					ItemRun.this.output.write('\n');
 				}
 				ItemRun.this.output.writeBytes(event.getData());
+				if (ItemRun.this.output.size() > MAX_OUTPUT_BYTES) {
+					abort(RunnerFailure.Kind.BROKEN, "the output is larger than " + MAX_OUTPUT_BYTES + " bytes");
+					discardOutput();
+					return;
+				}
 			}
 		}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerConnectionPool.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerConnectionPool.java
@@ -93,6 +93,8 @@
 	// be distinguished from the response to the next request.
 	void release(RunnerId runner, ClientConnection connection, RunnerResponseHead head) {
 		decrementInUse(runner);
+		// A caller that read slowly may have paused it.
+		connection.setReading(true);
 		if (head.requestId().isEmpty()) {
 			connection.close();
 			return;
--- a/standins/src/main/java/org/wigeonglade/standins/machines/EndlessResponseRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/EndlessResponseRunnerStandIn.java
@@ -27,26 +27,31 @@
 
 	private final Kind kind;
 
+	private final boolean reportEndless;
+
 	private final AtomicInteger open = new AtomicInteger();
 
 	private final AtomicInteger requests = new AtomicInteger();
 
 	private final AtomicLong sentBytes = new AtomicLong();
 
-	private EndlessResponseRunnerStandIn(ServerSocket socket, Kind kind) {
+	private EndlessResponseRunnerStandIn(ServerSocket socket, Kind kind, boolean reportEndless) {
 		this.socket = socket;
 		this.kind = kind;
+		this.reportEndless = reportEndless;
 	}
 
 	/**
 	 * Starts a runner on a free loopback port.
 	 * @param kind the part of the response that never ends, not null
+	 * @param reportEndless whether the reports of the runner about itself do not end
+	 * either
 	 * @return the started stand-in, never null
 	 * @throws IOException if no port can be opened
 	 */
-	public static EndlessResponseRunnerStandIn start(Kind kind) throws IOException {
+	public static EndlessResponseRunnerStandIn start(Kind kind, boolean reportEndless) throws IOException {
 		ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-		EndlessResponseRunnerStandIn runner = new EndlessResponseRunnerStandIn(socket, kind);
+		EndlessResponseRunnerStandIn runner = new EndlessResponseRunnerStandIn(socket, kind, reportEndless);
 		Thread.ofVirtual().start(runner::accept);
 		return runner;
 	}
@@ -116,12 +121,17 @@
 
 	private void serve(Socket caller) {
 		try (caller) {
-			String id = readRequest(caller.getInputStream());
-			this.requests.incrementAndGet();
 			OutputStream output = caller.getOutputStream();
-			write(output, responseHead(id));
-			byte[] block = block();
-			while (true) {
+			String request = readRequest(caller.getInputStream());
+			if (!this.reportEndless && request.startsWith("GET /api/report ")) {
+				write(output,
+						"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 10\r\n\r\n{\"born\":1}");
+				request = readRequest(caller.getInputStream());
+			}
+			this.requests.incrementAndGet();
+			write(output, responseHead(findRequestId(request)));
+			for (long i = 0;; i++) {
+				byte[] block = block(i);
 				output.write(block);
 				this.sentBytes.addAndGet(block.length);
 				if (this.kind == Kind.TRICKLING_STREAM) {
@@ -148,17 +158,18 @@
 				"HTTP/1.1 500 Internal Server Error\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n";
 			case ANSWER_TO_ANOTHER -> "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nResponse-Signature: s\r\n"
 					+ "Transfer-Encoding: chunked\r\n\r\n";
-			case EVENT, TRICKLING_STREAM -> "HTTP/1.1 200 OK\r\n" + headers
+			case EVENT, EVENTS, TRICKLING_STREAM -> "HTTP/1.1 200 OK\r\n" + headers
 					+ "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 		};
 	}
 
-	private byte[] block() {
+	private byte[] block(long number) {
 		return switch (this.kind) {
 			case HEAD, STATUS_LINE -> "a".repeat(WRITE_BYTES).getBytes(StandardCharsets.US_ASCII);
 			case BYTES -> new byte[WRITE_BYTES];
 			case INTERIM_HEADS -> "HTTP/1.1 100 Continue\r\n\r\n".repeat(100).getBytes(StandardCharsets.US_ASCII);
 			case FAILURE_BODY, ANSWER_TO_ANOTHER, EVENT -> chunk("b".repeat(WRITE_BYTES));
+			case EVENTS -> chunk("id: " + number + "\ndata: " + "b".repeat(WRITE_BYTES) + "\n\n");
 			case TRICKLING_STREAM -> chunk(":\n\n");
 		};
 	}
@@ -171,7 +182,7 @@
 		output.write(text.getBytes(StandardCharsets.US_ASCII));
 	}
 
-	// Reads the request head and returns its request id. The body is left unread.
+	// Reads the request head. The body is left unread.
 	private static String readRequest(InputStream input) throws IOException {
 		StringBuilder head = new StringBuilder();
 		while (head.indexOf("\r\n\r\n") < 0) {
@@ -181,8 +192,11 @@
 			}
 			head.append((char) next);
 		}
-		return head.toString()
-			.lines()
+		return head.toString();
+	}
+
+	private static String findRequestId(String head) {
+		return head.lines()
 			.filter((line) -> line.regionMatches(true, 0, "request-id:", 0, 11))
 			.map((line) -> line.substring(11).strip())
 			.findFirst()
@@ -215,6 +229,9 @@
 		/** One server-sent event. */
 		EVENT,
 
+		/** The number of events of a stream, each of which is sound. */
+		EVENTS,
+
 		/** Comment lines in a stream of server-sent events, 3 bytes at a time. */
 		TRICKLING_STREAM
 
