Answer pipelined requests of a connection during a shutdown

Cause: during a shutdown each response closed its connection, and requests that were read behind it were dropped.

Change: the response to the last request that was received closes the connection. After a response has announced the end, nothing further is started.

--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
@@ -63,7 +63,8 @@
 	}
 
 	boolean isClosingAfter(HttpRequest request) {
-		return this.server.isDraining() || !HttpUtil.isKeepAlive(request);
+		// Requests that were received before this response are answered, too.
+		return !HttpUtil.isKeepAlive(request) || (this.server.isDraining() && this.pipelined.isEmpty());
 	}
 
 	// A partly received request counts as in progress.
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerExchange.java
@@ -41,6 +41,8 @@
 
 	private boolean headWritten;
 
+	private boolean closeAnnounced;
+
 	private boolean ended;
 
 	CallerExchange(CallerConnection connection, HttpRequest request, byte[] body, long arrivedMillis) {
@@ -158,6 +160,7 @@
 			HttpUtil.setTransferEncodingChunked(response, true);
 		}
 		if (this.connection.isClosingAfter(this.request)) {
+			this.closeAnnounced = true;
 			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
 		this.headWritten = true;
@@ -206,7 +209,7 @@
 
 	private void finish(Object last) {
 		this.ended = true;
-		boolean close = this.connection.isClosingAfter(this.request);
+		boolean close = this.closeAnnounced || this.connection.isClosingAfter(this.request);
 		if (close && last instanceof HttpResponse response) {
 			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
