--- a/standins/src/main/java/org/wigeonglade/standins/machines/RestartingRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/RestartingRunnerStandIn.java
@@ -180,6 +180,14 @@
 		return this.lifetime.version;
 	}
 
+	/**
+	 * Returns whether the process is running.
+	 * @return false from its end until it is started again
+	 */
+	public boolean isRunning() {
+		return !this.lifetime.ended;
+	}
+
 	/**
 	 * Returns the number of reports that were asked for.
 	 * @return the number over all lifetimes
