Keep one history of versions and read registrations once for a new process

Change: one map of what was seen of each process answers both questions; Fleet reads the registrations when it first sees such a process, without callbacks in RunnerCall. A nested conditional of StreamOriginFinder is taken apart. A process that registers with another service than before leaves its unknown version with the former service for the time of the history, which refuses rather than joins; nothing else is decided otherwise.

--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/VersionHistory.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/VersionHistory.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.wigeonglade.core.id.ServiceName;
 
@@ -17,11 +19,7 @@
 	/** Time in milliseconds for which a version without runners is kept. */
 	private static final long RETENTION_MILLIS = 300_000;
 
-	private final Map<ServiceName, Map<SoftwareVersion, Long>> lastSeen = new HashMap<>();
-
-	private final Map<RunnerLifetime, Sighting> processes = new HashMap<>();
-
-	private final Map<RunnerLifetime, Sighting> unregistered = new HashMap<>();
+	private final Map<Sighting, Long> lastSeen = new HashMap<>();
 
 	private long observedSinceMillis = Long.MAX_VALUE;
 
@@ -39,9 +37,7 @@
 		}
 		this.observedSinceMillis = Math.min(this.observedSinceMillis, nowMillis);
 		entries.forEach((entry) -> record(entry, nowMillis));
-		this.lastSeen.values().forEach((seen) -> seen.values().removeIf((t) -> nowMillis - t > RETENTION_MILLIS));
-		this.processes.values().removeIf((seen) -> nowMillis - seen.seenMillis > RETENTION_MILLIS);
-		this.unregistered.values().removeIf((seen) -> nowMillis - seen.seenMillis > RETENTION_MILLIS);
+		this.lastSeen.values().removeIf((seenMillis) -> nowMillis - seenMillis > RETENTION_MILLIS);
 	}
 
 	/**
@@ -51,14 +47,10 @@
 	 * @param nowMillis the monotonic time in milliseconds
 	 */
 	public void record(RunnerEntry entry, long nowMillis) {
-		Sighting seen = new Sighting(entry.service(), entry.version(), nowMillis);
-		if (!entry.version().isKnown()) {
-			this.unregistered.put(entry.getLifetime(), seen);
-			return;
+		this.lastSeen.put(new Sighting(entry.getLifetime(), entry.service(), entry.version()), nowMillis);
+		if (entry.version().isKnown()) {
+			this.lastSeen.remove(new Sighting(entry.getLifetime(), entry.service(), SoftwareVersion.UNKNOWN));
 		}
-		this.processes.put(entry.getLifetime(), seen);
-		this.unregistered.remove(entry.getLifetime());
-		this.lastSeen.computeIfAbsent(entry.service(), (s) -> new HashMap<>()).put(entry.version(), nowMillis);
 	}
 
 	/**
@@ -75,7 +67,11 @@
 	 * @return the version, empty if no registration of the process was seen
 	 */
 	public Optional<SoftwareVersion> findVersion(RunnerLifetime process) {
-		return Optional.ofNullable(this.processes.get(process)).map(Sighting::version);
+		return this.lastSeen.entrySet()
+			.stream()
+			.filter((seen) -> seen.getKey().process.equals(process) && seen.getKey().version.isKnown())
+			.max(Map.Entry.comparingByValue())
+			.map((seen) -> seen.getKey().version);
 	}
 
 	/**
@@ -87,25 +83,26 @@
 	 */
 	public Optional<SoftwareVersion> findOnlyVersion(ServiceName service, Duration period, long nowMillis) {
 		long since = nowMillis - period.toMillis();
-		boolean otherSeen = this.unregistered.values()
-			.stream()
-			.anyMatch((seen) -> seen.service.equals(service) && seen.seenMillis >= since);
-		if (otherSeen || this.observedSinceMillis > since) {
+		if (this.observedSinceMillis > since) {
 			return Optional.empty();
 		}
-		Map<SoftwareVersion, Long> recent = new HashMap<>(this.lastSeen.getOrDefault(service, Map.of()));
-		recent.values().removeIf((seen) -> seen < since);
-		return (recent.size() == 1) ? recent.keySet().stream().findFirst() : Optional.empty();
+		Set<SoftwareVersion> recent = new HashSet<>();
+		this.lastSeen.forEach((seen, seenMillis) -> {
+			if (seen.service.equals(service) && seenMillis >= since) {
+				recent.add(seen.version);
+			}
+		});
+		return (recent.size() == 1) ? recent.stream().filter(SoftwareVersion::isKnown).findFirst() : Optional.empty();
 	}
 
 	/**
-	 * A process of a runner.
+	 * What was seen of a process of a runner.
 	 *
-	 * @param service the service, not null
-	 * @param version the version, unknown before its registration is seen
-	 * @param seenMillis the monotonic time in milliseconds when it was last seen
+	 * @param process the process, not null
+	 * @param service its service, not null
+	 * @param version its version, unknown before its registration is seen
 	 */
-	private record Sighting(ServiceName service, SoftwareVersion version, long seenMillis) {
+	private record Sighting(RunnerLifetime process, ServiceName service, SoftwareVersion version) {
 
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/StreamOriginFinder.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/StreamOriginFinder.java
@@ -96,9 +96,14 @@
 		}
 
 		private void completeIfRead() {
-			if (this.recordRead && this.registrationsRead) {
-				this.listener.accept(this.record.isPresent() ? this.record.map(this::resolve)
-						: (this.registrationsCurrent ? findOnlyOrigin() : Optional.empty()));
+			if (!this.recordRead || !this.registrationsRead) {
+				return;
+			}
+			if (this.record.isPresent()) {
+				this.listener.accept(this.record.map(this::resolve));
+			}
+			else {
+				this.listener.accept(this.registrationsCurrent ? findOnlyOrigin() : Optional.empty());
 			}
 		}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -54,6 +54,9 @@
 	/** Time after which registrations that cannot be read count as out of date. */
 	private static final Duration REGISTRATIONS_TIMEOUT = Duration.ofMillis(500);
 
+	private static final Runnable NO_ACTION = () -> {
+	};
+
 	/** Lower bound of the limit of connections from one host to a runner. */
 	private static final int MIN_CONNECTIONS = 8;
 
@@ -205,7 +208,8 @@
 	}
 
 	/**
-	 * Identifies the process of a runner that a connection leads to.
+	 * Identifies the process of a runner that a connection leads to. Registrations are
+	 * read when a process is seen that is not registered.
 	 * @param placed the entry by which the connection was opened, not null
 	 * @param startedMillis the start of the process in milliseconds since the epoch, by
 	 * its own report on the connection
@@ -219,6 +223,7 @@
 		if (!seen && identity instanceof ProcessIdentity.Unregistered unregistered) {
 			LOG.log(GatewayEvent.RUNNER_RESTARTED, placed.id(), placed.startedMillis(), startedMillis);
 			this.versions.record(unregistered.entry(), this.ticker.millis());
+			refreshRegistrations(NO_ACTION, NO_ACTION);
 		}
 		return identity;
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -234,17 +234,9 @@
 		this.connection.setServerStart(startedMillis);
 		switch (this.fleet.identify(this.runner, startedMillis)) {
 			case ProcessIdentity.Registered registered -> sendIfPermitted(registered.entry());
-			case ProcessIdentity.Unregistered unregistered -> {
-				if (isPermitted(unregistered.entry())) {
-					this.fleet.refreshRegistrations(() -> {
-					}, () -> {
-					});
-					sendIfPermitted(unregistered.entry());
-				}
-				else {
-					awaitRegistration(unregistered.entry());
-				}
-			}
+			case ProcessIdentity.Unregistered unregistered when !isPermitted(unregistered.entry()) ->
+				awaitRegistration(unregistered.entry());
+			case ProcessIdentity.Unregistered unregistered -> sendIfPermitted(unregistered.entry());
 			case ProcessIdentity.Former former -> {
 				finish();
 				this.fleet.getPool().discard(this.runner.id(), this.connection);
