--- a/standins/src/main/java/org/wigeonglade/standins/machines/EndlessResponseRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/EndlessResponseRunnerStandIn.java
@@ -10,8 +10,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
-import io.vertx.core.json.JsonObject;
-
 /**
  * Test double of a faulty runner, whose responses never end: it writes until the client
  * closes the connection. Thread-safe.
@@ -63,16 +61,7 @@
 	 * @param service the service that it belongs to, not null
 	 */
 	public void register(MachineStoreStandIn store, String id, String service) {
-		store.put(MachineStoreStandIn.RUNNER_TOPIC, id,
-				new JsonObject().put("backend", service)
-					.put("address", "127.0.0.1:" + this.socket.getLocalPort())
-					.put("zone", "zone-a")
-					.put("version", "v1")
-					.put("slots", 4)
-					.put("state", "ready")
-					.put("born", 1)
-					.toBuffer()
-					.getBytes());
+		RunnerRegistration.of(id, service, this.socket.getLocalPort()).put(store);
 	}
 
 	/**
--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
@@ -124,16 +124,12 @@
 	 */
 	public void register(MachineStoreStandIn store, String state, int port, long startedMillis) {
 		this.startedMillis = startedMillis;
-		store.put(MachineStoreStandIn.RUNNER_TOPIC, this.id,
-				new JsonObject().put("backend", this.service)
-					.put("address", "127.0.0.1:" + port)
-					.put("zone", "zone-a")
-					.put("version", this.version)
-					.put("slots", this.slots)
-					.put("state", state)
-					.put("born", startedMillis)
-					.toBuffer()
-					.getBytes());
+		RunnerRegistration.of(this.id, this.service, port)
+			.withVersion(this.version)
+			.withSlots(this.slots)
+			.withState(state)
+			.withStart(startedMillis)
+			.put(store);
 	}
 
 	/**
--- a/standins/src/main/java/org/wigeonglade/standins/machines/RestartingRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/RestartingRunnerStandIn.java
@@ -58,8 +58,6 @@
 
 	private final AtomicInteger pendingDisruptions = new AtomicInteger();
 
-	private final AtomicInteger reports = new AtomicInteger();
-
 	private volatile Disruption disruption = Disruption.RESET;
 
 	private volatile Lifetime lifetime;
@@ -99,16 +97,11 @@
 	 */
 	public void register(MachineStoreStandIn store) {
 		Lifetime current = this.lifetime;
-		store.put(MachineStoreStandIn.RUNNER_TOPIC, this.id,
-				new JsonObject().put("backend", this.service)
-					.put("address", "127.0.0.1:" + current.port)
-					.put("zone", "zone-a")
-					.put("version", current.version)
-					.put("slots", this.slotCount)
-					.put("state", "ready")
-					.put("born", current.startedMillis)
-					.toBuffer()
-					.getBytes());
+		RunnerRegistration.of(this.id, this.service, current.port)
+			.withVersion(current.version)
+			.withSlots(this.slotCount)
+			.withStart(current.startedMillis)
+			.put(store);
 	}
 
 	/**
@@ -164,14 +157,6 @@
 		this.pendingDisruptions.set(count);
 	}
 
-	/**
-	 * Returns the id of the registration.
-	 * @return the id, never null
-	 */
-	public String getId() {
-		return this.id;
-	}
-
 	/**
 	 * Returns the version of the present lifetime.
 	 * @return the version, never null
@@ -188,14 +173,6 @@
 		return !this.lifetime.ended;
 	}
 
-	/**
-	 * Returns the number of reports that were asked for.
-	 * @return the number over all lifetimes
-	 */
-	public int getReportCount() {
-		return this.reports.get();
-	}
-
 	/**
 	 * Returns the requests whose execution has begun in any lifetime.
 	 * @return a live view in chronological order
@@ -242,7 +219,19 @@
 		STATUS_500,
 
 		/** The response has status 502 and the content type of a stream. */
-		STATUS_502_AS_STREAM
+		STATUS_502_AS_STREAM;
+
+		/**
+		 * Returns whether the runner sends an error, rather than breaking off.
+		 * @return true for errors within a stream and instead of one
+		 */
+		public boolean isError() {
+			return switch (this) {
+				case RESET, RESET_BEFORE_END, RESET_IN_EVENT, RESET_IN_CHUNK, CLOSE_IN_EVENT -> false;
+				case ERROR_HEAD_IN_STREAM, ERROR_TEXT_IN_STREAM, EVENT_WITHOUT_ID, STATUS_500, STATUS_502_AS_STREAM ->
+					true;
+			};
+		}
 
 	}
 
@@ -347,7 +336,6 @@
 				return true;
 			}
 			if (request.path().equals(REPORT_PATH) && RestartingRunnerStandIn.this.reporting) {
-				RestartingRunnerStandIn.this.reports.incrementAndGet();
 				String report = new JsonObject().put("stage", "both").put("born", this.startedMillis).encode();
 				write(output, head(200, "Content-Type: application/json\r\n", report.length()) + report);
 				return true;
