--- a/standins/src/main/java/org/wigeonglade/standins/machines/EndlessResponseRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/EndlessResponseRunnerStandIn.java
@@ -1,15 +1,15 @@
 package org.wigeonglade.standins.machines;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.wigeonglade.standins.net.ConnectionAcceptor;
+import org.wigeonglade.standins.net.ReceivedRequest;
+
 /**
  * Test double of a faulty runner, whose responses never end: it writes until the client
  * closes the connection. Thread-safe.
@@ -21,7 +21,9 @@
 
 	private static final int WRITE_BYTES = 16 * 1024;
 
-	private final ServerSocket socket;
+	private static final int BACKLOG = 50;
+
+	private final ConnectionAcceptor acceptor;
 
 	private final Kind kind;
 
@@ -33,10 +35,10 @@
 
 	private final AtomicLong sentBytes = new AtomicLong();
 
-	private EndlessResponseRunnerStandIn(ServerSocket socket, Kind kind, boolean reportEndless) {
-		this.socket = socket;
+	private EndlessResponseRunnerStandIn(Kind kind, boolean reportEndless) {
 		this.kind = kind;
 		this.reportEndless = reportEndless;
+		this.acceptor = ConnectionAcceptor.start(BACKLOG, this::serve);
 	}
 
 	/**
@@ -45,13 +47,9 @@
 	 * @param reportEndless whether the reports of the runner about itself do not end
 	 * either
 	 * @return the started stand-in, never null
-	 * @throws IOException if no port can be opened
 	 */
-	public static EndlessResponseRunnerStandIn start(Kind kind, boolean reportEndless) throws IOException {
-		ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-		EndlessResponseRunnerStandIn runner = new EndlessResponseRunnerStandIn(socket, kind, reportEndless);
-		Thread.ofVirtual().start(runner::accept);
-		return runner;
+	public static EndlessResponseRunnerStandIn start(Kind kind, boolean reportEndless) {
+		return new EndlessResponseRunnerStandIn(kind, reportEndless);
 	}
 
 	/**
@@ -61,7 +59,7 @@
 	 * @param service the service that it belongs to, not null
 	 */
 	public void register(MachineStoreStandIn store, String id, String service) {
-		RunnerRegistration.of(id, service, this.socket.getLocalPort()).put(store);
+		RunnerRegistration.of(id, service, this.acceptor.getAddress().getPort()).put(store);
 	}
 
 	/**
@@ -89,36 +87,23 @@
 	}
 
 	@Override
-	public void close() throws IOException {
-		this.socket.close();
+	public void close() {
+		this.acceptor.close();
 	}
 
-	private void accept() {
-		while (!this.socket.isClosed()) {
-			try {
-				Socket caller = this.socket.accept();
-				this.open.incrementAndGet();
-				Thread.ofVirtual().start(() -> serve(caller));
-			}
-			catch (IOException ex) {
-				if (!this.socket.isClosed()) {
-					throw new IllegalStateException("runner stand-in failed to accept a connection", ex);
-				}
-			}
-		}
-	}
-
-	private void serve(Socket caller) {
+	// The response ends because the client has closed the connection.
+	private void serve(Socket caller) throws IOException, InterruptedException {
+		this.open.incrementAndGet();
 		try (caller) {
 			OutputStream output = caller.getOutputStream();
-			String request = readRequest(caller.getInputStream());
-			if (!this.reportEndless && request.startsWith("GET /api/report ")) {
+			ReceivedRequest request = readRequest(caller);
+			if (!this.reportEndless && request.target().equals("GET /api/report")) {
 				write(output,
 						"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 10\r\n\r\n{\"born\":1}");
-				request = readRequest(caller.getInputStream());
+				request = readRequest(caller);
 			}
 			this.requests.incrementAndGet();
-			write(output, responseHead(findRequestId(request)));
+			write(output, responseHead(request.header("Request-Id")));
 			for (long i = 0;; i++) {
 				byte[] block = block(i);
 				output.write(block);
@@ -128,13 +113,9 @@
 				}
 			}
 		}
-		catch (IOException ex) {
-			// The response ends because the client has closed the connection.
+		finally {
 			this.open.decrementAndGet();
 		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
 	}
 
 	private String responseHead(String id) {
@@ -171,25 +152,9 @@
 		output.write(text.getBytes(StandardCharsets.US_ASCII));
 	}
 
-	// Reads the request head. The body is left unread.
-	private static String readRequest(InputStream input) throws IOException {
-		StringBuilder head = new StringBuilder();
-		while (head.indexOf("\r\n\r\n") < 0) {
-			int next = input.read();
-			if (next < 0) {
-				throw new IOException("connection closed before the end of the request head");
-			}
-			head.append((char) next);
-		}
-		return head.toString();
-	}
-
-	private static String findRequestId(String head) {
-		return head.lines()
-			.filter((line) -> line.regionMatches(true, 0, "request-id:", 0, 11))
-			.map((line) -> line.substring(11).strip())
-			.findFirst()
-			.orElse("");
+	private static ReceivedRequest readRequest(Socket caller) throws IOException {
+		return ReceivedRequest.read(caller.getInputStream())
+			.orElseThrow(() -> new IOException("connection closed before the end of the request head"));
 	}
 
 	/**
--- a/standins/src/main/java/org/wigeonglade/standins/machines/RestartingRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/RestartingRunnerStandIn.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.locks.LockSupport;
 
 import io.vertx.core.json.JsonObject;
+import org.wigeonglade.standins.net.ReceivedRequest;
 
 /**
  * Test double of a runner that ends and starts again under its id and on its port, with
@@ -358,7 +359,7 @@
 				InputStream input = new BufferedInputStream(socket.getInputStream());
 				boolean kept = true;
 				while (kept && !this.ended) {
-					Optional<RunnerRequest> request = RunnerRequest.read(input);
+					Optional<ReceivedRequest> request = ReceivedRequest.read(input);
 					kept = request.isPresent() && answer(request.get(), socket);
 				}
 			}
@@ -374,7 +375,7 @@
 		}
 
 		// Returns whether the connection may carry another request.
-		private boolean answer(RunnerRequest request, Socket socket) throws IOException, InterruptedException {
+		private boolean answer(ReceivedRequest request, Socket socket) throws IOException, InterruptedException {
 			OutputStream output = socket.getOutputStream();
 			RunnerResponder responder = RestartingRunnerStandIn.this.responder;
 			if (responder != null) {
@@ -407,7 +408,7 @@
 			}
 		}
 
-		private boolean run(RunnerRequest request, Socket socket, OutputStream output)
+		private boolean run(ReceivedRequest request, Socket socket, OutputStream output)
 				throws IOException, InterruptedException {
 			String subject = new String(request.body(), StandardCharsets.UTF_8);
 			String last = request.header("Last-Event-Id");
--- a/standins/src/main/java/org/wigeonglade/standins/machines/RunnerResponder.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/RunnerResponder.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.Socket;
 
+import org.wigeonglade.standins.net.ReceivedRequest;
+
 /**
  * Answers the requests that a {@link RestartingRunnerStandIn} runs. Called by the threads
  * of its connections.
@@ -17,7 +19,7 @@
 	 * @throws IOException if the connection fails
 	 * @throws InterruptedException if the thread is interrupted
 	 */
-	void received(RunnerRequest request, Socket socket) throws IOException, InterruptedException;
+	void received(ReceivedRequest request, Socket socket) throws IOException, InterruptedException;
 
 	/**
 	 * Answers a request.
@@ -28,6 +30,6 @@
 	 * @throws IOException if the connection fails
 	 * @throws InterruptedException if the thread is interrupted
 	 */
-	boolean respond(RunnerRequest request, String version, Socket socket) throws IOException, InterruptedException;
+	boolean respond(ReceivedRequest request, String version, Socket socket) throws IOException, InterruptedException;
 
 }
--- a/standins/src/main/java/org/wigeonglade/standins/machines/StutteringResponder.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/StutteringResponder.java
@@ -14,6 +14,7 @@
 import java.util.zip.CRC32;
 
 import org.wigeonglade.standins.machines.StutterSettings.CopyForm;
+import org.wigeonglade.standins.net.ReceivedRequest;
 
 /**
  * Responder of a faulty runner, which writes answers twice, cuts answers, and adds bytes
@@ -65,7 +66,7 @@
 	}
 
 	@Override
-	public void received(RunnerRequest request, Socket socket) throws IOException, InterruptedException {
+	public void received(ReceivedRequest request, Socket socket) throws IOException, InterruptedException {
 		Connection connection = this.connections.computeIfAbsent(socket, (key) -> new Connection(this.runner, key));
 		connection.trace.add("receives " + request.target() + " id " + request.header("Request-Id"));
 		byte[] copy = connection.due;
@@ -77,7 +78,7 @@
 	}
 
 	@Override
-	public boolean respond(RunnerRequest request, String version, Socket socket)
+	public boolean respond(ReceivedRequest request, String version, Socket socket)
 			throws IOException, InterruptedException {
 		Connection connection = this.connections.get(socket);
 		RunnerConnectionTrace trace = connection.trace;
@@ -115,7 +116,7 @@
 		return true;
 	}
 
-	private Answer answer(RunnerRequest request, String version, RunnerConnectionTrace trace) {
+	private Answer answer(ReceivedRequest request, String version, RunnerConnectionTrace trace) {
 		String id = request.header("Request-Id");
 		boolean failed = happens(this.settings.errors());
 		boolean stream = !failed && request.path().contains("stream");
--- a/standins/src/main/java/org/wigeonglade/standins/machines/RunnerRequest.java
+++ b/standins/src/main/java/org/wigeonglade/standins/net/ReceivedRequest.java
@@ -1,4 +1,4 @@
-package org.wigeonglade.standins.machines;
+package org.wigeonglade.standins.net;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -9,18 +9,18 @@
 import java.util.TreeMap;
 
 /**
- * A request with a body of known length that a runner has received.
+ * A request with a body of known length that a stand-in has received.
  */
-public final class RunnerRequest {
+public final class ReceivedRequest {
 
-	private final String startLine;
+	private final String requestLine;
 
 	private final Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
 
 	private byte[] body = new byte[0];
 
-	private RunnerRequest(String startLine) {
-		this.startLine = startLine;
+	private ReceivedRequest(String requestLine) {
+		this.requestLine = requestLine;
 	}
 
 	/**
@@ -29,12 +29,12 @@
 	 * @return the request, empty if the connection ends before the end of its headers
 	 * @throws IOException if the connection fails
 	 */
-	public static Optional<RunnerRequest> read(InputStream input) throws IOException {
+	public static Optional<ReceivedRequest> read(InputStream input) throws IOException {
 		Optional<String> line = readLine(input);
 		if (line.isEmpty()) {
 			return Optional.empty();
 		}
-		RunnerRequest request = new RunnerRequest(line.get());
+		ReceivedRequest request = new ReceivedRequest(line.get());
 		for (line = readLine(input); line.isPresent() && !line.get().isEmpty(); line = readLine(input)) {
 			int colon = line.get().indexOf(':');
 			request.headers.put(line.get().substring(0, colon).strip(), line.get().substring(colon + 1).strip());
@@ -64,12 +64,20 @@
 		return findHeader(name).orElse("");
 	}
 
+	/**
+	 * Returns the request line.
+	 * @return method, path and version, never null
+	 */
+	public String requestLine() {
+		return this.requestLine;
+	}
+
 	/**
 	 * Returns the method and the path.
 	 * @return both with a space in between
 	 */
 	public String target() {
-		return this.startLine.substring(0, this.startLine.lastIndexOf(' '));
+		return this.requestLine.substring(0, this.requestLine.lastIndexOf(' '));
 	}
 
 	/**
@@ -77,7 +85,7 @@
 	 * @return the path with the query, if any
 	 */
 	public String path() {
-		return this.startLine.split(" ")[1];
+		return this.requestLine.split(" ")[1];
 	}
 
 	/**
--- a/standins/src/main/java/org/wigeonglade/standins/net/ScriptedHttpServer.java
+++ b/standins/src/main/java/org/wigeonglade/standins/net/ScriptedHttpServer.java
@@ -1,19 +1,13 @@
 package org.wigeonglade.standins.net;
 
 import java.io.BufferedInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import java.util.Locale;
-import java.util.Map;
-import java.util.TreeMap;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -26,21 +20,21 @@
  */
 public final class ScriptedHttpServer implements AutoCloseable {
 
-	private static final String HEAD_END = "\r\n\r\n";
+	private static final int BACKLOG = 50;
 
-	private final ServerSocket listener;
+	private final ConnectionAcceptor acceptor;
 
 	private final Script script;
 
-	private final List<Socket> connections = new CopyOnWriteArrayList<>();
-
 	private final List<Exchange> exchanges = new CopyOnWriteArrayList<>();
 
+	private final AtomicInteger connections = new AtomicInteger();
+
 	private final AtomicInteger requests = new AtomicInteger();
 
-	private ScriptedHttpServer(Script script) throws IOException {
-		this.listener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+	private ScriptedHttpServer(Script script) {
 		this.script = script;
+		this.acceptor = ConnectionAcceptor.start(BACKLOG, this::serve);
 	}
 
 	/**
@@ -49,14 +43,7 @@
 	 * @return a server that listens, never null
 	 */
 	public static ScriptedHttpServer start(Script script) {
-		try {
-			ScriptedHttpServer server = new ScriptedHttpServer(script);
-			Thread.ofVirtual().start(server::accept);
-			return server;
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
+		return new ScriptedHttpServer(script);
 	}
 
 	/**
@@ -64,7 +51,7 @@
 	 * @return {@code ip:port}, never null
 	 */
 	public String getAddress() {
-		return "127.0.0.1:" + this.listener.getLocalPort();
+		return "127.0.0.1:" + this.acceptor.getAddress().getPort();
 	}
 
 	/**
@@ -72,7 +59,7 @@
 	 * @return the number since the start
 	 */
 	public int countConnections() {
-		return this.connections.size();
+		return this.connections.get();
 	}
 
 	/**
@@ -96,66 +83,28 @@
 	 */
 	@Override
 	public void close() {
-		closeSocket(this.listener);
-		this.connections.forEach(ScriptedHttpServer::closeSocket);
-	}
-
-	private void accept() {
-		while (!this.listener.isClosed()) {
-			try {
-				Socket socket = this.listener.accept();
-				socket.setTcpNoDelay(true);
-				this.connections.add(socket);
-				Thread.ofVirtual().start(() -> serve(socket));
-			}
-			catch (IOException ex) {
-				// The listener was closed.
-				return;
-			}
-		}
+		this.acceptor.close();
+		this.acceptor.closeConnections();
 	}
 
-	private void serve(Socket socket) {
+	private void serve(Socket socket) throws IOException {
+		this.connections.incrementAndGet();
 		CountDownLatch closed = new CountDownLatch(1);
 		try (socket) {
 			InputStream in = new BufferedInputStream(socket.getInputStream());
-			String head = readHead(in);
-			while (!head.isEmpty()) {
-				Exchange exchange = new Exchange(this.requests.incrementAndGet(), head, socket, closed);
-				exchange.body = in.readNBytes(Integer.parseInt(exchange.getHeader("content-length", "0")));
+			Optional<ReceivedRequest> request = ReceivedRequest.read(in);
+			while (request.isPresent()) {
+				Exchange exchange = new Exchange(this.requests.incrementAndGet(), request.get(), socket, closed);
 				this.exchanges.add(exchange);
 				this.script.respond(exchange);
-				head = readHead(in);
+				request = ReceivedRequest.read(in);
 			}
 		}
-		catch (IOException ex) {
-			// The connection was closed by one of both sides, which ends its script.
-		}
 		finally {
 			closed.countDown();
 		}
 	}
 
-	private static String readHead(InputStream in) throws IOException {
-		ByteArrayOutputStream head = new ByteArrayOutputStream();
-		for (int b = in.read(); b >= 0; b = in.read()) {
-			head.write(b);
-			if (b == '\n' && head.toString(StandardCharsets.ISO_8859_1).endsWith(HEAD_END)) {
-				return head.toString(StandardCharsets.ISO_8859_1);
-			}
-		}
-		return "";
-	}
-
-	private static void closeSocket(AutoCloseable socket) {
-		try {
-			socket.close();
-		}
-		catch (Exception ex) {
-			throw new IllegalStateException("a socket of the scripted server cannot be closed", ex);
-		}
-	}
-
 	/**
 	 * Responds to requests.
 	 */
@@ -178,25 +127,17 @@
 
 		private final int number;
 
-		private final String requestLine;
-
-		private final Map<String, String> headers = new TreeMap<>();
-
-		private byte[] body;
+		private final ReceivedRequest request;
 
 		private final Socket socket;
 
 		private final CountDownLatch closed;
 
-		private Exchange(int number, String head, Socket socket, CountDownLatch closed) {
+		private Exchange(int number, ReceivedRequest request, Socket socket, CountDownLatch closed) {
 			this.number = number;
+			this.request = request;
 			this.socket = socket;
 			this.closed = closed;
-			this.requestLine = head.substring(0, head.indexOf('\r'));
-			head.lines().skip(1).filter((line) -> line.indexOf(':') > 0).forEach((line) -> {
-				int colon = line.indexOf(':');
-				this.headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
-			});
 		}
 
 		/**
@@ -212,7 +153,7 @@
 		 * @return method, path and version, never null
 		 */
 		public String getRequestLine() {
-			return this.requestLine;
+			return this.request.requestLine();
 		}
 
 		/**
@@ -220,17 +161,17 @@
 		 * @return the body as text, empty if there is none
 		 */
 		public String getBody() {
-			return new String(this.body, StandardCharsets.UTF_8);
+			return new String(this.request.body(), StandardCharsets.UTF_8);
 		}
 
 		/**
 		 * Returns a header of the request.
-		 * @param name the name in lower case, not null
+		 * @param name the name in any case, not null
 		 * @param defaultValue the value of a missing header
 		 * @return the last value
 		 */
 		public String getHeader(String name, String defaultValue) {
-			return this.headers.getOrDefault(name, defaultValue);
+			return this.request.findHeader(name).orElse(defaultValue);
 		}
 
 		/**
