Count the runs of batch items in the logs of all hosts

On a site of 60 hosts a third of the slot time of items went into output that was not the result, and the logs did not say where. Runs that a stopping host cut left no line, and a result did not say whether it was late.

`bin/wigeonglade items LOG...` counts runs by how they ended, lost output, items by outcome, number of runs and number of hosts, by second and failure domain.

ItemReportTests, CatalogueTests, LogCourseTests and MainTests pass.

--- a/cli/src/main/java/org/wigeonglade/cli/Main.java
+++ b/cli/src/main/java/org/wigeonglade/cli/Main.java
@@ -18,7 +18,7 @@
 @Command(name = "wigeonglade", mixinStandardHelpOptions = true, versionProvider = VersionProvider.class,
 		description = "Serves online and batch inference on one fleet.",
 		subcommands = { EntryCommand.class, DemoCommand.class, BatchCommand.class, ConfigCommand.class,
-				ProfileCommand.class, ExplainCommand.class, LogsCommand.class, StatusCommand.class,
+				ProfileCommand.class, ExplainCommand.class, LogsCommand.class, ItemsCommand.class, StatusCommand.class,
 				StandInCommand.class, BenchCommand.class, ModelCommand.class, CatalogueCommand.class },
 		exitCodeListHeading = "%nExit codes:%n",
 		exitCodeList = { "0:success", "1:a promise was broken, a check failed, or a request was turned down",
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -278,7 +278,7 @@
 	 * Cancels all runs and discards their output.
 	 */
 	public void cancelAll() {
-		this.runs.values().forEach(ItemRun::cancel);
+		this.runs.values().stream().filter(ItemRun::isRunning).forEach((run) -> cancel(run, "the host stops"));
 		this.runs.clear();
 	}
 
@@ -438,13 +438,18 @@
 				return isDiscardable(entry.getValue(), now) && !this.ownership.isOwner(key.job(), key.item());
 			}
 			if (entry.getValue().isRunning()) {
-				LOG.log(GatewayEvent.ITEM_RUN_CANCELLED, key.job(), key.item(), cause);
-				entry.getValue().cancel();
+				cancel(entry.getValue(), cause);
 			}
 			return true;
 		});
 	}
 
+	private static void cancel(ItemRun run, String cause) {
+		LOG.log(GatewayEvent.ITEM_RUN_CANCELLED, run.getJob().getId(), run.getItem().id(), cause, run.getRunner().id(),
+				lastEvent(run));
+		run.cancel();
+	}
+
 	// A run that has received events is kept until the item has a result: if this host
 	// becomes the owner again, the item resumes from there.
 	private static boolean isDiscardable(ItemRun run, long nowMillis) {
@@ -498,8 +503,8 @@
 		ItemKey key = new ItemKey(job, outcome.item());
 		ConnectionUse use = outcome.completed() ? run.getConnectionUse() : ConnectionUse.NONE;
 		LOG.log(GatewayEvent.ITEM_DONE, job, outcome.item(), outcome.completed() ? "completed" : "given up", reason,
-				run.getEvents(), (runner != null) ? runner.id() : null, use.connection(), use.exchange(),
-				use.skipped());
+				run.getEvents(), (runner != null) ? runner.id() : null, use.connection(), use.exchange(), use.skipped(),
+				getMillisUntilDue(run.getJob()));
 		this.runs.remove(key);
 		this.pendingOutcomes.put(key, outcome);
 		this.writer.add(() -> this.pendingOutcomes.containsKey(key)
@@ -511,6 +516,13 @@
 		return new ItemOrder.Entry(run.getJob().getSubmittedAtMillis() + target, run.getEvents());
 	}
 
+	private Long getMillisUntilDue(Job job) {
+		return routeOf(job)
+			.map((route) -> job.getSubmittedAtMillis() + route.getCompletionTarget().toMillis()
+					- this.ticker.wallMillis())
+			.orElse(null);
+	}
+
 	private static ItemKey keyOf(ItemRun run) {
 		return new ItemKey(run.getJob().getId(), run.getItem().id());
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -198,7 +198,7 @@
 
 	/** An item has a result. */
 	ITEM_DONE(4508, Level.INFO, "item has a result", "job", "item", "state", "reason", "events", "runner", "connection",
-			"exchange", "skipped"),
+			"exchange", "skipped", "due_ms"),
 
 	/** An item begins anew at another version. */
 	ITEM_OUTPUT_DISCARDED(4516, Level.INFO, "output of an item is discarded; it begins anew at another version", "job",
@@ -217,8 +217,10 @@
 	/** The state of a job could not be confirmed for a caller. */
 	JOB_STATE_UNCERTAIN(4512, Level.WARNING, "state of a job cannot be confirmed", "job", "state_age_ms", "status"),
 
-	/** The run of an item on this host was cancelled because it is no longer needed. */
-	ITEM_RUN_CANCELLED(4513, Level.INFO, "run of an item cancelled; it is no longer needed", "job", "item", "cause"),
+	/**
+	 * The run of an item on this host was cancelled for another reason than online work.
+	 */
+	ITEM_RUN_CANCELLED(4513, Level.INFO, "run of an item cancelled", "job", "item", "cause", "runner", "last_event"),
 
 	/** The records of jobs are removed after their retention. */
 	EXPIRED_JOBS_REMOVED(4514, Level.INFO, "records of jobs are removed after their retention", "records"),
