Leave the output of an item with the host that continues it

When the set of live hosts changed, while a host stopped, and while a host could not read the store, another host became the owner of its items and began them anew from the first event, although the first one still ran them.

A host now names in its datagrams the items of which it continues output although it is not their owner, or which another host claims too. The host with the most output continues an item, ties by host id; the others neither begin it nor go on from less output. A stopping host also resumes preempted items that it can finish within 60 % of the grace time, and leaves the others to their owners at once. A host that cannot read the store keeps items that are due in more than two run times. A claim ends with the result, with the silence of its host, or after 5 s without progress, also for a result that waits for the store. At most 24 claims go into a datagram, and none while the live hosts do not change. Hosts of earlier versions ignore the field.

ItemTakeoverTests: 5 of 5 fail before (16, 17, 16, 16 beginnings of 12 items, 5 of 4), 5 of 5 pass after. OutputClaimsTests passes.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -31,6 +31,7 @@
 import org.wigeonglade.gateway.job.JobRetention;
 import org.wigeonglade.gateway.job.JobService;
 import org.wigeonglade.gateway.job.JobTable;
+import org.wigeonglade.gateway.job.OutputClaims;
 import org.wigeonglade.gateway.job.RouteQuotaTracker;
 import org.wigeonglade.gateway.log.GatewayEvent;
 import org.wigeonglade.gateway.online.OnlineContext;
@@ -224,9 +225,11 @@
 		this.fleet.onLoadChanged(this.exchange::scheduleReport);
 		this.items = ItemScheduler.of(settings.host(), this.self.getIncarnation(), this.jobTable, this.peers,
 				this.fleet, policy, this.loop, ticker, this.writer, this.configurationFollower);
-		this.exchange.setStateSuppliers(() -> this.shutdown != null, this::isJobStateCurrent,
+		this.exchange.setStateSuppliers(() -> this.shutdown != null, this.items::isCaughtUp,
 				this.items::getWaitingCount, this.fleet::getLeaving, this.items::getFailures);
+		this.exchange.setOutputClaims(this.items::getClaims);
 		this.items.onFailure(this.exchange::scheduleReport);
+		this.items.onAssignmentChanged(this.exchange::scheduleReport);
 		RouteQuotaTracker quota = new RouteQuotaTracker(this.jobTable, this.fleet::getRoutingTable,
 				() -> this.peers.getPeers().size() + 1, this.gatewayStreamFollower::getAgeMillis, ticker);
 		this.jobs = new JobService(this.jobTable, this.gatewayStreamFollower, log, quota, adapters.getCallerProtocol(),
@@ -289,7 +292,7 @@
 			LOG.log(GatewayEvent.STOPPING, this.settings.host(), this.callerServer.getBusyConnectionCount(),
 					this.items.getRunningCount());
 			this.callerServer.drain();
-			this.items.stop();
+			this.items.stop(this.shutdown.getItemDrainEndMillis());
 			this.exchange.scheduleReport();
 		}).syncUninterruptibly();
 		boolean drained = false;
@@ -348,7 +351,6 @@
 		this.configurationFollower.stop();
 		this.runnerFollower.stop();
 		this.gatewayStreamFollower.stop();
-		this.items.stop();
 		this.items.cancelAll();
 		this.relayServer.close();
 		this.callerServer.close();
@@ -365,7 +367,7 @@
 			return false;
 		}
 		this.callerServer.closeIdle();
-		boolean idle = this.callerServer.getBusyConnectionCount() == 0 && this.items.getRunningCount() == 0
+		boolean idle = this.callerServer.getBusyConnectionCount() == 0 && this.items.getUnfinishedCount() == 0
 				&& this.relayServer.getBusyConnectionCount() == 0 && this.writer.getPendingCount() == 0;
 		return idle || !this.shutdown.isDraining(now);
 	}
@@ -502,6 +504,11 @@
 					failures);
 		}
 
+		@Override
+		public void outputClaimed(HostId host, List<OutputClaims.Claim> claims) {
+			GatewayHost.this.items.recordClaims(host, claims);
+		}
+
 		@Override
 		public void hostAlive(HostId host) {
 			GatewayHost.this.crashReports.sendUnstoredReports(host);
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GracefulShutdown.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GracefulShutdown.java
@@ -37,7 +37,12 @@
 	}
 
 	boolean isRunningItems(long nowMillis) {
-		return getElapsed(nowMillis) < this.gracePeriod.toMillis() * ITEM_DRAIN_FRACTION;
+		return nowMillis < getItemDrainEndMillis();
+	}
+
+	// The monotonic time at which items in progress are cancelled.
+	long getItemDrainEndMillis() {
+		return this.startMillis + Math.round(this.gracePeriod.toMillis() * ITEM_DRAIN_FRACTION);
 	}
 
 	// A request is accepted after the delay of the load balancer only if its own limit
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemKey.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemKey.java
@@ -1,5 +1,9 @@
 package org.wigeonglade.gateway.job;
 
+import java.nio.charset.StandardCharsets;
+
+import com.google.common.hash.Hashing;
+
 /**
  * Globally unique key of an item.
  *
@@ -8,4 +12,18 @@
  */
 record ItemKey(JobId job, ItemId item) {
 
+	/**
+	 * Returns a hash of the ids that is the same on all hosts.
+	 * @return the hash
+	 */
+	long stableHash() {
+		return Hashing.murmur3_128()
+			.newHasher()
+			.putInt(this.job.value().length())
+			.putString(this.job.value(), StandardCharsets.UTF_8)
+			.putString(this.item.value(), StandardCharsets.UTF_8)
+			.hash()
+			.asLong();
+	}
+
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -78,6 +78,8 @@
 
 	private long endedMillis;
 
+	private long lastEventMillis;
+
 	ItemRun(Job job, SubmittedItem item, Listener listener) {
 		this.job = job;
 		this.item = item;
@@ -129,6 +131,10 @@
 		return this.endedMillis;
 	}
 
+	long getLastEventMillis() {
+		return this.lastEventMillis;
+	}
+
 	StreamBinding getBinding() {
 		return this.binding;
 	}
@@ -262,6 +268,7 @@
 					continue;
 				}
 				ItemRun.this.binding = ItemRun.this.binding.afterEventFrom(ItemRun.this.call.getRunner());
+				ItemRun.this.lastEventMillis = this.ticker.millis();
 				if (ItemRun.this.events++ > 0) {
 					ItemRun.this.output.write('\n');
 				}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
@@ -75,6 +76,13 @@
 	 */
 	private static final long OWNERSHIP_DELAY_MILLIS = 400;
 
+	/**
+	 * Time that must be left until an item is due for a host that cannot read the store
+	 * to keep it, in multiples of the run time of an item: it may be run anew by another
+	 * host if the store stays away.
+	 */
+	private static final int STALE_CLAIM_RUNS = 2;
+
 	/** Time limit of a run on routes without a retention. */
 	private static final Duration DEFAULT_RUN_LIMIT = Duration.ofSeconds(60);
 
@@ -114,11 +122,24 @@
 
 	private final GiveUpConfirmation giveUps = new GiveUpConfirmation();
 
+	private final OutputClaims peerClaims = new OutputClaims();
+
+	private final Map<JobId, Set<ItemId>> heldItems = new HashMap<>();
+
+	private List<OutputClaims.Claim> claims = List.of();
+
 	private long caughtUpSinceMillis = -1;
 
+	private boolean caughtUp;
+
 	private Runnable failureListener = () -> {
 	};
 
+	private Runnable assignmentListener = () -> {
+	};
+
+	private long runUntilMillis = Long.MAX_VALUE;
+
 	private long appendAttempts;
 
 	private boolean stopping;
@@ -169,12 +190,20 @@
 	 * @param caughtUp whether this host has the current state of jobs
 	 */
 	public void step(boolean settled, boolean caughtUp) {
+		boolean changed = this.caughtUp != caughtUp;
+		this.caughtUp = caughtUp;
 		this.ownership.setSelfCaughtUp(caughtUp);
 		discardObsoleteRuns();
+		if (this.stopping) {
+			releaseUnfinishable((run) -> !run.isRunning());
+		}
+		if (updateClaims() || changed) {
+			this.assignmentListener.run();
+		}
 		long now = this.ticker.millis();
 		this.caughtUpSinceMillis = !caughtUp ? -1 : (this.caughtUpSinceMillis < 0) ? now : this.caughtUpSinceMillis;
 		boolean ownershipUnsettled = caughtUp && now - this.caughtUpSinceMillis < OWNERSHIP_DELAY_MILLIS;
-		if (this.stopping || !settled || ownershipUnsettled || this.fleet.getRoutingTable() == null) {
+		if (!settled || ownershipUnsettled || this.fleet.getRoutingTable() == null) {
 			return;
 		}
 		List<WaitingItem> waiting = findWaitingItems();
@@ -268,18 +297,72 @@
 	}
 
 	/**
-	 * Prevents further items from being started; runs in progress continue.
+	 * Sets the listener that is called after a step that has changed which items have a
+	 * {@link #getClaims() claim} or whether this host {@link #isCaughtUp() is caught up},
+	 * so that the other hosts can be told at once.
+	 * @param listener the listener, not null; it runs on the event loop
+	 */
+	public void onAssignmentChanged(Runnable listener) {
+		this.assignmentListener = listener;
+	}
+
+	/**
+	 * Returns the output of items that this host continues although another host may
+	 * consider itself their owner.
+	 * @return the claims of the last step, never null
 	 */
-	public void stop() {
+	public List<OutputClaims.Claim> getClaims() {
+		return this.claims;
+	}
+
+	/**
+	 * Replaces the claims of another host.
+	 * @param host the other host, not null
+	 * @param reported all its claims, not null
+	 */
+	public void recordClaims(HostId host, List<OutputClaims.Claim> reported) {
+		this.peerClaims.replace(host, reported, this.ticker.millis());
+	}
+
+	/**
+	 * Returns whether this host had the current state of jobs in the last step. The other
+	 * hosts take over its items, other than its {@link #getClaims() claims}, otherwise.
+	 * @return true if it had
+	 */
+	public boolean isCaughtUp() {
+		return this.caughtUp;
+	}
+
+	/**
+	 * Prevents items without output from being started. Items with output are continued
+	 * if they are expected to be complete in time; the others are left to other hosts.
+	 * @param untilMillis the monotonic time at which all runs are cancelled, in
+	 * milliseconds
+	 */
+	public void stop(long untilMillis) {
 		this.stopping = true;
+		this.runUntilMillis = untilMillis;
+		releaseUnfinishable((run) -> true);
+		updateClaims();
 	}
 
 	/**
-	 * Cancels all runs and discards their output.
+	 * Cancels all runs and discards their output. Must be called last.
 	 */
 	public void cancelAll() {
+		this.stopping = true;
+		this.runUntilMillis = Long.MIN_VALUE;
 		this.runs.values().stream().filter(ItemRun::isRunning).forEach((run) -> cancel(run, "the host stops"));
 		this.runs.clear();
+		updateClaims();
+	}
+
+	/**
+	 * Returns the number of items that this host still has to run while it stops.
+	 * @return the number of items with output that wait for a slot or run
+	 */
+	public int getUnfinishedCount() {
+		return (int) this.runs.values().stream().filter((run) -> run.isRunning() || mayContinue(run)).count();
 	}
 
 	/**
@@ -345,7 +428,7 @@
 		List<Candidate> candidates = this.fleet.candidates(demand.service(), this.pausedUntil.keySet());
 		Predicate<Candidate> slotAllocator = (candidate) -> tryAllocateSlot(candidate, contenders);
 		Optional<RunnerEntry> runner = this.policy.placeBatch(demand.selectFitting(candidates), slotAllocator);
-		if (runner.isEmpty() && demand.mayBeginAnew()) {
+		if (runner.isEmpty() && demand.mayBeginAnew() && !this.stopping) {
 			runner = this.policy.placeBatch(candidates, slotAllocator);
 			runner.ifPresent((r) -> discardOutput(waiting.key));
 		}
@@ -434,6 +517,9 @@
 			else if (!job.get().isOpen(key.item())) {
 				cause = "the item has a result";
 			}
+			if (cause == null && isPreceded(key, entry.getValue().getEvents())) {
+				cause = "another host has more of its output";
+			}
 			if (cause == null) {
 				return isDiscardable(entry.getValue(), now) && !this.ownership.isOwner(key.job(), key.item());
 			}
@@ -456,6 +542,98 @@
 		return !run.isRunning() && !run.isDelayed(nowMillis) && run.getEvents() == 0;
 	}
 
+	// A run that was expected to complete when the stop began goes on even if it is
+	// slower
+	// than that.
+	private void releaseUnfinishable(Predicate<ItemRun> filter) {
+		long now = this.ticker.millis();
+		this.runs.values().removeIf((run) -> {
+			boolean release = filter.test(run) && !this.order.isFeasible(this.runUntilMillis, now, run.getEvents());
+			if (release && run.isRunning()) {
+				cancel(run, "the host stops");
+			}
+			return release;
+		});
+	}
+
+	private boolean updateClaims() {
+		List<OutputClaims.Claim> current = new ArrayList<>();
+		this.heldItems.clear();
+		if (!this.peerClaims.isEmpty()) {
+			this.peerClaims.retain(this.peers.getPeers().stream().map(PeerTable.Peer::getHost).toList());
+		}
+		this.runs.forEach((key, run) -> {
+			boolean assigned = isAssigned(key);
+			boolean held = !assigned && mayContinue(run);
+			boolean contested = assigned && run.getEvents() > 0 && isClaimed(key);
+			if (held || contested) {
+				current.add(new OutputClaims.Claim(key.stableHash(), run.getEvents()));
+			}
+			if (held) {
+				this.heldItems.computeIfAbsent(key.job(), (job) -> new HashSet<>()).add(key.item());
+			}
+		});
+		this.pendingOutcomes.forEach((key, outcome) -> {
+			if (outcome.completed() && !isAssigned(key) && hasTimeForClaim(key)) {
+				current.add(new OutputClaims.Claim(key.stableHash(), OutputClaims.Claim.COMPLETE));
+			}
+		});
+		Set<Long> previous = itemsOf(this.claims);
+		this.claims = OutputClaims.select(current);
+		return !previous.equals(itemsOf(this.claims));
+	}
+
+	private static Set<Long> itemsOf(List<OutputClaims.Claim> claims) {
+		return claims.stream().map(OutputClaims.Claim::itemHash).collect(Collectors.toSet());
+	}
+
+	private boolean isAssigned(ItemKey key) {
+		return !this.stopping && this.jobTable.find(key.job())
+			.filter((job) -> this.ownership.getOwnedItems(job).contains(key.item()))
+			.isPresent();
+	}
+
+	// An output without progress is left to the owner of the item, which may begin the
+	// item anew.
+	private boolean mayContinue(ItemRun run) {
+		return run.getEvents() > 0 && this.ticker.millis() - run.getLastEventMillis() <= OutputClaims.MAX_IDLE_MILLIS
+				&& hasTimeForClaim(keyOf(run));
+	}
+
+	private boolean hasTimeForClaim(ItemKey key) {
+		if (this.caughtUp) {
+			return true;
+		}
+		Long untilDue = this.jobTable.find(key.job()).map(this::getMillisUntilDue).orElse(null);
+		return untilDue != null && untilDue >= STALE_CLAIM_RUNS * this.order.remainingMillis(0);
+	}
+
+	private boolean isPreceded(ItemKey key, int events) {
+		return !this.peerClaims.isEmpty() && this.peerClaims
+			.findPrecedingHost(key.stableHash(), this.self, events, this::isAlive, this.ticker.millis())
+			.isPresent();
+	}
+
+	private boolean isClaimed(ItemKey key) {
+		return !this.peerClaims.isEmpty()
+				&& this.peerClaims.isClaimed(key.stableHash(), this::isAlive, this.ticker.millis());
+	}
+
+	private boolean isAlive(HostId host) {
+		return this.peers.find(host).filter(PeerTable.Peer::isAlive).isPresent();
+	}
+
+	private List<ItemId> findItemsToRun(Job job) {
+		List<ItemId> items = new ArrayList<>(this.stopping ? List.of() : this.ownership.getOwnedItems(job));
+		items.addAll(this.heldItems.getOrDefault(job.getId(), Set.of()));
+		items.removeIf((item) -> {
+			ItemKey key = new ItemKey(job.getId(), item);
+			ItemRun run = this.runs.get(key);
+			return isPreceded(key, (run != null) ? run.getEvents() : 0);
+		});
+		return items;
+	}
+
 	private List<WaitingItem> findWaitingItems() {
 		long now = this.ticker.millis();
 		this.ownership.retain(this.jobTable.getJobs());
@@ -464,9 +642,9 @@
 			if (!job.isComplete() || job.isDone()) {
 				continue;
 			}
-			List<ItemId> owned = this.ownership.getOwnedItems(job);
-			Optional<Route> route = owned.isEmpty() ? Optional.empty() : routeOf(job);
-			for (ItemId id : owned) {
+			List<ItemId> items = findItemsToRun(job);
+			Optional<Route> route = items.isEmpty() ? Optional.empty() : routeOf(job);
+			for (ItemId id : items) {
 				ItemKey key = new ItemKey(job.getId(), id);
 				if (!job.isOpen(id) || this.pendingOutcomes.containsKey(key)) {
 					continue;
@@ -489,7 +667,8 @@
 	}
 
 	private Optional<Route> routeOf(Job job) {
-		return this.fleet.getRoutingTable().find(job.getHostName(), job.getPath());
+		return Optional.ofNullable(this.fleet.getRoutingTable())
+			.flatMap((table) -> table.find(job.getHostName(), job.getPath()));
 	}
 
 	private void giveUp(Job job, SubmittedItem item, String reason) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
@@ -37,6 +37,8 @@
 import org.wigeonglade.gateway.job.FailureCounter;
 import org.wigeonglade.gateway.job.ItemId;
 import org.wigeonglade.gateway.job.JobId;
+import org.wigeonglade.gateway.job.OutputClaimCodec;
+import org.wigeonglade.gateway.job.OutputClaims;
 import org.wigeonglade.gateway.log.GatewayEvent;
 import org.wigeonglade.schema.generated.crash.CrashNotice;
 import org.wigeonglade.schema.generated.gateway.Datagram;
@@ -109,6 +111,8 @@
 
 	private Supplier<List<FailureCounter.Count>> itemFailures = List::of;
 
+	private Supplier<List<OutputClaims.Claim>> outputClaims = List::of;
+
 	/**
 	 * Creates an exchange that is not bound to a socket yet.
 	 * @param self this host, not null
@@ -148,6 +152,14 @@
 		this.waitingItems = waiting;
 	}
 
+	/**
+	 * Sets the supplier of the output of items that this host continues.
+	 * @param claims the claims, not null
+	 */
+	public void setOutputClaims(Supplier<List<OutputClaims.Claim>> claims) {
+		this.outputClaims = claims;
+	}
+
 	/**
 	 * Sets whether this host connects others to runners.
 	 * @param isRelaying the supplier of the answer, not null
@@ -299,6 +311,7 @@
 				.setJobId(count.job().value())
 				.setItemId(count.item().value())
 				.setFailures(count.failures())));
+		builder.setUnknownFields(OutputClaimCodec.write(this.outputClaims.get()));
 		addLoads(builder);
 		return builder;
 	}
@@ -341,10 +354,12 @@
 
 	private void receive(byte[] bytes) {
 		Datagram datagram;
+		List<OutputClaims.Claim> claims;
 		try {
 			datagram = Datagram.parseFrom(bytes);
+			claims = OutputClaimCodec.read(datagram.getUnknownFields());
 		}
-		catch (InvalidProtocolBufferException ex) {
+		catch (InvalidProtocolBufferException | ArithmeticException ex) {
 			LOG.log(GatewayEvent.DATAGRAM_INVALID, ex, bytes.length);
 			return;
 		}
@@ -373,6 +388,7 @@
 		if (this.loadTracker.applyReport(host,
 				new LoadTracker.Report(sender.getIncarnation(), datagram.getSequence(), now, loads))) {
 			chargeRemoteRequests(host + "." + sender.getIncarnation(), datagram, now);
+			this.listener.outputClaimed(host, claims);
 		}
 		List<Preemption> preemptions = datagram.getPreemptionsList();
 		preemptions.forEach((p) -> this.listener.preemptionRequested(RunnerId.of(p.getRunner()), p.getSlots()));
@@ -449,6 +465,13 @@
 		 */
 		void itemFailuresReported(HostEntry sender, JobId job, ItemId item, int failures);
 
+		/**
+		 * Called with all claims of another host.
+		 * @param host the other host, not null
+		 * @param claims the output that it continues, not null
+		 */
+		void outputClaimed(HostId host, List<OutputClaims.Claim> claims);
+
 	}
 
 }
