Generate the message of output claims

The bytes on the wire stay the same. OutputClaimsTests and the tests of the scheduler of items pass.

--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
@@ -37,7 +37,6 @@
 import org.wigeonglade.gateway.job.FailureCounter;
 import org.wigeonglade.gateway.job.ItemId;
 import org.wigeonglade.gateway.job.JobId;
-import org.wigeonglade.gateway.job.OutputClaimCodec;
 import org.wigeonglade.gateway.job.OutputClaims;
 import org.wigeonglade.gateway.log.GatewayEvent;
 import org.wigeonglade.schema.generated.crash.CrashNotice;
@@ -45,6 +44,7 @@
 import org.wigeonglade.schema.generated.gateway.HostEntry;
 import org.wigeonglade.schema.generated.gateway.ItemFailures;
 import org.wigeonglade.schema.generated.gateway.LeavingRunner;
+import org.wigeonglade.schema.generated.gateway.OutputClaim;
 import org.wigeonglade.schema.generated.gateway.Preemption;
 import org.wigeonglade.schema.generated.gateway.RunnerLimit;
 import org.wigeonglade.schema.generated.gateway.RunnerLoad;
@@ -311,7 +311,9 @@
 				.setJobId(count.job().value())
 				.setItemId(count.item().value())
 				.setFailures(count.failures())));
-		builder.setUnknownFields(OutputClaimCodec.write(this.outputClaims.get()));
+		this.outputClaims.get()
+			.forEach((claim) -> builder
+				.addOutputClaims(OutputClaim.newBuilder().setItemHash(claim.itemHash()).setEvents(claim.events())));
 		addLoads(builder);
 		return builder;
 	}
@@ -354,12 +356,10 @@
 
 	private void receive(byte[] bytes) {
 		Datagram datagram;
-		List<OutputClaims.Claim> claims;
 		try {
 			datagram = Datagram.parseFrom(bytes);
-			claims = OutputClaimCodec.read(datagram.getUnknownFields());
 		}
-		catch (InvalidProtocolBufferException | ArithmeticException ex) {
+		catch (InvalidProtocolBufferException ex) {
 			LOG.log(GatewayEvent.DATAGRAM_INVALID, ex, bytes.length);
 			return;
 		}
@@ -388,7 +388,11 @@
 		if (this.loadTracker.applyReport(host,
 				new LoadTracker.Report(sender.getIncarnation(), datagram.getSequence(), now, loads))) {
 			chargeRemoteRequests(host + "." + sender.getIncarnation(), datagram, now);
-			this.listener.outputClaimed(host, claims);
+			this.listener.outputClaimed(host,
+					datagram.getOutputClaimsList()
+						.stream()
+						.map((claim) -> new OutputClaims.Claim(claim.getItemHash(), claim.getEvents()))
+						.toList());
 		}
 		List<Preemption> preemptions = datagram.getPreemptionsList();
 		preemptions.forEach((p) -> this.listener.preemptionRequested(RunnerId.of(p.getRunner()), p.getSlots()));
