Count an open relayed connection as in progress in a stop

RelayServer took a connection as idle 1 s after the last byte of the runner.

The bytes do not tell a pause from an end without parsing responses. The host that sent the request knows: it closes idle connections by way of a host that reports its stop.

What remains: a connection of a host that has lost power is taken as in progress until it has been silent for 15 s, at most to the end of the drain.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -217,7 +217,7 @@
 		this.fleet.setRegistrations(this.runnerFollower::whenCaughtUp);
 		this.gatewayStreamFollower = new StreamFollower(log, KeyedStream.OWN, GATEWAY_STREAM_POLL_TIMING, this.loop,
 				ticker, this.stateUpdater.gatewayStreamListener(this::jobChanged, this.crashReports, this.limits));
-		this.relayServer = new RelayServer(this.loop, ticker, this.fleet.getDirectory()::find,
+		this.relayServer = new RelayServer(this.loop, this.fleet.getDirectory()::find,
 				() -> !paths.isCutOff() && this.shutdown == null);
 		this.exchange.setRelaySupplier(this.relayServer::isAvailable);
 		this.fleet.onCutOff(this.exchange::scheduleReport);
--- a/gateway/src/main/java/org/wigeonglade/gateway/relay/RelayServer.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/relay/RelayServer.java
@@ -27,7 +27,6 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import org.wigeonglade.core.error.FailureText;
 import org.wigeonglade.core.event.EventLogger;
-import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
 import org.wigeonglade.gateway.log.GatewayEvent;
@@ -52,16 +51,8 @@
 	 */
 	private static final int IDLE_SECONDS = 15;
 
-	/**
-	 * Time in milliseconds after the last byte of a runner for which a response may be in
-	 * progress.
-	 */
-	private static final long BUSY_MILLIS = 1_000;
-
 	private final EventLoop loop;
 
-	private final Ticker ticker;
-
 	private final Function<RunnerId, Optional<RunnerEntry>> directory;
 
 	private final BooleanSupplier available;
@@ -73,14 +64,11 @@
 	/**
 	 * Creates a server that does not listen yet.
 	 * @param loop the event loop, not null
-	 * @param ticker the clock, not null
 	 * @param directory finds registered runners, not null
 	 * @param available whether this host reaches runners, not null
 	 */
-	public RelayServer(EventLoop loop, Ticker ticker, Function<RunnerId, Optional<RunnerEntry>> directory,
-			BooleanSupplier available) {
+	public RelayServer(EventLoop loop, Function<RunnerId, Optional<RunnerEntry>> directory, BooleanSupplier available) {
 		this.loop = loop;
-		this.ticker = ticker;
 		this.directory = directory;
 		this.available = available;
 	}
@@ -120,12 +108,13 @@
 	}
 
 	/**
-	 * Returns the number of relayed connections with a request in progress, by what was
-	 * transferred last.
+	 * Returns the number of relayed connections that may carry a request: those that are
+	 * open. Other hosts close their idle ones when this host shuts down, and the bytes do
+	 * not tell a pause within a response from its end.
 	 * @return the number of connections
 	 */
 	public int getBusyConnectionCount() {
-		return (int) this.connections.stream().filter(HostSide::isBusy).count();
+		return this.connections.size();
 	}
 
 	/**
@@ -149,21 +138,12 @@
 
 		private boolean requested;
 
-		private long lastTransferMillis;
-
-		private boolean awaitingResponse;
-
 		private HostSide(Channel host) {
 			this.host = host;
 		}
 
-		private boolean isBusy() {
-			return this.awaitingResponse || RelayServer.this.ticker.millis() - this.lastTransferMillis < BUSY_MILLIS;
-		}
-
 		@Override
 		public void channelActive(ChannelHandlerContext context) {
-			this.lastTransferMillis = RelayServer.this.ticker.millis();
 			RelayServer.this.connections.add(this);
 		}
 
@@ -171,8 +151,6 @@
 		public void channelRead(ChannelHandlerContext context, Object message) {
 			ByteBuf frame = (ByteBuf) message;
 			if (this.runner != null) {
-				this.lastTransferMillis = RelayServer.this.ticker.millis();
-				this.awaitingResponse = true;
 				this.runner.writeAndFlush(frame);
 				this.host.config().setAutoRead(this.runner.isWritable());
 				return;
@@ -229,7 +207,7 @@
 				.channel(NioSocketChannel.class)
 				.option(ChannelOption.TCP_NODELAY, true)
 				.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
-				.handler(new RunnerSide(this))
+				.handler(new RunnerSide(this.host))
 				.connect(entry.get().address())
 				.addListener((ChannelFuture opened) -> connected(id, opened));
 		}
@@ -264,21 +242,16 @@
 	 */
 	private final class RunnerSide extends ChannelInboundHandlerAdapter {
 
-		private final HostSide hostSide;
-
 		private final Channel host;
 
 		private boolean failed;
 
-		private RunnerSide(HostSide hostSide) {
-			this.hostSide = hostSide;
-			this.host = hostSide.host;
+		private RunnerSide(Channel host) {
+			this.host = host;
 		}
 
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
-			this.hostSide.lastTransferMillis = RelayServer.this.ticker.millis();
-			this.hostSide.awaitingResponse = false;
 			this.host.writeAndFlush(message);
 			context.channel().config().setAutoRead(this.host.isWritable());
 		}
