Wait for the origins of streams at the end of a stop

The origin of a stream whose append had failed once was lost if its host ended within the 300 ms until the next try: no other host could resume the stream that its caller took up again.

GatewayHost.isDrained counted the pending records of one writer, and not those of StreamOriginLog, which has a writer a partition.

StreamOriginLog tells how many origins are not acknowledged, and the stop waits for them as for other records, at most to the end of the drain.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -135,6 +135,8 @@
 
 	private final RecordWriter writer;
 
+	private final StreamOriginLog origins;
+
 	private final StreamStateUpdater stateUpdater;
 
 	private final StreamFollower configurationFollower;
@@ -193,6 +195,7 @@
 			.setDomain(settings.domain().value())
 			.setIncarnation(ticker.wallMillis())
 			.build();
+		this.origins = new StreamOriginLog(adapters.openOriginLog(connector, this.loop), this.loop, ticker);
 		RunnerPaths paths = new RunnerPaths(connector, new RelayConnector(this.loop),
 				new ResponseMonitor(this.registry), ticker);
 		paths.setRelaySelector(
@@ -232,7 +235,7 @@
 		this.jobs = new JobService(this.jobTable, this.gatewayStreamFollower, log, quota, adapters.getCallerProtocol(),
 				this.loop, ticker);
 		OnlineContext online = new OnlineContext(this.loop, ticker, this.fleet, policy, adapters.getCallerProtocol(),
-				this.crashReports, new StreamOriginLog(adapters.openOriginLog(connector, this.loop), this.loop, ticker),
+				this.crashReports, this.origins,
 				new SlotPreemptor(settings.host(), this.items, this.fleet.getLoadTracker(), this.exchange),
 				new OnlineMetrics(this.registry));
 		this.callerServer = new CallerServer(this.group, ticker, this::callerLimits,
@@ -366,7 +369,8 @@
 		}
 		this.callerServer.closeIdle();
 		boolean idle = this.callerServer.getBusyConnectionCount() == 0 && this.items.getRunningCount() == 0
-				&& this.relayServer.getBusyConnectionCount() == 0 && this.writer.getPendingCount() == 0;
+				&& this.relayServer.getBusyConnectionCount() == 0 && this.writer.getPendingCount() == 0
+				&& this.origins.getPendingCount() == 0;
 		return idle || !this.shutdown.isDraining(now);
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/StreamOriginLog.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/StreamOriginLog.java
@@ -85,6 +85,14 @@
 		}
 	}
 
+	/**
+	 * Returns the number of origins that the store has not acknowledged yet.
+	 * @return the number, including the appends in flight
+	 */
+	int getPendingCount() {
+		return this.partitions.stream().mapToInt((partition) -> partition.writer.getPendingCount()).sum();
+	}
+
 	// Ids are of any length, but keys are not.
 	private static String keyOf(String stream) {
 		return Hashing.murmur3_128().hashString(stream, StandardCharsets.UTF_8).toString();
