Tell a runner the time that is left when its request is sent

A runner was told the time that was left when its call began, though the host then opened a connection and asked which process it leads to. The runner could work on for that long after the caller's limit.

RunnerCall keeps the end of the limit and writes the difference when the request is sent, at least 1 ms.

--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -207,6 +207,10 @@
 		this.registrations.refresh(REGISTRATIONS_TIMEOUT, onCurrent, onTimeout);
 	}
 
+	long getMillis() {
+		return this.ticker.millis();
+	}
+
 	/**
 	 * Identifies the process of a runner that a connection leads to. Registrations are
 	 * read when a process is seen that is not registered.
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -1,5 +1,6 @@
 package org.wigeonglade.gateway.runner;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -33,6 +34,8 @@
 
 	private final Listener listener;
 
+	private final long deadlineMillis;
+
 	private RunnerEntry runner;
 
 	private ClientConnection connection;
@@ -58,6 +61,7 @@
 		this.runner = runner;
 		this.request = request;
 		this.listener = listener;
+		this.deadlineMillis = fleet.getMillis() + request.remaining().toMillis();
 	}
 
 	/**
@@ -216,12 +220,14 @@
 				: RunnerFailure.Kind.MALFORMED, reason);
 	}
 
+	// Some time has passed since the call was started: a connection was opened, and its
+	// process identified.
 	@Override
 	public HttpRequest request() {
+		Duration remaining = Duration.ofMillis(Math.max(1, this.deadlineMillis - this.fleet.getMillis()));
 		HttpHeaders headers = new DefaultHttpHeaders().set(this.request.headers());
 		this.fleet.getProtocol()
-			.writeHeaders(headers, this.request.id(), this.runner.id(), this.request.remaining(),
-					this.request.resumeAfter());
+			.writeHeaders(headers, this.request.id(), this.runner.id(), remaining, this.request.resumeAfter());
 		if (isLengthStated(headers)) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, this.request.body().length);
 		}
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
@@ -16,7 +16,7 @@
  * @param uri the path and query, not null
  * @param headers the headers without hop-by-hop headers, not null
  * @param body the body, not null
- * @param remaining the time until the deadline, not null
+ * @param remaining the time from the start of the call until the deadline, not null
  * @param resumeAfter the id of the last event received, empty to start at the first event
  * @param binding the runners that may produce the next event, empty if the response is
  * not a stream
