Give a planned stop of an entry host one budget

Callers saw connections that closed without a response. A request whose head arrived before the stop and whose body ended late in the drain was begun with its whole deadline and cut at the drain limit. A request in progress at that limit got no answer at all, and a stream no last event.

CallerServer checked the stop only at the head of a request, EntryHost counted the drain limit on its own, from the end of the dispatcher on, and nothing compared either with the deadline of a request.

DrainPeriod has the times of one stop, counted from its signal. The host counts these as interrupted.

--- a/entry/src/main/java/org/wigeonglade/entry/caller/BatchHandler.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/BatchHandler.java
@@ -269,7 +269,7 @@
 		}
 
 		private void write(byte[] chunk) {
-			if (this.response.closed()) {
+			if (this.response.closed() || this.response.ended()) {
 				return;
 			}
 			writeHeadOnce();
--- a/entry/src/main/java/org/wigeonglade/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CallerServer.java
@@ -40,12 +40,10 @@
 
 	private final ServiceHandler serviceHandler;
 
-	private final AtomicInteger requestsInProgress = new AtomicInteger();
+	private final RequestTracker requests;
 
 	private final AtomicInteger openConnections = new AtomicInteger();
 
-	private volatile boolean stopping;
-
 	private volatile HttpServer server;
 
 	/**
@@ -57,12 +55,13 @@
 		this.vertx = vertx;
 		this.parts = parts;
 		this.limits = (parts.settings().getLimits() != null) ? parts.settings().getLimits() : new LimitSettings();
+		this.requests = new RequestTracker(parts.ticker());
 		CallerAuthenticator authenticator = new CallerAuthenticator(parts.configuration());
 		KeyedCalls keyedCalls = new KeyedCalls(parts.batch());
 		this.completionHandler = new CompletionHandler(authenticator, parts, keyedCalls,
-				new JsonReader(this.limits.getMaxJsonDepth()));
+				new JsonReader(this.limits.getMaxJsonDepth()), this.requests);
 		this.batchHandler = new BatchHandler(authenticator, parts.batch(), this.limits.getMaxBatchBodyBytes());
-		this.serviceHandler = new ServiceHandler(authenticator, parts, keyedCalls);
+		this.serviceHandler = new ServiceHandler(authenticator, parts, keyedCalls, this.requests);
 	}
 
 	/**
@@ -85,10 +84,15 @@
 	}
 
 	/**
-	 * Rejects new requests from now on; requests in progress continue.
+	 * Begins to drain: from the given times on, new requests are refused and those in
+	 * progress are answered. A request that is read completely in between is refused if
+	 * its time limit is later.
+	 * @param period the times, not null
 	 */
-	public void stopAccepting() {
-		this.stopping = true;
+	public void drain(DrainPeriod period) {
+		this.requests.drain(period);
+		long delay = period.getTimeToAnswer(this.parts.ticker().nanos()).toMillis();
+		this.vertx.setTimer(Math.max(1, delay), (id) -> this.requests.interruptAll());
 	}
 
 	/**
@@ -108,7 +112,16 @@
 	 * @return the count, at least 0
 	 */
 	public int getRequestsInProgress() {
-		return this.requestsInProgress.get();
+		return this.requests.getCount();
+	}
+
+	/**
+	 * Returns the number of requests that were answered before they were complete because
+	 * the time of a planned stop was over.
+	 * @return the count, at least 0
+	 */
+	public int getInterruptedRequests() {
+		return this.requests.getInterruptedCount();
 	}
 
 	/**
@@ -151,15 +164,11 @@
 	}
 
 	private void beginRequest(RoutingContext context) {
-		this.requestsInProgress.incrementAndGet();
-		context.addEndHandler((ignored) -> this.requestsInProgress.decrementAndGet());
+		this.requests.begin(context);
 		String id = CallerAuthenticator.newRequestId();
 		context.put(CallerAuthenticator.REQUEST_ID, id);
 		context.response().putHeader("X-Request-Id", id);
-		if (this.stopping) {
-			context.response().putHeader("Connection", "close");
-			throw new RefusedException(ErrorCode.STOPPING, "this host is stopping", Duration.ofSeconds(1));
-		}
+		this.requests.checkArrival();
 		if (!this.parts.configurationKnown().getAsBoolean()) {
 			// Until the current version has been read, the host may only have a version
 			// that is older than the one it used before a restart.
@@ -178,6 +187,9 @@
 			return;
 		}
 		WigeongladeException error = ErrorBody.wrap(failure);
+		if (error.getCode() == ErrorCode.STOPPING && !context.response().headWritten()) {
+			context.response().putHeader("Connection", "close");
+		}
 		if (error.getCode() == ErrorCode.INTERNAL) {
 			LOG.log(CallerEvent.INTERNAL, failure, CallerAuthenticator.requestId(context));
 		}
--- a/entry/src/main/java/org/wigeonglade/entry/caller/CompletionHandler.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CompletionHandler.java
@@ -1,5 +1,6 @@
 package org.wigeonglade.entry.caller;
 
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.buffer.Buffer;
@@ -34,12 +35,15 @@
 
 	private final JsonReader jsonReader;
 
+	private final RequestTracker requests;
+
 	CompletionHandler(CallerAuthenticator authenticator, CallerContext parts, KeyedCalls keyedCalls,
-			JsonReader jsonReader) {
+			JsonReader jsonReader, RequestTracker requests) {
 		this.authenticator = authenticator;
 		this.parts = parts;
 		this.keyedCalls = keyedCalls;
 		this.jsonReader = jsonReader;
+		this.requests = requests;
 	}
 
 	void handle(RoutingContext context, boolean chat) {
@@ -49,6 +53,7 @@
 		CompletionBody body = CompletionBody.of(this.jsonReader.readObject(bytes), chat);
 		ServiceConfiguration service = caller.findServiceForModel(body.model());
 		Profile profile = caller.findProfile(service.getProfile());
+		this.requests.checkLimit(Duration.ofMillis(profile.getDeadlineMs()));
 		HopTracer.HopSpan hop = this.parts.tracer().start("caller", context.request().getHeader("traceparent"));
 		OnlineRequest request = new OnlineRequest(RequestId.of(CallerAuthenticator.requestId(context)),
 				WorkspaceId.of(caller.workspace().getName()), caller.workspace().getWeight(),
--- a/entry/src/main/java/org/wigeonglade/entry/caller/CompletionSink.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CompletionSink.java
@@ -51,7 +51,7 @@
 			this.text.append(token.text());
 			return;
 		}
-		if (this.response.closed()) {
+		if (this.response.closed() || this.response.ended()) {
 			return;
 		}
 		writeHeadOnce();
--- a/entry/src/main/java/org/wigeonglade/entry/caller/ServiceHandler.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/ServiceHandler.java
@@ -45,10 +45,14 @@
 
 	private final KeyedCalls keyedCalls;
 
-	ServiceHandler(CallerAuthenticator authenticator, CallerContext parts, KeyedCalls keyedCalls) {
+	private final RequestTracker requests;
+
+	ServiceHandler(CallerAuthenticator authenticator, CallerContext parts, KeyedCalls keyedCalls,
+			RequestTracker requests) {
 		this.authenticator = authenticator;
 		this.parts = parts;
 		this.keyedCalls = keyedCalls;
+		this.requests = requests;
 	}
 
 	void handle(RoutingContext context) {
@@ -60,6 +64,7 @@
 			throw new InvalidRequestException(ErrorCode.NOT_FOUND, "no plain service has this name");
 		}
 		Profile profile = caller.findProfile(service.getProfile());
+		this.requests.checkLimit(Duration.ofMillis(profile.getDeadlineMs()));
 		String path = rest.substring(end).startsWith("/") ? rest.substring(end) : "/" + rest.substring(end);
 		Buffer buffer = context.body().buffer();
 		byte[] body = (buffer != null) ? buffer.getBytes() : new byte[0];
--- a/entry/src/main/java/org/wigeonglade/entry/host/EntryHost.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/EntryHost.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.entry.caller.DrainPeriod;
 import org.wigeonglade.schema.generated.settings.HostSettings;
 import org.wigeonglade.schema.generated.settings.TimingSettings;
 
@@ -71,7 +73,7 @@
 	 * Performs a planned stop: reports not ready, rejects new requests after the delay of
 	 * the load balancer, hands over batch work, waits up to the drain limit for requests
 	 * in progress and closes all components. Returns immediately unless the host runs.
-	 * @return the number of requests still in progress when the drain limit expired
+	 * @return the number of requests that were not complete when the drain limit expired
 	 */
 	public int stop() {
 		if (!this.phase.compareAndSet(HostPhase.STARTED, HostPhase.STOPPING)) {
@@ -79,15 +81,16 @@
 		}
 		HostAssembly current = this.assembly;
 		LOG.log(HostEvent.STOPPING, this.settings.getHost(), current.getInProgress());
-		current.announceStop();
+		Ticker ticker = this.builder.getTicker();
+		DrainPeriod period = DrainPeriod.of(ticker.nanos(), Duration.ofMillis(this.timing.getBalancerDelayMs()),
+				Duration.ofMillis(this.timing.getDrainLimitMs()));
+		current.announceStop(period);
 		sleep(this.timing.getBalancerDelayMs());
-		current.stopAccepting();
 		current.stopDispatch();
-		long deadline = System.nanoTime() + Duration.ofMillis(this.timing.getDrainLimitMs()).toNanos();
-		while (current.getInProgress() > 0 && System.nanoTime() - deadline < 0) {
+		while (current.getInProgress() > 0 && !period.isOver(ticker.nanos())) {
 			sleep(DRAIN_POLL_MILLIS);
 		}
-		int interrupted = current.getInProgress();
+		int interrupted = Math.max(current.getInterrupted(), current.getInProgress());
 		current.stopBatch();
 		this.phase.set(HostPhase.STOPPED);
 		current.close();
--- a/entry/src/main/java/org/wigeonglade/entry/host/HostAssembly.java
+++ b/entry/src/main/java/org/wigeonglade/entry/host/HostAssembly.java
@@ -26,6 +26,7 @@
 import org.wigeonglade.entry.batch.BatchRuntime;
 import org.wigeonglade.entry.caller.CallerContext;
 import org.wigeonglade.entry.caller.CallerServer;
+import org.wigeonglade.entry.caller.DrainPeriod;
 import org.wigeonglade.entry.control.ControlConfigurationAdmin;
 import org.wigeonglade.entry.control.ControlOptions;
 import org.wigeonglade.entry.control.ControlRuntime;
@@ -146,16 +147,13 @@
 		Futures.await(opened.future(), COMPONENT_TIMEOUT);
 	}
 
-	void announceStop() {
+	void announceStop(DrainPeriod period) {
+		this.callerServer.drain(period);
 		if (this.control != null) {
 			this.control.announceStop();
 		}
 	}
 
-	void stopAccepting() {
-		this.callerServer.stopAccepting();
-	}
-
 	void stopDispatch() {
 		if (this.dispatcher != null) {
 			Promise<Void> stopped = Promise.promise();
@@ -190,6 +188,10 @@
 		return this.control == null || this.control.isReady();
 	}
 
+	int getInterrupted() {
+		return (this.callerServer != null) ? this.callerServer.getInterruptedRequests() : 0;
+	}
+
 	int getInProgress() {
 		return (this.callerServer != null) ? this.callerServer.getRequestsInProgress() : 0;
 	}
--- a/entry/src/test/java/org/wigeonglade/entry/host/HostFixture.java
+++ b/entry/src/test/java/org/wigeonglade/entry/host/HostFixture.java
@@ -136,9 +136,13 @@
 	}
 
 	public EntryHostBuilder builder() {
+		return builder(settings());
+	}
+
+	public EntryHostBuilder builder(HostSettings settings) {
 		HostMember self = new HostMember(HostId.of("host-1"), 1, DOMAIN, REGION, "127.0.0.1:9", false, 0, 0);
 		FleetView view = new FleetView(List.of(self), this.upstreams, true);
-		return EntryHost.builder(settings())
+		return EntryHost.builder(settings)
 			.withInitialConfiguration(configuration())
 			.withFleet(() -> view)
 			.withClients((vertx) -> clients());
