Count a keyed call until its response is stored

A host that stopped gave up its partitions while a call with an idempotency key ran whose caller had disconnected. Its response was not stored, and the resend was told that it is not known whether the call ran.

A request was in progress until its HTTP exchange ended; the call goes on after that, because it must not run twice.

RequestTracker counts such a call from its intent to its stored response, and once while its caller waits.

--- a/entry/src/main/java/org/wigeonglade/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/CallerServer.java
@@ -57,7 +57,7 @@
 		this.limits = (parts.settings().getLimits() != null) ? parts.settings().getLimits() : new LimitSettings();
 		this.requests = new RequestTracker(parts.ticker());
 		CallerAuthenticator authenticator = new CallerAuthenticator(parts.configuration());
-		KeyedCalls keyedCalls = new KeyedCalls(parts.batch());
+		KeyedCalls keyedCalls = new KeyedCalls(parts.batch(), this.requests);
 		this.completionHandler = new CompletionHandler(authenticator, parts, keyedCalls,
 				new JsonReader(this.limits.getMaxJsonDepth()), this.requests);
 		this.batchHandler = new BatchHandler(authenticator, parts.batch(), this.limits.getMaxBatchBodyBytes());
--- a/entry/src/main/java/org/wigeonglade/entry/caller/KeyedCalls.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/KeyedCalls.java
@@ -35,8 +35,11 @@
 
 	private final BatchRuntime batch;
 
-	KeyedCalls(BatchRuntime batch) {
+	private final RequestTracker requests;
+
+	KeyedCalls(BatchRuntime batch, RequestTracker requests) {
 		this.batch = batch;
+		this.requests = requests;
 	}
 
 	// Returns the idempotency key, or an empty string if the request has none.
@@ -68,16 +71,24 @@
 		KeyedRequest request = new KeyedRequest(workspace, idempotencyKey(context), digest,
 				RequestId.of(CallerAuthenticator.requestId(context)));
 		Context loop = Vertx.currentContext();
+		this.requests.beginKeyed(context);
 		this.batch.beginKeyed(request)
 			.subscribe()
 			.with((start) -> loop.runOnContext((ignored) -> proceed(context, request, start, call, loop)),
-					(failure) -> loop.runOnContext((ignored) -> context.fail(failure)));
+					(failure) -> loop.runOnContext((ignored) -> {
+						this.requests.endKeyed(context);
+						context.fail(failure);
+					}));
 	}
 
 	private void proceed(RoutingContext context, KeyedRequest request, KeyedRequestDecision start,
 			BiConsumer<Context, Responder> call, Context loop) {
+		if (!(start instanceof KeyedRequestDecision.Run)) {
+			this.requests.endKeyed(context);
+		}
 		switch (start) {
-			case KeyedRequestDecision.Run run -> call.accept(loop, new Responder(this.batch, context, request, loop));
+			case KeyedRequestDecision.Run run ->
+				call.accept(loop, new Responder(this.batch, this.requests, context, request, loop));
 			case KeyedRequestDecision.Stored stored -> {
 				context.response().putHeader("Idempotent-Replayed", "true");
 				send(context, stored.response().httpStatus(), stored.response().contentType(),
@@ -107,11 +118,13 @@
 	 * Completes a call that was allowed to run.
 	 *
 	 * @param batch stores the response
+	 * @param requests counts the call until its response is stored
 	 * @param context the HTTP request of the caller
 	 * @param request identifies the recorded intent
 	 * @param loop the event loop of the HTTP request
 	 */
-	record Responder(BatchRuntime batch, RoutingContext context, KeyedRequest request, Context loop) {
+	record Responder(BatchRuntime batch, RequestTracker requests, RoutingContext context, KeyedRequest request,
+			Context loop) {
 
 		// Stores the response and then sends it. If storing fails, the response is sent
 		// nevertheless; a resend is then rejected with the execution state "unknown".
@@ -131,8 +144,12 @@
 		private void store(KeyedResponse response, Runnable continuation) {
 			this.batch.completeKeyed(this.request, response)
 				.subscribe()
-				.with((done) -> this.loop.runOnContext((ignored) -> continuation.run()),
-						(failure) -> this.loop.runOnContext((ignored) -> continuation.run()));
+				.with((done) -> complete(continuation), (failure) -> complete(continuation));
+		}
+
+		private void complete(Runnable continuation) {
+			this.requests.endKeyed(this.context);
+			this.loop.runOnContext((ignored) -> continuation.run());
 		}
 
 	}
--- a/entry/src/main/java/org/wigeonglade/entry/caller/RequestTracker.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/RequestTracker.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 import io.vertx.core.Context;
@@ -28,6 +29,8 @@
 
 	private final Map<RoutingContext, Context> open = new ConcurrentHashMap<>();
 
+	private final Set<RoutingContext> keyed = ConcurrentHashMap.newKeySet();
+
 	private volatile DrainPeriod drain;
 
 	private volatile int interruptedCount;
@@ -42,8 +45,18 @@
 		context.addEndHandler((ignored) -> this.open.remove(context));
 	}
 
+	// A call with an idempotency key is in progress until its response is stored, also
+	// after its caller has disconnected.
+	void beginKeyed(RoutingContext context) {
+		this.keyed.add(context);
+	}
+
+	void endKeyed(RoutingContext context) {
+		this.keyed.remove(context);
+	}
+
 	int getCount() {
-		return this.open.size();
+		return this.open.size() + (int) this.keyed.stream().filter((call) -> !this.open.containsKey(call)).count();
 	}
 
 	int getInterruptedCount() {
