Let the attempts of a service call share its deadline

Each attempt of a call to a plain service got the whole deadline of the profile, so that a call could take the deadline times the attempts, longer than the drain limit that operators set to more than the longest request.

ServiceCalls handed the same call to each instance. PlannedStopTests.attemptsOfACallShareItsLimit failed on the logic before: both attempts were given 1 s of a deadline of 1 s, though the first one took 600 ms. (In a run beside other load the test itself failed after the change with that deadline, since the first attempt used all of it; it now has 5 s.)

A pending call has the end of its deadline; an attempt is given what is left, and none is begun when nothing is left. PlannedStopTests, KeyedCallStopTests and EntryHostTests pass (19).

--- a/core/src/main/java/org/wigeonglade/core/engine/ServiceCall.java
+++ b/core/src/main/java/org/wigeonglade/core/engine/ServiceCall.java
@@ -15,4 +15,14 @@
  */
 public record ServiceCall(String method, String path, Map<String, List<String>> headers, byte[] body,
 		Duration timeout) {
+
+	/**
+	 * Returns the call with another time limit.
+	 * @param newTimeout the time until the call fails, not null
+	 * @return a call, never null
+	 */
+	public ServiceCall withTimeout(Duration newTimeout) {
+		return new ServiceCall(this.method, this.path, this.headers, this.body, newTimeout);
+	}
+
 }
--- a/entry/src/main/java/org/wigeonglade/entry/online/ServiceCalls.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/ServiceCalls.java
@@ -80,15 +80,15 @@
 	 * Forwards a call to an instance. May be called from any thread.
 	 * @param service the service, not null
 	 * @param profile the profile in force when the call arrived, not null
-	 * @param call the call, not null
+	 * @param call the call with the time for all of its attempts, not null
 	 * @param fingerprint the hash of the call, not null
 	 * @return the complete reply; fails with
 	 * {@link org.wigeonglade.core.error.WigeongladeException}
 	 */
 	public Uni<ServiceReply> call(ServiceName service, Profile profile, ServiceCall call, Fingerprint fingerprint) {
 		CompletableFuture<ServiceReply> reply = new CompletableFuture<>();
-		PendingCall pending = new PendingCall(service, profile, call, fingerprint, new HashSet<>(), new ArrayList<>(),
-				reply);
+		PendingCall pending = new PendingCall(service, profile, call, fingerprint,
+				this.ticker.nanos() + call.timeout().toNanos(), new HashSet<>(), new ArrayList<>(), reply);
 		this.loop.execute(() -> start(pending));
 		return Uni.createFrom().completionStage(reply);
 	}
@@ -112,6 +112,15 @@
 	}
 
 	private void attempt(PendingCall pending) {
+		Duration remaining = remaining(pending);
+		if (remaining.isZero()) {
+			releaseSuspect(pending);
+			pending.reply()
+				.completeExceptionally(
+						new UpstreamException(ErrorCode.DEADLINE_EXCEEDED, pending.earlierExecutionState(), false,
+								"the deadline passed before the call was complete", null));
+			return;
+		}
 		Optional<Instance> chosen = choose(pending);
 		if (chosen.isEmpty()) {
 			releaseSuspect(pending);
@@ -126,7 +135,7 @@
 		Instance instance = chosen.orElseThrow();
 		instance.inFlight++;
 		instance.breaker = instance.breaker.plusRequest();
-		instance.client.call(pending.call())
+		instance.client.call(pending.call().withTimeout(remaining))
 			.subscribe()
 			.with((reply) -> this.loop.execute(() -> onReply(pending, instance, reply)),
 					(failure) -> this.loop.execute(() -> onFailure(pending, instance, failure)));
@@ -164,7 +173,7 @@
 			return;
 		}
 		boolean repeatable = pending.profile().getIdempotent() || failure.getExecutionState() == ExecutionState.NOT_RUN;
-		if (repeatable && pending.failedOn().size() < pending.profile().getMaxAttempts()
+		if (repeatable && pending.failedOn().size() < pending.profile().getMaxAttempts() && !remaining(pending).isZero()
 				&& tryAcquireRetry(pending.service())) {
 			attempt(pending);
 			return;
@@ -173,6 +182,10 @@
 		pending.reply().completeExceptionally(failure.withEarlierAttempts(pending.earlierExecutionState()));
 	}
 
+	private Duration remaining(PendingCall pending) {
+		return Duration.ofMillis(Math.max(0, (pending.deadlineNanos() - this.ticker.nanos()) / 1_000_000));
+	}
+
 	private void releaseSuspect(PendingCall pending) {
 		this.suspectsInFlight.remove(pending.fingerprint());
 	}
@@ -260,7 +273,8 @@
 	}
 
 	private record PendingCall(ServiceName service, Profile profile, ServiceCall call, Fingerprint fingerprint,
-			Set<UpstreamId> failedOn, List<UpstreamException> failures, CompletableFuture<ServiceReply> reply) {
+			long deadlineNanos, Set<UpstreamId> failedOn, List<UpstreamException> failures,
+			CompletableFuture<ServiceReply> reply) {
 
 		// Returns whether any of the failed attempts ran.
 		ExecutionState earlierExecutionState() {
--- a/entry/src/test/java/org/wigeonglade/entry/host/PlannedStopTests.java
+++ b/entry/src/test/java/org/wigeonglade/entry/host/PlannedStopTests.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
@@ -121,6 +122,19 @@
 		}
 	}
 
+	// The drain limit of a host is chosen by the longest request.
+	@Test
+	public void attemptsOfACallShareItsLimit() throws Exception {
+		startHost(0, 1_000, 5_000, 600);
+		try (Socket caller = connect()) {
+			send(caller, head("/services/korttipalvelu/kaatuu", 1) + "x");
+			Assert.assertTrue(readAll(caller).startsWith("HTTP/1.1 50"));
+		}
+		List<Duration> given = List.copyOf(this.timeouts);
+		Assert.assertEquals(given.size(), 2, given.toString());
+		Assert.assertTrue(given.get(1).toMillis() <= 4_400, given.toString());
+	}
+
 	private void startHost(int balancerDelayMillis, int drainLimitMillis, int deadlineMillis, long durationMillis) {
 		this.runMillis = durationMillis;
 		HostSettings settings = HostFixture.settings()
