Count the deadline of a keyed service call from its arrival

A call to a plain service with an idempotency key got its whole deadline once its intent was stored, however long that took, so that it could end later than the stop of the host that had admitted it allowed.

KeyedCallStopTests.callIsGivenTheTimeThatIsLeftOnceItsIntentIsStored failed on the logic before: 20 s were given of a deadline of 20 s, 400 ms after the call arrived.

PreparedCall has the end of the deadline, and the call is given what is left when it is sent. The test passes.

--- a/entry/src/main/java/org/wigeonglade/entry/caller/ServiceHandler.java
+++ b/entry/src/main/java/org/wigeonglade/entry/caller/ServiceHandler.java
@@ -73,7 +73,8 @@
 				body, Duration.ofMillis(profile.getDeadlineMs()));
 		Fingerprint fingerprint = Fingerprints.of(service.getName(),
 				Buffer.buffer(call.method() + " " + path + "\n").appendBytes(body).getBytes());
-		PreparedCall prepared = new PreparedCall(ServiceName.of(service.getName()), profile, call, fingerprint, hop);
+		PreparedCall prepared = new PreparedCall(ServiceName.of(service.getName()), profile, call, fingerprint, hop,
+				this.parts.ticker().nanos() + call.timeout().toNanos());
 		if (!profile.getIdempotent() && !KeyedCalls.idempotencyKey(context).isEmpty()) {
 			this.keyedCalls.run(context, WorkspaceId.of(caller.workspace().getName()), body,
 					(loop, responder) -> runWithKey(prepared, responder));
@@ -108,9 +109,11 @@
 	}
 
 	private Uni<ServiceReply> send(PreparedCall prepared) {
+		Duration remaining = Duration.ofNanos(Math.max(0, prepared.deadlineNanos() - this.parts.ticker().nanos()));
 		return this.parts.online()
 			.getServiceCalls()
-			.call(prepared.service(), prepared.profile(), prepared.call(), prepared.fingerprint());
+			.call(prepared.service(), prepared.profile(), prepared.call().withTimeout(remaining),
+					prepared.fingerprint());
 	}
 
 	private static void sendReply(HttpServerResponse response, ServiceReply reply) {
@@ -156,7 +159,7 @@
 	}
 
 	private record PreparedCall(ServiceName service, Profile profile, ServiceCall call, Fingerprint fingerprint,
-			HopTracer.HopSpan hop) {
+			HopTracer.HopSpan hop, long deadlineNanos) {
 	}
 
 }
--- a/entry/src/test/java/org/wigeonglade/entry/caller/KeyedCallStopTests.java
+++ b/entry/src/test/java/org/wigeonglade/entry/caller/KeyedCallStopTests.java
@@ -3,6 +3,7 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -51,6 +52,9 @@
  */
 public class KeyedCallStopTests {
 
+	/** The deadline of all profiles of the fixture. */
+	private static final long DEADLINE_MILLIS = 20_000;
+
 	private Vertx vertx;
 
 	private CallerServer server;
@@ -150,6 +154,22 @@
 		}
 	}
 
+	// The intent may be stored long after the request has arrived.
+	@Test
+	public void callIsGivenTheTimeThatIsLeftOnceItsIntentIsStored() throws Exception {
+		try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), this.server.getPort())) {
+			caller.getOutputStream()
+				.write(("POST /services/studio-app/tulosta HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer "
+						+ HostFixture.KEY + "\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nx")
+					.getBytes(StandardCharsets.US_ASCII));
+			this.begun.get(10, TimeUnit.SECONDS);
+			TimeUnit.MILLISECONDS.sleep(400);
+			this.decision.complete(new KeyedRequestDecision.Run());
+			Duration timeout = this.called.get(10, TimeUnit.SECONDS).timeout();
+			Assert.assertTrue(timeout.toMillis() <= DEADLINE_MILLIS - 400, timeout.toString());
+		}
+	}
+
 	private void awaitInProgress(IntPredicate expected) throws InterruptedException {
 		long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
 		while (!expected.test(this.server.getRequestsInProgress())) {
