Count the events of each run once in the report on items

The events of a resumed run included those of the runs before, so that the sum over all runs was larger than the output. ItemReportTests has a case for it.

--- a/cli/src/main/java/org/wigeonglade/cli/ItemLog.java
+++ b/cli/src/main/java/org/wigeonglade/cli/ItemLog.java
@@ -232,7 +232,8 @@
 		long total = (lastEvent != null) ? Math.max(known, lastEvent + 1) : known;
 		this.events.put(key, total);
 		this.runs.add(new ItemRun(key.item(), key.host(), this.domains.getOrDefault(key.host(), UNKNOWN_DOMAIN),
-				started.seconds(), Math.max(started.seconds(), seconds), end, resumeAfter != null, total));
+				started.seconds(), Math.max(started.seconds(), seconds), end, resumeAfter != null, total,
+				total - known));
 	}
 
 	private static Double millis(Long value) {
--- a/cli/src/main/java/org/wigeonglade/cli/ItemReport.java
+++ b/cli/src/main/java/org/wigeonglade/cli/ItemReport.java
@@ -157,7 +157,7 @@
 	}
 
 	private void count(ItemRun run) {
-		this.ends.computeIfAbsent(run.end(), (end) -> new Tally()).add(1, run.seconds(), run.events());
+		this.ends.computeIfAbsent(run.end(), (end) -> new Tally()).add(1, run.seconds(), run.newEvents());
 		this.domains.computeIfAbsent(run.domain(), (domain) -> new Place()).add(run, run.seconds());
 		place(run.startSeconds()).started++;
 		place(run.endSeconds()).addEnd(run);
--- a/cli/src/main/java/org/wigeonglade/cli/ItemRun.java
+++ b/cli/src/main/java/org/wigeonglade/cli/ItemRun.java
@@ -10,10 +10,11 @@
  * @param endSeconds the end of the run, or of the log of its host if no line ends the run
  * @param end how the run ended, not null
  * @param resumed whether the run continued the output of earlier runs on the host
- * @param events the events of the output of all its runs on the host so far
+ * @param events the events of the output that the run continued or began, at its end
+ * @param newEvents the events that the run itself received, as far as the log tells
  */
 record ItemRun(String item, String host, String domain, double startSeconds, double endSeconds, String end,
-		boolean resumed, long events) {
+		boolean resumed, long events, long newEvents) {
 
 	/** End of a run that delivered the output of the item. */
 	static final String COMPLETED = "completed";
--- a/cli/src/test/java/org/wigeonglade/cli/ItemReportTests.java
+++ b/cli/src/test/java/org/wigeonglade/cli/ItemReportTests.java
@@ -57,6 +57,13 @@
 		Assert.assertEquals(report.countItems(ItemReport::runs), Map.of(3L, 1L));
 	}
 
+	@Test
+	public void eventsOfEarlierRunsAreNotCountedAgain() {
+		ItemReport report = report(start(1, "a", null), line(2, "a", 4506, ",\"last_event\":9"), start(4, "a", 9L),
+				line(5, "a", 4506, ",\"last_event\":11"));
+		Assert.assertEquals(report.getEnds().get("preempted").getEvents(), 12);
+	}
+
 	@Test
 	public void resumedOutputIsNotLost() {
 		ItemReport report = report(start(1, "a", null), line(2, "a", 4506, ",\"last_event\":9"), start(4, "a", 9L),
