Answer 503 to reads of results at a host that lags behind

After the power loss of all hosts, records of other hosts were applied up to 3 s late, and hosts took each other for lost 820 times within 17 s. The processors and links of the small hosts are likely full then; that is not shown.

A host answered reads from what it had, whatever its age, though it reports unknown jobs as nonexistent only on state of the last 700 ms. A read that finds no result now reads the newest state first if the state is older, and gets 503 if that takes more than 900 ms. In a stop, reads end early enough for that.

StaleJobsTests.resultThatWasReadIsNotMissingAtAHostThatLagsBehind failed before (200 without results). StaleJobsTests, LateJobCallTests, LateLimitTests: 27 of 27 after.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -309,8 +309,7 @@
 			LOG.log(GatewayEvent.STOPPING, this.settings.host(), this.callerServer.getBusyConnectionCount(),
 					this.items.getRunningCount(), this.ticker.millis() - signalMillis);
 			this.callerServer.drain();
-			this.loop.schedule(this.jobs::finishLongPolls, this.shutdown.getAnswerEndMillis() - this.ticker.millis(),
-					TimeUnit.MILLISECONDS);
+			this.jobs.limitReads(this.shutdown.getAnswerEndMillis());
 			this.items.stop(this.shutdown.getItemDrainEndMillis());
 			this.exchange.scheduleReport();
 		}).syncUninterruptibly();
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -35,9 +35,9 @@
 	private static final EventLogger LOG = EventLogger.of(JobService.class);
 
 	/**
-	 * Maximum age in milliseconds of the state of jobs at which an unknown job is
-	 * reported as nonexistent. Accepted jobs must be readable on all hosts one second
-	 * later.
+	 * Maximum age in milliseconds of the state of jobs at which an unknown job or result
+	 * is reported as nonexistent. Accepted jobs, and results that were read on one host,
+	 * must be readable on all hosts one second later.
 	 */
 	private static final long MAX_STATE_AGE_MILLIS = 700;
 
@@ -66,6 +66,8 @@
 
 	private final JobSubmitter submitter;
 
+	private long answerEndMillis = Long.MAX_VALUE;
+
 	/**
 	 * Creates the service.
 	 * @param jobTable the state of jobs, not null
@@ -163,10 +165,16 @@
 	}
 
 	/**
-	 * Responds to all requests that wait for results with those available now.
+	 * Limits the time of all reads of results, also of those in progress, because the
+	 * host shuts down.
+	 * @param endMillis the monotonic time in milliseconds by which they must be answered
 	 */
-	public void finishLongPolls() {
-		this.longPolls.values().stream().flatMap(List::stream).toList().forEach(ResultLongPoll::finish);
+	public void limitReads(long endMillis) {
+		this.answerEndMillis = endMillis;
+		long waitMillis = endMillis - FRESH_STATE_WAIT.toMillis() - this.ticker.millis();
+		this.loop.schedule(
+				() -> this.longPolls.values().stream().flatMap(List::stream).toList().forEach(ResultLongPoll::finish),
+				waitMillis, TimeUnit.MILLISECONDS);
 	}
 
 	private void withJob(CallerExchange exchange, JobId id, long answerByMillis, Consumer<Job> action) {
@@ -182,24 +190,37 @@
 					.ifPresentOrElse(action, () -> respondUnknownJob(exchange, id));
 			}
 		};
-		long waitMillis = Math.min(FRESH_STATE_WAIT.toMillis(), answerByMillis - this.ticker.millis());
-		this.follower.whenCaughtUp(Duration.ofMillis(Math.max(0, waitMillis)), respond, respond);
+		whenCaughtUp(answerByMillis, respond, respond);
+	}
+
+	private void whenCaughtUp(long answerByMillis, Runnable caughtUp, Runnable timedOut) {
+		long endMillis = Math.min(answerByMillis, this.answerEndMillis);
+		long waitMillis = Math.min(FRESH_STATE_WAIT.toMillis(), endMillis - this.ticker.millis());
+		this.follower.whenCaughtUp(Duration.ofMillis(Math.max(0, waitMillis)), caughtUp, timedOut);
 	}
 
 	private void respondUnknownJob(CallerExchange exchange, JobId id) {
-		long age = this.follower.getAgeMillis();
-		if (age <= MAX_STATE_AGE_MILLIS) {
+		if (this.follower.getAgeMillis() <= MAX_STATE_AGE_MILLIS) {
 			respond(exchange, 404, "no such job");
 		}
 		else {
-			LOG.log(GatewayEvent.JOB_STATE_UNCERTAIN, id, age, 503);
+			respondUncertain(exchange, id);
+		}
+	}
+
+	private void respondUncertain(CallerExchange exchange, JobId id) {
+		if (!exchange.isEnded()) {
+			LOG.log(GatewayEvent.JOB_STATE_UNCERTAIN, id, this.follower.getAgeMillis(), 503);
 			exchange.respond(503, this.protocol.refusalHeaders(STORE_RETRY_AFTER_MILLIS), new byte[0]);
 		}
 	}
 
 	private void readResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read, long answerByMillis) {
-		long waitMillis = Math.min(read.waitMillis(), answerByMillis - this.ticker.millis());
-		ResultLongPoll poll = new ResultLongPoll(exchange, job, read, () -> writeResults(exchange, job, read));
+		// A read without results may need the newest state at the end of its wait.
+		long lastMillis = Math.min(answerByMillis, this.answerEndMillis) - FRESH_STATE_WAIT.toMillis();
+		long waitMillis = Math.min(read.waitMillis(), lastMillis - this.ticker.millis());
+		ResultLongPoll poll = new ResultLongPoll(exchange, job, read,
+				() -> respondResults(exchange, job, read, answerByMillis));
 		if (waitMillis <= 0) {
 			poll.finish();
 		}
@@ -209,6 +230,18 @@
 		}
 	}
 
+	// A caller may have read a result at another host that this host has not read yet.
+	private void respondResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read,
+			long answerByMillis) {
+		boolean listed = !job.getResults(read.from()).isEmpty() || (job.isDone() && !job.isEnded());
+		if (listed || this.follower.getAgeMillis() <= MAX_STATE_AGE_MILLIS) {
+			writeResults(exchange, job, read);
+			return;
+		}
+		whenCaughtUp(answerByMillis, () -> writeResults(exchange, job, read),
+				() -> respondUncertain(exchange, job.getId()));
+	}
+
 	private void writeResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read) {
 		if (!exchange.isEnded()) {
 			exchange.respond(200, List.of(Map.entry("Content-Type", "application/json")),
