Keep connections of a stopping host until their responses are written

In a stop nearly every response announces the end of its connection. Such a connection counted as idle as soon as the response was complete, so closeIdle closed it with bytes still buffered for a slow caller, and the process could end. It now counts as busy until it is closed.

The decision that a host is drained and the close of its connections were two tasks of the event loop, so a request that was read in between was begun and cut. They are one task now; no test opens that gap.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -313,18 +313,11 @@
 			this.items.stop(this.shutdown.getItemDrainEndMillis());
 			this.exchange.scheduleReport();
 		}).syncUninterruptibly();
-		boolean drained = false;
-		while (!drained) {
+		boolean closed = false;
+		while (!closed) {
 			sleep();
-			drained = this.loop.submit(this::isDrained).syncUninterruptibly().getNow();
+			closed = this.loop.submit(this::closeIfDrained).syncUninterruptibly().getNow();
 		}
-		this.loop.submit(() -> {
-			LOG.log(GatewayEvent.STOPPED, this.settings.host(), this.shutdown.getElapsed(this.ticker.millis()),
-					this.callerServer.getBusyConnectionCount(), describeRequestsInProgress(),
-					this.items.getRunningCount(), this.relayServer.getBusyConnectionCount(),
-					this.writer.getPendingCount());
-			close();
-		}).syncUninterruptibly();
 		this.group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
 	}
 
@@ -378,6 +371,19 @@
 		this.metricsServer.close();
 	}
 
+	// Both in one task, so that no request is accepted in between.
+	private boolean closeIfDrained() {
+		boolean drained = isDrained();
+		if (drained) {
+			LOG.log(GatewayEvent.STOPPED, this.settings.host(), this.shutdown.getElapsed(this.ticker.millis()),
+					this.callerServer.getBusyConnectionCount(), describeRequestsInProgress(),
+					this.items.getRunningCount(), this.relayServer.getBusyConnectionCount(),
+					this.writer.getPendingCount());
+			close();
+		}
+		return drained;
+	}
+
 	private boolean isDrained() {
 		long now = this.ticker.millis();
 		if (!this.shutdown.isRunningItems(now)) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
@@ -54,6 +54,8 @@
 
 	private boolean refused;
 
+	private boolean closing;
+
 	private long idleSinceMillis;
 
 	private ScheduledFuture<?> timer;
@@ -80,9 +82,10 @@
 		return request != null && HttpMethod.HEAD.equals(request.method());
 	}
 
-	// A partly received request counts as in progress.
+	// A partly received request counts as in progress, and so does a response that is
+	// complete but may not be written yet.
 	boolean isIdle() {
-		return this.current == null && this.head == null && this.pipelined.isEmpty();
+		return this.current == null && this.head == null && this.pipelined.isEmpty() && !this.closing;
 	}
 
 	// When the connection was opened, or its last response was complete.
@@ -103,6 +106,7 @@
 	void exchangeEnded(boolean closing) {
 		this.current = null;
 		if (closing) {
+			this.closing = true;
 			this.pipelined.clear();
 			return;
 		}
