--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineOperatorStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineOperatorStandIn.java
@@ -4,7 +4,9 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -49,6 +51,8 @@
 
 	private long timeoutMillis = TIMEOUT_MILLIS;
 
+	private final Map<String, String> furtherRoutes = new TreeMap<>();
+
 	/**
 	 * Creates an operator.
 	 * @param store the store to publish to, not null
@@ -91,6 +95,15 @@
 		this.timeoutMillis = millis;
 	}
 
+	/**
+	 * Adds a route to the configurations published afterwards.
+	 * @param name its name and path prefix, not null
+	 * @param kind its kind in the format of the configuration, not null
+	 */
+	public void addRoute(String name, String kind) {
+		this.furtherRoutes.put(name, kind);
+	}
+
 	/**
 	 * Publishes the default routes with the next version: safe, once, stream,
 	 * plain-stream and batch-stream.
@@ -119,6 +132,7 @@
 				.put("retention-s", retentionSeconds)
 				.put("cap", this.quotaTokens));
 		}
+		this.furtherRoutes.forEach((name, kind) -> routes.add(route(name, kind, service, 2)));
 		JsonObject config = new JsonObject().put("version", ++this.version)
 			.put("routes", routes)
 			.put("backends",
