Admit a request by the end of its own limit

Callers saw a stream or a request end with 504, or break off, up to 150 ms before its limit: admission compared limits, counted from now, with 0.9 of the grace period, but requests ended 150 ms earlier. A request that had waited for a route or behind another one was refused though its limit, counted from its arrival, ended in time.

GracefulShutdown.admit now decides both from one clock reading: a late request is admitted if arrival + limit is at most 0.9 of the grace period, and its limit is not shortened.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
 
 import org.wigeonglade.core.error.InvalidRequestException;
@@ -39,12 +40,7 @@
 	 */
 	private static final Duration FRESH_CONFIGURATION_WAIT = Duration.ofMillis(900);
 
-	/**
-	 * Time before requests in progress are abandoned at which a request is answered that
-	 * was accepted during the shutdown.
-	 */
-	private static final Duration ANSWER_MARGIN = Duration.ofMillis(150);
-
+	/** Time by which a request must be answered unless the host shuts down. */
 	private static final Duration UNLIMITED = Duration.ofDays(1);
 
 	private final CallerProtocol protocol;
@@ -74,29 +70,28 @@
 			if (parsed instanceof CallerOperation.Routed) {
 				route(call);
 			}
-			else if (isAccepting(call, JobService.getMaxTime(parsed))) {
-				this.jobs.handle(call, parsed, getTimeToAnswer());
+			else {
+				admit(call, JobService.getMaxTime(parsed))
+					.ifPresent((answerByMillis) -> this.jobs.handle(call, parsed, answerByMillis));
 			}
 		});
 	}
 
-	// Refuses a request that may not be complete before the process ends; another host
-	// serves it.
-	private boolean isAccepting(CallerExchange call, Duration limit) {
+	// Returns the time by which a request must be answered. Refuses one that may not be
+	// complete before the process ends; another host serves it. Limits count from the
+	// arrival of the request, also while it waits behind others or for a configuration.
+	private OptionalLong admit(CallerExchange call, Duration limit) {
 		GracefulShutdown current = this.shutdown.get();
+		if (current == null) {
+			return OptionalLong.of(call.getArrivedMillis() + UNLIMITED.toMillis());
+		}
 		long now = this.online.ticker().millis();
-		if (current == null || current.isAccepting(limit, now)) {
-			return true;
+		OptionalLong answerByMillis = current.admit(call.getArrivedMillis() + limit.toMillis(), now);
+		if (answerByMillis.isEmpty()) {
+			LOG.log(GatewayEvent.REFUSED_AT_STOP, requestId(call), current.getElapsed(now), 503);
+			call.respond(503, this.protocol.refusalHeaders(0), new byte[0]);
 		}
-		LOG.log(GatewayEvent.REFUSED_AT_STOP, requestId(call), current.getElapsed(now), 503);
-		call.respond(503, this.protocol.refusalHeaders(0), new byte[0]);
-		return false;
-	}
-
-	// The time until requests in progress are abandoned.
-	private Duration getTimeToAnswer() {
-		GracefulShutdown current = this.shutdown.get();
-		return (current != null) ? current.getRemaining(this.online.ticker().millis()).minus(ANSWER_MARGIN) : UNLIMITED;
+		return answerByMillis;
 	}
 
 	private void handleSafely(CallerExchange call, Runnable handler) {
@@ -138,14 +133,17 @@
 			refuseWithoutConfiguration(call);
 			return;
 		}
-		if (!isAccepting(call, FRESH_CONFIGURATION_WAIT)) {
-			return;
-		}
-		this.configurationFollower.whenCaughtUp(FRESH_CONFIGURATION_WAIT, () -> handleSafely(call, () -> {
-			if (!call.isEnded()) {
-				findRoute(call).ifPresentOrElse((route) -> start(call, route), () -> respondNoRoute(call));
-			}
-		}), () -> refuseWithoutConfiguration(call));
+		long waitMillis = Math.min(FRESH_CONFIGURATION_WAIT.toMillis(),
+				this.protocol.waitMillis(call.getRequest().headers()).orElse(Long.MAX_VALUE));
+		admit(call, Duration.ofMillis(waitMillis)).ifPresent((answerByMillis) -> {
+			long endMillis = Math.min(call.getArrivedMillis() + waitMillis, answerByMillis);
+			Duration remaining = Duration.ofMillis(Math.max(0, endMillis - this.online.ticker().millis()));
+			this.configurationFollower.whenCaughtUp(remaining, () -> handleSafely(call, () -> {
+				if (!call.isEnded()) {
+					findRoute(call).ifPresentOrElse((route) -> start(call, route), () -> respondNoRoute(call));
+				}
+			}), () -> refuseWithoutConfiguration(call));
+		});
 	}
 
 	private Optional<Route> findRoute(CallerExchange call) {
@@ -154,19 +152,16 @@
 
 	private void start(CallerExchange call, Route route) {
 		long timeout = route.getTimeout().toMillis();
-		Duration limit = Duration
-			.ofMillis(Math.min(timeout, this.protocol.waitMillis(call.getRequest().headers()).orElse(timeout)));
-		if (!isAccepting(call, limit)) {
-			return;
-		}
-		Duration timeToAnswer = getTimeToAnswer();
-		Duration wait = (limit.compareTo(timeToAnswer) < 0) ? limit : timeToAnswer;
-		if (route.getKind() == RouteKind.BATCH) {
-			this.jobs.submit(call, route, wait);
-		}
-		else {
-			OnlineRequest.start(this.online, call, route, wait);
-		}
+		long limitMillis = Math.min(timeout, this.protocol.waitMillis(call.getRequest().headers()).orElse(timeout));
+		admit(call, Duration.ofMillis(limitMillis)).ifPresent((answerByMillis) -> {
+			long deadlineMillis = Math.min(call.getArrivedMillis() + limitMillis, answerByMillis);
+			if (route.getKind() == RouteKind.BATCH) {
+				this.jobs.submit(call, route, deadlineMillis);
+			}
+			else {
+				OnlineRequest.start(this.online, call, route, deadlineMillis);
+			}
+		});
 	}
 
 	private void respondNoRoute(CallerExchange call) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -91,9 +91,10 @@
 	 * again.
 	 * @param exchange the request, not null
 	 * @param route the route of the request, not null
-	 * @param wait the time within which the request must be answered, not null
+	 * @param deadlineMillis the monotonic time in milliseconds by which the request must
+	 * be answered
 	 */
-	public void submit(CallerExchange exchange, Route route, Duration wait) {
+	public void submit(CallerExchange exchange, Route route, long deadlineMillis) {
 		Optional<String> id = this.protocol.requestId(exchange.getRequest().headers());
 		if (id.isEmpty()) {
 			respond(exchange, 400, "the job has no id");
@@ -115,7 +116,7 @@
 			respond(exchange, 400, ex.getMessage());
 			return;
 		}
-		this.submitter.submit(exchange, job, route, wait.toMillis());
+		this.submitter.submit(exchange, job, route, deadlineMillis);
 	}
 
 	/**
@@ -132,13 +133,14 @@
 	 * Handles a request about a job.
 	 * @param exchange the request, not null
 	 * @param operation the decoded operation, not null
-	 * @param maxWait the time within which the request must be answered, not null
+	 * @param answerByMillis the monotonic time in milliseconds by which the request must
+	 * be answered
 	 * @throws IllegalArgumentException if the operation does not concern a job
 	 */
-	public void handle(CallerExchange exchange, CallerOperation operation, Duration maxWait) {
+	public void handle(CallerExchange exchange, CallerOperation operation, long answerByMillis) {
 		switch (operation) {
 			case CallerOperation.ReadResults read ->
-				withJob(exchange, read.job(), (job) -> readResults(exchange, job, read, maxWait));
+				withJob(exchange, read.job(), (job) -> readResults(exchange, job, read, answerByMillis));
 			case CallerOperation.ReadItem read -> withJob(exchange, read.job(), (job) -> readItem(exchange, job, read));
 			case CallerOperation.EndJob end -> withJob(exchange, end.job(), (job) -> end(exchange, job));
 			case CallerOperation.Routed routed -> throw new IllegalArgumentException("not an operation on a job");
@@ -184,8 +186,8 @@
 		}
 	}
 
-	private void readResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read, Duration maxWait) {
-		long waitMillis = Math.min(read.waitMillis(), maxWait.toMillis());
+	private void readResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read, long answerByMillis) {
+		long waitMillis = Math.min(read.waitMillis(), answerByMillis - this.ticker.millis());
 		ResultLongPoll poll = new ResultLongPoll(exchange, job, read, () -> writeResults(exchange, job, read));
 		if (waitMillis <= 0) {
 			poll.finish();
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobSubmitter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobSubmitter.java
@@ -78,12 +78,14 @@
 	 * @param exchange the request of the submitter, not null
 	 * @param job the job, not null
 	 * @param route the route of the job, not null
-	 * @param waitMillis the time in milliseconds that the submitter waits for the
-	 * response
+	 * @param deadlineMillis the monotonic time in milliseconds by which the submitter
+	 * must get the response
 	 */
-	void submit(CallerExchange exchange, SubmittedJob job, Route route, long waitMillis) {
+	void submit(CallerExchange exchange, SubmittedJob job, Route route, long deadlineMillis) {
+		long now = this.ticker.millis();
+		long waitMillis = deadlineMillis - now;
 		long limitMillis = Math.max(waitMillis - RESPONSE_MARGIN_MILLIS, waitMillis / 2);
-		Submission submission = new Submission(exchange, job, route, this.ticker.millis(), limitMillis);
+		Submission submission = new Submission(exchange, job, route, now, limitMillis);
 		this.loop.schedule(() -> limitReached(submission), limitMillis, TimeUnit.MILLISECONDS);
 		if (this.quota.decide(job, route) == QuotaPolicy.Decision.APPEND) {
 			append(submission);
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -109,7 +109,7 @@
 
 	private AttemptOutcome.RunnerError lastError;
 
-	private OnlineRequest(OnlineContext context, CallerExchange exchange, Route route, Duration wait) {
+	private OnlineRequest(OnlineContext context, CallerExchange exchange, Route route, long deadlineMillis) {
 		this.context = context;
 		this.exchange = exchange;
 		this.route = route;
@@ -120,7 +120,7 @@
 		this.headers = new DefaultHttpHeaders().set(received);
 		HopByHopHeaders.strip(this.headers);
 		this.retryPolicy = new RetryPolicy(route);
-		this.deadlineMillis = exchange.getArrivedMillis() + wait.toMillis();
+		this.deadlineMillis = deadlineMillis;
 		this.targetTimeMillis = exchange.getArrivedMillis() + route.getLatencyTarget().toMillis();
 		this.response = new CallerResponse(exchange, context.ticker(),
 				sequenceOf(route, context.protocol().resumeAfter(received)), route.getKind() == RouteKind.STREAM);
@@ -138,10 +138,11 @@
 	 * @param context the shared collaborators, not null
 	 * @param exchange the request and its response, not null
 	 * @param route the route of the request, not null
-	 * @param wait the time from its arrival within which it must be answered, not null
+	 * @param deadlineMillis the monotonic time in milliseconds by which it must be
+	 * answered
 	 */
-	public static void start(OnlineContext context, CallerExchange exchange, Route route, Duration wait) {
-		OnlineRequest request = new OnlineRequest(context, exchange, route, wait);
+	public static void start(OnlineContext context, CallerExchange exchange, Route route, long deadlineMillis) {
+		OnlineRequest request = new OnlineRequest(context, exchange, route, deadlineMillis);
 		exchange.onDisconnect(request::callerDisconnected);
 		long remaining = request.deadlineMillis - context.ticker().millis();
 		request.deadlineTimer = context.loop()
