Answer calls of the job API before the process ends

Reads of results and ends of jobs that the host had not read yet, and long reads that began before the signal, got no response: the waits for the job, for results and for the store each counted from their own beginning, and nothing ended them before the process. All now end at the time that admission has set: a read with the results there are, an end with 503 before the store is asked and with 504 after; long reads of the time before the signal are finished then.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -289,6 +289,8 @@
 			LOG.log(GatewayEvent.STOPPING, this.settings.host(), this.callerServer.getBusyConnectionCount(),
 					this.items.getRunningCount());
 			this.callerServer.drain();
+			this.loop.schedule(this.jobs::finishLongPolls, this.shutdown.getAnswerEndMillis() - this.ticker.millis(),
+					TimeUnit.MILLISECONDS);
 			this.items.stop();
 			this.exchange.scheduleReport();
 		}).syncUninterruptibly();
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import org.wigeonglade.core.error.InvalidRequestException;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.time.Ticker;
@@ -139,10 +140,12 @@
 	 */
 	public void handle(CallerExchange exchange, CallerOperation operation, long answerByMillis) {
 		switch (operation) {
-			case CallerOperation.ReadResults read ->
-				withJob(exchange, read.job(), (job) -> readResults(exchange, job, read, answerByMillis));
-			case CallerOperation.ReadItem read -> withJob(exchange, read.job(), (job) -> readItem(exchange, job, read));
-			case CallerOperation.EndJob end -> withJob(exchange, end.job(), (job) -> end(exchange, job));
+			case CallerOperation.ReadResults read -> withJob(exchange, read.job(), answerByMillis,
+					(job) -> readResults(exchange, job, read, answerByMillis));
+			case CallerOperation.ReadItem read ->
+				withJob(exchange, read.job(), answerByMillis, (job) -> readItem(exchange, job, read));
+			case CallerOperation.EndJob end ->
+				withJob(exchange, end.job(), answerByMillis, (job) -> end(exchange, job, answerByMillis));
 			case CallerOperation.Routed routed -> throw new IllegalArgumentException("not an operation on a job");
 		}
 	}
@@ -159,7 +162,14 @@
 		}
 	}
 
-	private void withJob(CallerExchange exchange, JobId id, Consumer<Job> action) {
+	/**
+	 * Responds to all requests that wait for results with those available now.
+	 */
+	public void finishLongPolls() {
+		this.longPolls.values().stream().flatMap(List::stream).toList().forEach(ResultLongPoll::finish);
+	}
+
+	private void withJob(CallerExchange exchange, JobId id, long answerByMillis, Consumer<Job> action) {
 		Optional<Job> job = this.jobTable.find(id);
 		if (job.isPresent() && this.follower.isListed()) {
 			action.accept(job.get());
@@ -172,7 +182,8 @@
 					.ifPresentOrElse(action, () -> respondUnknownJob(exchange, id));
 			}
 		};
-		this.follower.whenCaughtUp(FRESH_STATE_WAIT, respond, respond);
+		long waitMillis = Math.min(FRESH_STATE_WAIT.toMillis(), answerByMillis - this.ticker.millis());
+		this.follower.whenCaughtUp(Duration.ofMillis(Math.max(0, waitMillis)), respond, respond);
 	}
 
 	private void respondUnknownJob(CallerExchange exchange, JobId id) {
@@ -215,19 +226,34 @@
 		}
 	}
 
-	private void end(CallerExchange exchange, Job job) {
+	private void end(CallerExchange exchange, Job job, long answerByMillis) {
 		if (job.isEnded()) {
 			respond(exchange, 200, "");
 			return;
 		}
+		long waitMillis = answerByMillis - this.ticker.millis();
+		if (waitMillis <= 0) {
+			exchange.respond(503, this.protocol.refusalHeaders(0), new byte[0]);
+			return;
+		}
+		Future<?> timer = this.loop.schedule(() -> respondUncertainEnd(exchange, job), waitMillis,
+				TimeUnit.MILLISECONDS);
 		KeyedRecord record = JobRecords.writeEnd(job.getId());
 		this.log.append(KeyedStream.OWN, List.of(record)).subscribe().with((offset) -> this.loop.execute(() -> {
+			timer.cancel(false);
 			LOG.log(GatewayEvent.JOB_ENDED, job.getId(), offset);
 			respond(exchange, 200, "");
 		}), (failure) -> this.loop.execute(() -> {
+			timer.cancel(false);
+			respondUncertainEnd(exchange, job);
+		}));
+	}
+
+	private void respondUncertainEnd(CallerExchange exchange, Job job) {
+		if (!exchange.isEnded()) {
 			LOG.log(GatewayEvent.JOB_STATE_UNCERTAIN, job.getId(), this.follower.getAgeMillis(), 504);
 			respond(exchange, 504, "the end of the job may not be recorded");
-		}));
+		}
 	}
 
 	static void respond(CallerExchange exchange, int status, String text) {
