Keep a new connection until its request can have arrived

Each 50 ms a stopping host closes connections without a request, also those accepted a moment ago whose request is on the way; the caller cannot tell whether its request has run. Connections are now closed after 250 ms without a request, and the process does not end as idle before.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -367,7 +367,7 @@
 			return false;
 		}
 		this.callerServer.closeIdle();
-		boolean idle = this.callerServer.getBusyConnectionCount() == 0 && this.items.getRunningCount() == 0
+		boolean idle = this.callerServer.isIdle() && this.items.getRunningCount() == 0
 				&& this.relayServer.getBusyConnectionCount() == 0 && this.writer.getPendingCount() == 0;
 		return idle || this.shutdown.isOver(now);
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
@@ -53,6 +53,8 @@
 
 	private boolean refused;
 
+	private long idleSinceMillis;
+
 	private ScheduledFuture<?> timer;
 
 	CallerConnection(CallerServer server) {
@@ -78,6 +80,11 @@
 		return this.current == null && this.head == null && this.pipelined.isEmpty();
 	}
 
+	// When the connection was opened, or its last response was complete.
+	long getIdleSinceMillis() {
+		return this.idleSinceMillis;
+	}
+
 	void close() {
 		this.channel.close();
 	}
@@ -227,6 +234,7 @@
 	}
 
 	private void startIdleTimer() {
+		this.idleSinceMillis = this.server.nowMillis();
 		startTimer(this.server.getLimits().idleTimeout().toMillis(), this::close);
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerServer.java
@@ -24,6 +24,12 @@
  */
 public final class CallerServer {
 
+	/**
+	 * Time in milliseconds for which a connection without a request is kept during a
+	 * graceful shutdown, because the request may be on the way.
+	 */
+	private static final long MIN_IDLE_MILLIS = 250;
+
 	/** Length of the queue of connections that are not accepted yet. */
 	private static final int BACKLOG = 1024;
 
@@ -100,10 +106,22 @@
 	}
 
 	/**
-	 * Closes the connections without a request in progress.
+	 * Closes the connections that have had no request in progress for a while.
 	 */
 	public void closeIdle() {
-		List.copyOf(this.connections).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
+		List.copyOf(this.connections).stream().filter(this::isIdle).forEach(CallerConnection::close);
+	}
+
+	/**
+	 * Returns whether no connection has or may soon have a request in progress.
+	 * @return true if {@link #closeIdle()} closes all connections
+	 */
+	public boolean isIdle() {
+		return this.connections.stream().allMatch(this::isIdle);
+	}
+
+	private boolean isIdle(CallerConnection connection) {
+		return connection.isIdle() && nowMillis() - connection.getIdleSinceMillis() >= MIN_IDLE_MILLIS;
 	}
 
 	/**
