Count the grace period from the signal and handle what is due before the end

The grace period of the operator counts from the signal, but the host counted from its handling on the event loop, which a slow host reaches late. And after a pause of the process the loop of the stop could end it before responses and limits that had become due were handled. The signal handler records the time, and the process ends in the second round after the time by which requests must be answered.

Not shown by a test of its own: no test pauses the process.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -163,6 +163,8 @@
 
 	private GracefulShutdown shutdown;
 
+	private boolean answerEndObserved;
+
 	private boolean ready;
 
 	private boolean registered;
@@ -284,8 +286,17 @@
 	 * over. Blocks; must not be called on the event loop.
 	 */
 	public void stop() {
+		stop(this.ticker.millis());
+	}
+
+	/**
+	 * Shuts down gracefully as {@link #stop()} does.
+	 * @param signalMillis the monotonic time in milliseconds from which the grace period
+	 * counts
+	 */
+	public void stop(long signalMillis) {
 		this.loop.submit(() -> {
-			this.shutdown = new GracefulShutdown(this.ticker.millis(), this.settings.gracePeriod());
+			this.shutdown = new GracefulShutdown(signalMillis, this.settings.gracePeriod());
 			LOG.log(GatewayEvent.STOPPING, this.settings.host(), this.callerServer.getBusyConnectionCount(),
 					this.items.getRunningCount());
 			this.callerServer.drain();
@@ -369,7 +380,15 @@
 		this.callerServer.closeIdle();
 		boolean idle = this.callerServer.isIdle() && this.items.getRunningCount() == 0
 				&& this.relayServer.getBusyConnectionCount() == 0 && this.writer.getPendingCount() == 0;
-		return idle || this.shutdown.isOver(now);
+		return idle || isOver(now);
+	}
+
+	// Responses and time limits that are due are handled between two calls, also after a
+	// pause of the process.
+	private boolean isOver(long now) {
+		boolean observed = this.answerEndObserved;
+		this.answerEndObserved = now >= this.shutdown.getAnswerEndMillis();
+		return observed && this.shutdown.isOver(now);
 	}
 
 	private static void sleep() {
