Log limits and what a stop interrupts

The log could not tell whether a request was cut by an admission that let it in too late, by a late signal or by the end of the drain.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
@@ -87,10 +87,17 @@
 		}
 		long now = this.online.ticker().millis();
 		OptionalLong answerByMillis = current.admit(call.getArrivedMillis() + limit.toMillis(), now);
+		long waitedMillis = now - call.getArrivedMillis();
+		long timeLeftMillis = current.getAnswerEndMillis() - now;
 		if (answerByMillis.isEmpty()) {
-			LOG.log(GatewayEvent.REFUSED_AT_STOP, requestId(call), current.getElapsed(now), 503);
+			LOG.log(GatewayEvent.REFUSED_AT_STOP, requestId(call), current.getElapsed(now), 503, limit.toMillis(),
+					waitedMillis, timeLeftMillis);
 			call.respond(503, this.protocol.refusalHeaders(0), new byte[0]);
 		}
+		else if (!current.isKeepingIdleConnections(now) || limit.toMillis() - waitedMillis > timeLeftMillis) {
+			LOG.log(GatewayEvent.ADMITTED_AT_STOP, requestId(call), current.getElapsed(now), limit.toMillis(),
+					waitedMillis, timeLeftMillis);
+		}
 		return answerByMillis;
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -109,6 +109,9 @@
 	/** Interval between removals of expired jobs and lost hosts, in milliseconds. */
 	private static final long CLEANUP_INTERVAL_MILLIS = 5_000;
 
+	/** Limit of the interrupted requests that are named in a log line. */
+	private static final int MAX_LOGGED_REQUESTS = 20;
+
 	private final GatewaySettings settings;
 
 	private final GatewayAdapters adapters;
@@ -298,7 +301,7 @@
 		this.loop.submit(() -> {
 			this.shutdown = new GracefulShutdown(signalMillis, this.settings.gracePeriod());
 			LOG.log(GatewayEvent.STOPPING, this.settings.host(), this.callerServer.getBusyConnectionCount(),
-					this.items.getRunningCount());
+					this.items.getRunningCount(), this.ticker.millis() - signalMillis);
 			this.callerServer.drain();
 			this.loop.schedule(this.jobs::finishLongPolls, this.shutdown.getAnswerEndMillis() - this.ticker.millis(),
 					TimeUnit.MILLISECONDS);
@@ -312,7 +315,9 @@
 		}
 		this.loop.submit(() -> {
 			LOG.log(GatewayEvent.STOPPED, this.settings.host(), this.shutdown.getElapsed(this.ticker.millis()),
-					this.callerServer.getBusyConnectionCount());
+					this.callerServer.getBusyConnectionCount(), describeRequestsInProgress(),
+					this.items.getRunningCount(), this.relayServer.getBusyConnectionCount(),
+					this.writer.getPendingCount());
 			close();
 		}).syncUninterruptibly();
 		this.group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
@@ -401,6 +406,18 @@
 		}
 	}
 
+	// The ids of the requests in progress and the times in milliseconds since their
+	// arrival.
+	private List<String> describeRequestsInProgress() {
+		long now = this.ticker.millis();
+		return this.callerServer.getRequestsInProgress()
+			.stream()
+			.limit(MAX_LOGGED_REQUESTS)
+			.map((call) -> this.adapters.getCallerProtocol().requestId(call.getRequest().headers()).orElse("?") + ":"
+					+ (now - call.getArrivedMillis()))
+			.toList();
+	}
+
 	private void register() {
 		KeyedRecord registration = KeyedRecord.of(StreamStateUpdater.HOST_KEY_PREFIX + this.settings.host(),
 				this.self.toByteArray());
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBufUtil;
@@ -65,6 +66,10 @@
 		return this.channel;
 	}
 
+	Optional<CallerExchange> getCurrent() {
+		return Optional.ofNullable(this.current);
+	}
+
 	boolean isClosingAfter(HttpRequest request) {
 		// Requests that were received before this response are answered, too.
 		return !HttpUtil.isKeepAlive(request) || (this.server.isDraining() && this.pipelined.isEmpty());
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerServer.java
@@ -132,6 +132,14 @@
 		return (int) this.connections.stream().filter((c) -> !c.isIdle()).count();
 	}
 
+	/**
+	 * Returns the requests in progress, without those that wait behind others.
+	 * @return the requests, never null
+	 */
+	public List<CallerExchange> getRequestsInProgress() {
+		return this.connections.stream().flatMap((connection) -> connection.getCurrent().stream()).toList();
+	}
+
 	/**
 	 * Stops listening and closes all connections.
 	 */
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -14,10 +14,11 @@
 	STARTED(1501, Level.INFO, "gateway started", "host", "domain", "incarnation", "start_ms"),
 
 	/** SIGTERM was received. */
-	STOPPING(1502, Level.INFO, "planned stop began", "host", "busy_connections", "items"),
+	STOPPING(1502, Level.INFO, "planned stop began", "host", "busy_connections", "items", "signal_delay_ms"),
 
 	/** The process is about to exit. */
-	STOPPED(1503, Level.INFO, "gateway stopped", "host", "drain_ms", "interrupted"),
+	STOPPED(1503, Level.INFO, "gateway stopped", "host", "drain_ms", "interrupted", "interrupted_requests",
+			"interrupted_items", "interrupted_relays", "unwritten_records"),
 
 	/** SIGHUP was received or the settings file changed. */
 	RELOADED(1504, Level.INFO, "settings reloaded", "changed"),
@@ -79,7 +80,11 @@
 
 	/** A request arrived shortly before the process exits. */
 	REFUSED_AT_STOP(2511, Level.INFO, "request refused because the process is about to exit; it has not run",
-			"request_id", "since_stop_ms", "status"),
+			"request_id", "since_stop_ms", "status", "limit_ms", "waited_ms", "time_left_ms"),
+
+	/** A request is accepted late in a graceful shutdown, or with less time. */
+	ADMITTED_AT_STOP(2519, Level.INFO, "request accepted by a process that is about to exit", "request_id",
+			"since_stop_ms", "limit_ms", "waited_ms", "time_left_ms"),
 
 	/** A caller resumes a stream. */
 	STREAM_RESUMED(2515, Level.INFO, "caller resumes a stream", "request_id", "resumes", "resume_after", "service",
