--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -109,6 +109,9 @@
 	/** Interval between removals of expired jobs and lost hosts, in milliseconds. */
 	private static final long CLEANUP_INTERVAL_MILLIS = 5_000;
 
+	/** Limit of the interrupted requests that are named in a log line. */
+	private static final int MAX_LOGGED_REQUESTS = 20;
+
 	private final GatewaySettings settings;
 
 	private final GatewayAdapters adapters;
@@ -163,6 +166,8 @@
 
 	private GracefulShutdown shutdown;
 
+	private boolean answerEndObserved;
+
 	private boolean ready;
 
 	private boolean registered;
@@ -284,11 +289,22 @@
 	 * over. Blocks; must not be called on the event loop.
 	 */
 	public void stop() {
+		stop(this.ticker.millis());
+	}
+
+	/**
+	 * Shuts down gracefully as {@link #stop()} does.
+	 * @param signalMillis the monotonic time in milliseconds from which the grace period
+	 * counts
+	 */
+	public void stop(long signalMillis) {
 		this.loop.submit(() -> {
-			this.shutdown = new GracefulShutdown(this.ticker.millis(), this.settings.gracePeriod());
+			this.shutdown = new GracefulShutdown(signalMillis, this.settings.gracePeriod());
 			LOG.log(GatewayEvent.STOPPING, this.settings.host(), this.callerServer.getBusyConnectionCount(),
-					this.items.getRunningCount());
+					this.items.getRunningCount(), this.ticker.millis() - signalMillis);
 			this.callerServer.drain();
+			this.loop.schedule(this.jobs::finishLongPolls, this.shutdown.getAnswerEndMillis() - this.ticker.millis(),
+					TimeUnit.MILLISECONDS);
 			this.items.stop();
 			this.exchange.scheduleReport();
 		}).syncUninterruptibly();
@@ -299,7 +315,9 @@
 		}
 		this.loop.submit(() -> {
 			LOG.log(GatewayEvent.STOPPED, this.settings.host(), this.shutdown.getElapsed(this.ticker.millis()),
-					this.callerServer.getBusyConnectionCount());
+					this.callerServer.getBusyConnectionCount(), describeRequestsInProgress(),
+					this.items.getRunningCount(), this.relayServer.getBusyConnectionCount(),
+					this.writer.getPendingCount());
 			close();
 		}).syncUninterruptibly();
 		this.group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
@@ -365,9 +383,17 @@
 			return false;
 		}
 		this.callerServer.closeIdle();
-		boolean idle = this.callerServer.getBusyConnectionCount() == 0 && this.items.getRunningCount() == 0
+		boolean idle = this.callerServer.isIdle() && this.items.getRunningCount() == 0
 				&& this.relayServer.getBusyConnectionCount() == 0 && this.writer.getPendingCount() == 0;
-		return idle || !this.shutdown.isDraining(now);
+		return idle || isOver(now);
+	}
+
+	// Responses and time limits that are due are handled between two calls, also after a
+	// pause of the process.
+	private boolean isOver(long now) {
+		boolean observed = this.answerEndObserved;
+		this.answerEndObserved = now >= this.shutdown.getAnswerEndMillis();
+		return observed && this.shutdown.isOver(now);
 	}
 
 	private static void sleep() {
@@ -380,6 +406,18 @@
 		}
 	}
 
+	// The ids of the requests in progress and the times in milliseconds since their
+	// arrival.
+	private List<String> describeRequestsInProgress() {
+		long now = this.ticker.millis();
+		return this.callerServer.getRequestsInProgress()
+			.stream()
+			.limit(MAX_LOGGED_REQUESTS)
+			.map((call) -> this.adapters.getCallerProtocol().requestId(call.getRequest().headers()).orElse("?") + ":"
+					+ (now - call.getArrivedMillis()))
+			.toList();
+	}
+
 	private void register() {
 		KeyedRecord registration = KeyedRecord.of(StreamStateUpdater.HOST_KEY_PREFIX + this.settings.host(),
 				this.self.toByteArray());
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBufUtil;
@@ -53,6 +54,8 @@
 
 	private boolean refused;
 
+	private long idleSinceMillis;
+
 	private ScheduledFuture<?> timer;
 
 	CallerConnection(CallerServer server) {
@@ -63,6 +66,10 @@
 		return this.channel;
 	}
 
+	Optional<CallerExchange> getCurrent() {
+		return Optional.ofNullable(this.current);
+	}
+
 	boolean isClosingAfter(HttpRequest request) {
 		// Requests that were received before this response are answered, too.
 		return !HttpUtil.isKeepAlive(request) || (this.server.isDraining() && this.pipelined.isEmpty());
@@ -78,6 +85,11 @@
 		return this.current == null && this.head == null && this.pipelined.isEmpty();
 	}
 
+	// When the connection was opened, or its last response was complete.
+	long getIdleSinceMillis() {
+		return this.idleSinceMillis;
+	}
+
 	void close() {
 		this.channel.close();
 	}
@@ -227,6 +239,7 @@
 	}
 
 	private void startIdleTimer() {
+		this.idleSinceMillis = this.server.nowMillis();
 		startTimer(this.server.getLimits().idleTimeout().toMillis(), this::close);
 	}
 
