Answer pipelined requests behind a refused one

A request that is refused at once is answered before the next request of the same read is known, so its response ends the connection.

A request starts when the read is complete, and none starts after a response that ends the connection. The new case of LateRequestTests failed before; LateRequestTests passes, 12 of 12. Other tests were not run on this change.

--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
@@ -103,6 +103,8 @@
 	void exchangeEnded(boolean closing) {
 		this.current = null;
 		if (closing) {
+			// A request that is read from now on is not answered.
+			this.refused = true;
 			this.pipelined.clear();
 			return;
 		}
@@ -202,15 +204,22 @@
 			this.head = null;
 			this.body = null;
 			stopTimer();
-			startOrEnqueue(exchange);
+			enqueue(exchange);
 		}
 	}
 
-	private void startOrEnqueue(CallerExchange exchange) {
-		if (this.current == null) {
-			start(exchange);
+	// All requests of a read are known before the first one starts, since its response
+	// may be sent at once and must not end the connection before theirs.
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		if (this.current == null && !this.refused && !this.pipelined.isEmpty()) {
+			start(this.pipelined.poll());
 		}
-		else if (this.pipelined.size() < MAX_PIPELINED) {
+		context.fireChannelReadComplete();
+	}
+
+	private void enqueue(CallerExchange exchange) {
+		if (this.pipelined.size() < MAX_PIPELINED || (this.current == null && this.pipelined.size() == MAX_PIPELINED)) {
 			this.pipelined.add(exchange);
 		}
 		else {
@@ -226,7 +235,7 @@
 	private void refuse(int status, String reason) {
 		this.refused = true;
 		stopTimer();
-		if (this.current != null) {
+		if (this.current != null || !this.pipelined.isEmpty()) {
 			this.channel.close();
 			return;
 		}
