--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
@@ -154,7 +154,8 @@
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		try {
 			HttpObject object = (HttpObject) message;
-			if (this.refused) {
+			// A request that is read behind the last response gets none.
+			if (this.refused || this.closing) {
 				return;
 			}
 			if (object.decoderResult().isFailure()) {
@@ -206,15 +207,22 @@
 			this.head = null;
 			this.body = null;
 			stopTimer();
-			startOrEnqueue(exchange);
+			enqueue(exchange);
 		}
 	}
 
-	private void startOrEnqueue(CallerExchange exchange) {
-		if (this.current == null) {
-			start(exchange);
+	// All requests of a read are known before the first one starts, since its response
+	// may be sent at once and must not end the connection before theirs.
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		if (this.current == null && !this.refused && !this.pipelined.isEmpty()) {
+			start(this.pipelined.poll());
 		}
-		else if (this.pipelined.size() < MAX_PIPELINED) {
+		context.fireChannelReadComplete();
+	}
+
+	private void enqueue(CallerExchange exchange) {
+		if (this.pipelined.size() < MAX_PIPELINED || (this.current == null && this.pipelined.size() == MAX_PIPELINED)) {
 			this.pipelined.add(exchange);
 		}
 		else {
@@ -230,7 +238,7 @@
 	private void refuse(int status, String reason) {
 		this.refused = true;
 		stopTimer();
-		if (this.current != null) {
+		if (this.current != null || !this.pipelined.isEmpty()) {
 			this.channel.close();
 			return;
 		}
