--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -542,7 +542,8 @@
 		return !run.isRunning() && !run.isDelayed(nowMillis) && run.getEvents() == 0;
 	}
 
-	// A run that was expected to complete when the stop began goes on even if it is slower.
+	// A run that was expected to complete when the stop began goes on even if it is
+	// slower.
 	private void releaseUnfinishable(Predicate<ItemRun> filter) {
 		long now = this.ticker.millis();
 		this.runs.values().removeIf((run) -> {
