Give a call to a runner its deadline instead of converting it twice

OnlineRequest turned its deadline into the time that remains, and RunnerCall turned that into a deadline again, to write the time that remains once more when the request is sent. RunnerRequest now carries the deadline. No behaviour changes: gateway 392 tests, and 63 of platform (RemainingTimeTests, OnlineRequestTests, LateLimitTests, JobTests) pass.

--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -265,9 +265,8 @@
 
 	private void send(RunnerEntry runner, long expectedWaitMillis) {
 		this.lastRunner = runner;
-		Duration remaining = Duration.ofMillis(Math.max(1, this.deadlineMillis - this.context.ticker().millis()));
 		RunnerRequest request = new RunnerRequest(this.id, this.exchange.getRequest().method(),
-				this.exchange.getRequest().uri(), this.headers, this.exchange.getBody(), remaining,
+				this.exchange.getRequest().uri(), this.headers, this.exchange.getBody(), this.deadlineMillis,
 				this.response.getLastEventId(),
 				(this.route.getKind() == RouteKind.STREAM) ? Optional.of(this.binding) : Optional.empty(), false,
 				this.freshConnection);
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -34,8 +34,6 @@
 
 	private final Listener listener;
 
-	private final long deadlineMillis;
-
 	private RunnerEntry runner;
 
 	private ClientConnection connection;
@@ -61,7 +59,6 @@
 		this.runner = runner;
 		this.request = request;
 		this.listener = listener;
-		this.deadlineMillis = fleet.getMillis() + request.remaining().toMillis();
 	}
 
 	/**
@@ -224,7 +221,7 @@
 	// process identified.
 	@Override
 	public HttpRequest request() {
-		Duration remaining = Duration.ofMillis(Math.max(1, this.deadlineMillis - this.fleet.getMillis()));
+		Duration remaining = Duration.ofMillis(Math.max(1, this.request.deadlineMillis() - this.fleet.getMillis()));
 		HttpHeaders headers = new DefaultHttpHeaders().set(this.request.headers());
 		this.fleet.getProtocol()
 			.writeHeaders(headers, this.request.id(), this.runner.id(), remaining, this.request.resumeAfter());
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
@@ -1,6 +1,5 @@
 package org.wigeonglade.gateway.runner;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -16,7 +15,7 @@
  * @param uri the path and query, not null
  * @param headers the headers without hop-by-hop headers, not null
  * @param body the body, not null
- * @param remaining the time from the start of the call until the deadline, not null
+ * @param deadlineMillis the monotonic time in milliseconds at which its time limit ends
  * @param resumeAfter the id of the last event received, empty to start at the first event
  * @param binding the runners that may produce the next event, empty if the response is
  * not a stream
@@ -24,7 +23,7 @@
  * @param freshConnection whether it must be sent on a new connection
  */
 public record RunnerRequest(String id, HttpMethod method, String uri, HttpHeaders headers, byte[] body,
-		Duration remaining, OptionalLong resumeAfter, Optional<StreamBinding> binding, boolean batch,
+		long deadlineMillis, OptionalLong resumeAfter, Optional<StreamBinding> binding, boolean batch,
 		boolean freshConnection) {
 
 }
