Tell the end of a stop to the job API once

JobService got the end of a stop twice: with each call, threaded through five methods, and from limitReads, and took the smaller. The service now keeps the end that the stop tells it, and CallRouter.admit returns the time by which a request must be answered.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
@@ -40,9 +40,6 @@
 	 */
 	private static final Duration FRESH_CONFIGURATION_WAIT = Duration.ofMillis(900);
 
-	/** Time by which a request must be answered unless the host shuts down. */
-	private static final Duration UNLIMITED = Duration.ofDays(1);
-
 	private final CallerProtocol protocol;
 
 	private final JobService jobs;
@@ -70,9 +67,8 @@
 			if (parsed instanceof CallerOperation.Routed) {
 				route(call);
 			}
-			else {
-				admit(call, JobService.getMaxTime(parsed))
-					.ifPresent((answerByMillis) -> this.jobs.handle(call, parsed, answerByMillis));
+			else if (admit(call, JobService.getMaxTime(parsed)).isPresent()) {
+				this.jobs.handle(call, parsed);
 			}
 		});
 	}
@@ -82,23 +78,25 @@
 	// arrival of the request, also while it waits behind others or for a configuration.
 	private OptionalLong admit(CallerExchange call, Duration limit) {
 		GracefulShutdown current = this.shutdown.get();
+		long limitEndMillis = call.getArrivedMillis() + limit.toMillis();
 		if (current == null) {
-			return OptionalLong.of(call.getArrivedMillis() + UNLIMITED.toMillis());
+			return OptionalLong.of(limitEndMillis);
 		}
 		long now = this.online.ticker().millis();
-		OptionalLong answerByMillis = current.admit(call.getArrivedMillis() + limit.toMillis(), now);
+		OptionalLong answerByMillis = current.admit(limitEndMillis, now);
 		long waitedMillis = now - call.getArrivedMillis();
 		long timeLeftMillis = current.getAnswerEndMillis() - now;
 		if (answerByMillis.isEmpty()) {
 			LOG.log(GatewayEvent.REFUSED_AT_STOP, requestId(call), current.getElapsed(now), 503, limit.toMillis(),
 					waitedMillis, timeLeftMillis);
 			call.respond(503, this.protocol.refusalHeaders(0), new byte[0]);
+			return answerByMillis;
 		}
-		else if (!current.isKeepingIdleConnections(now) || limit.toMillis() - waitedMillis > timeLeftMillis) {
+		if (!current.isKeepingIdleConnections(now) || limit.toMillis() - waitedMillis > timeLeftMillis) {
 			LOG.log(GatewayEvent.ADMITTED_AT_STOP, requestId(call), current.getElapsed(now), limit.toMillis(),
 					waitedMillis, timeLeftMillis);
 		}
-		return answerByMillis;
+		return OptionalLong.of(Math.min(limitEndMillis, answerByMillis.getAsLong()));
 	}
 
 	private void handleSafely(CallerExchange call, Runnable handler) {
@@ -143,8 +141,7 @@
 		long waitMillis = Math.min(FRESH_CONFIGURATION_WAIT.toMillis(),
 				this.protocol.waitMillis(call.getRequest().headers()).orElse(Long.MAX_VALUE));
 		admit(call, Duration.ofMillis(waitMillis)).ifPresent((answerByMillis) -> {
-			long endMillis = Math.min(call.getArrivedMillis() + waitMillis, answerByMillis);
-			Duration remaining = Duration.ofMillis(Math.max(0, endMillis - this.online.ticker().millis()));
+			Duration remaining = Duration.ofMillis(Math.max(0, answerByMillis - this.online.ticker().millis()));
 			this.configurationFollower.whenCaughtUp(remaining, () -> handleSafely(call, () -> {
 				if (!call.isEnded()) {
 					findRoute(call).ifPresentOrElse((route) -> start(call, route), () -> respondNoRoute(call));
@@ -160,8 +157,7 @@
 	private void start(CallerExchange call, Route route) {
 		long timeout = route.getTimeout().toMillis();
 		long limitMillis = Math.min(timeout, this.protocol.waitMillis(call.getRequest().headers()).orElse(timeout));
-		admit(call, Duration.ofMillis(limitMillis)).ifPresent((answerByMillis) -> {
-			long deadlineMillis = Math.min(call.getArrivedMillis() + limitMillis, answerByMillis);
+		admit(call, Duration.ofMillis(limitMillis)).ifPresent((deadlineMillis) -> {
 			if (route.getKind() == RouteKind.BATCH) {
 				this.jobs.submit(call, route, deadlineMillis);
 			}
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -309,7 +309,7 @@
 			LOG.log(GatewayEvent.STOPPING, this.settings.host(), this.callerServer.getBusyConnectionCount(),
 					this.items.getRunningCount(), this.ticker.millis() - signalMillis);
 			this.callerServer.drain();
-			this.jobs.limitReads(this.shutdown.getAnswerEndMillis());
+			this.jobs.limitTime(this.shutdown.getAnswerEndMillis());
 			this.items.stop(this.shutdown.getItemDrainEndMillis());
 			this.exchange.scheduleReport();
 		}).syncUninterruptibly();
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -47,6 +47,11 @@
 	/** Maximum time until the append of the end of a job is acknowledged or fails. */
 	private static final Duration MAX_APPEND_TIME = Duration.ofMillis(2_000);
 
+	/**
+	 * A monotonic time after any request; halved so that differences do not overflow.
+	 */
+	private static final long NEVER_MILLIS = Long.MAX_VALUE / 2;
+
 	/** Retry delay in milliseconds sent to callers while the store is unavailable. */
 	static final long STORE_RETRY_AFTER_MILLIS = 400;
 
@@ -66,7 +71,7 @@
 
 	private final JobSubmitter submitter;
 
-	private long answerEndMillis = Long.MAX_VALUE;
+	private long answerEndMillis = NEVER_MILLIS;
 
 	/**
 	 * Creates the service.
@@ -136,18 +141,14 @@
 	 * Handles a request about a job.
 	 * @param exchange the request, not null
 	 * @param operation the decoded operation, not null
-	 * @param answerByMillis the monotonic time in milliseconds by which the request must
-	 * be answered
 	 * @throws IllegalArgumentException if the operation does not concern a job
 	 */
-	public void handle(CallerExchange exchange, CallerOperation operation, long answerByMillis) {
+	public void handle(CallerExchange exchange, CallerOperation operation) {
 		switch (operation) {
-			case CallerOperation.ReadResults read -> withJob(exchange, read.job(), answerByMillis,
-					(job) -> readResults(exchange, job, read, answerByMillis));
-			case CallerOperation.ReadItem read ->
-				withJob(exchange, read.job(), answerByMillis, (job) -> readItem(exchange, job, read));
-			case CallerOperation.EndJob end ->
-				withJob(exchange, end.job(), answerByMillis, (job) -> end(exchange, job, answerByMillis));
+			case CallerOperation.ReadResults read ->
+				withJob(exchange, read.job(), (job) -> readResults(exchange, job, read));
+			case CallerOperation.ReadItem read -> withJob(exchange, read.job(), (job) -> readItem(exchange, job, read));
+			case CallerOperation.EndJob end -> withJob(exchange, end.job(), (job) -> end(exchange, job));
 			case CallerOperation.Routed routed -> throw new IllegalArgumentException("not an operation on a job");
 		}
 	}
@@ -165,11 +166,11 @@
 	}
 
 	/**
-	 * Limits the time of all reads of results, also of those in progress, because the
-	 * host shuts down.
+	 * Limits the time of all requests about jobs, also of reads of results in progress,
+	 * because the host shuts down.
 	 * @param endMillis the monotonic time in milliseconds by which they must be answered
 	 */
-	public void limitReads(long endMillis) {
+	public void limitTime(long endMillis) {
 		this.answerEndMillis = endMillis;
 		long waitMillis = endMillis - FRESH_STATE_WAIT.toMillis() - this.ticker.millis();
 		this.loop.schedule(
@@ -177,7 +178,7 @@
 				waitMillis, TimeUnit.MILLISECONDS);
 	}
 
-	private void withJob(CallerExchange exchange, JobId id, long answerByMillis, Consumer<Job> action) {
+	private void withJob(CallerExchange exchange, JobId id, Consumer<Job> action) {
 		Optional<Job> job = this.jobTable.find(id);
 		if (job.isPresent() && this.follower.isListed()) {
 			action.accept(job.get());
@@ -190,12 +191,11 @@
 					.ifPresentOrElse(action, () -> respondUnknownJob(exchange, id));
 			}
 		};
-		whenCaughtUp(answerByMillis, respond, respond);
+		whenCaughtUp(respond, respond);
 	}
 
-	private void whenCaughtUp(long answerByMillis, Runnable caughtUp, Runnable timedOut) {
-		long endMillis = Math.min(answerByMillis, this.answerEndMillis);
-		long waitMillis = Math.min(FRESH_STATE_WAIT.toMillis(), endMillis - this.ticker.millis());
+	private void whenCaughtUp(Runnable caughtUp, Runnable timedOut) {
+		long waitMillis = Math.min(FRESH_STATE_WAIT.toMillis(), this.answerEndMillis - this.ticker.millis());
 		this.follower.whenCaughtUp(Duration.ofMillis(Math.max(0, waitMillis)), caughtUp, timedOut);
 	}
 
@@ -215,12 +215,11 @@
 		}
 	}
 
-	private void readResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read, long answerByMillis) {
+	private void readResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read) {
 		// A read without results may need the newest state at the end of its wait.
-		long lastMillis = Math.min(answerByMillis, this.answerEndMillis) - FRESH_STATE_WAIT.toMillis();
+		long lastMillis = this.answerEndMillis - FRESH_STATE_WAIT.toMillis();
 		long waitMillis = Math.min(read.waitMillis(), lastMillis - this.ticker.millis());
-		ResultLongPoll poll = new ResultLongPoll(exchange, job, read,
-				() -> respondResults(exchange, job, read, answerByMillis));
+		ResultLongPoll poll = new ResultLongPoll(exchange, job, read, () -> respondResults(exchange, job, read));
 		if (waitMillis <= 0) {
 			poll.finish();
 		}
@@ -231,15 +230,13 @@
 	}
 
 	// A caller may have read a result at another host that this host has not read yet.
-	private void respondResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read,
-			long answerByMillis) {
+	private void respondResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read) {
 		boolean listed = !job.getResults(read.from()).isEmpty() || (job.isDone() && !job.isEnded());
 		if (listed || this.follower.getAgeMillis() <= MAX_STATE_AGE_MILLIS) {
 			writeResults(exchange, job, read);
 			return;
 		}
-		whenCaughtUp(answerByMillis, () -> writeResults(exchange, job, read),
-				() -> respondUncertain(exchange, job.getId()));
+		whenCaughtUp(() -> writeResults(exchange, job, read), () -> respondUncertain(exchange, job.getId()));
 	}
 
 	private void writeResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read) {
@@ -259,12 +256,12 @@
 		}
 	}
 
-	private void end(CallerExchange exchange, Job job, long answerByMillis) {
+	private void end(CallerExchange exchange, Job job) {
 		if (job.isEnded()) {
 			respond(exchange, 200, "");
 			return;
 		}
-		long waitMillis = answerByMillis - this.ticker.millis();
+		long waitMillis = this.answerEndMillis - this.ticker.millis();
 		if (waitMillis <= 0) {
 			exchange.respond(503, this.protocol.refusalHeaders(0), new byte[0]);
 			return;
