Read the logs of hosts in one place in the command line

The command items repeated the loop of logs over its files, with its error for a log that cannot be read. LogFiles does it for both, each with its charset as before.

--- a/cli/src/main/java/org/wigeonglade/cli/ItemsCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/ItemsCommand.java
@@ -1,15 +1,10 @@
 package org.wigeonglade.cli;
 
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
-import java.util.stream.Stream;
 
-import org.wigeonglade.core.error.ErrorCode;
-import org.wigeonglade.core.error.InvalidRequestException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
@@ -32,15 +27,7 @@
 	@Override
 	public Integer call() {
 		ItemLog log = new ItemLog();
-		for (Path file : this.files) {
-			try (Stream<String> lines = Files.lines(file, StandardCharsets.ISO_8859_1)) {
-				log.add(file.getFileName().toString(), lines);
-			}
-			catch (IOException ex) {
-				throw new InvalidRequestException(ErrorCode.SETTINGS_UNREADABLE,
-						"the log " + file + " cannot be read: " + ex.getMessage());
-			}
-		}
+		LogFiles.read(this.files, StandardCharsets.ISO_8859_1, log::add);
 		ItemReport report = new ItemReport(log.replay());
 		if (this.console.isJson()) {
 			this.console.printJson(report.toJson());
--- a/cli/src/main/java/org/wigeonglade/cli/LogsCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/LogsCommand.java
@@ -1,16 +1,12 @@
 package org.wigeonglade.cli;
 
-import java.io.IOException;
-import java.nio.file.Files;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
-import java.util.stream.Stream;
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
-import org.wigeonglade.core.error.ErrorCode;
-import org.wigeonglade.core.error.InvalidRequestException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
@@ -36,15 +32,7 @@
 	@Override
 	public Integer call() {
 		LogCourse course = new LogCourse(this.id);
-		for (Path file : this.files) {
-			try (Stream<String> lines = Files.lines(file)) {
-				course.add(file.getFileName().toString(), lines);
-			}
-			catch (IOException ex) {
-				throw new InvalidRequestException(ErrorCode.SETTINGS_UNREADABLE,
-						"the log " + file + " cannot be read: " + ex.getMessage());
-			}
-		}
+		LogFiles.read(this.files, StandardCharsets.UTF_8, course::add);
 		print(course);
 		return course.getLines().isEmpty() ? ExitCode.FAILED : ExitCode.SUCCESS;
 	}
