Look at claims of waiting items only

Each scheduling step, 25 ms apart, copied the items of every job and looked up the claims of all of them, also of those that have a result, before the loop that skips these. The claims are now looked up in that loop, and items are copied only while the host holds items of others.

--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
@@ -622,15 +623,10 @@
 		return this.peers.find(host).filter(PeerTable.Peer::isAlive).isPresent();
 	}
 
-	private List<ItemId> findItemsToRun(Job job) {
-		List<ItemId> items = new ArrayList<>(this.stopping ? List.of() : this.ownership.getOwnedItems(job));
-		items.addAll(this.heldItems.getOrDefault(job.getId(), Set.of()));
-		items.removeIf((item) -> {
-			ItemKey key = new ItemKey(job.getId(), item);
-			ItemRun run = this.runs.get(key);
-			return isPreceded(key, (run != null) ? run.getEvents() : 0);
-		});
-		return items;
+	private List<ItemId> findAssignedAndHeldItems(Job job) {
+		List<ItemId> assigned = this.stopping ? List.of() : this.ownership.getOwnedItems(job);
+		Set<ItemId> held = this.heldItems.getOrDefault(job.getId(), Set.of());
+		return held.isEmpty() ? assigned : Stream.concat(assigned.stream(), held.stream()).toList();
 	}
 
 	private List<WaitingItem> findWaitingItems() {
@@ -641,23 +637,26 @@
 			if (!job.isComplete() || job.isDone()) {
 				continue;
 			}
-			List<ItemId> items = findItemsToRun(job);
+			List<ItemId> items = findAssignedAndHeldItems(job);
 			Optional<Route> route = items.isEmpty() ? Optional.empty() : routeOf(job);
 			for (ItemId id : items) {
 				ItemKey key = new ItemKey(job.getId(), id);
 				if (!job.isOpen(id) || this.pendingOutcomes.containsKey(key)) {
 					continue;
 				}
+				ItemRun run = this.runs.get(key);
+				int events = (run != null) ? run.getEvents() : 0;
+				if (isPreceded(key, events)) {
+					continue;
+				}
 				SubmittedItem item = job.findItem(id).orElseThrow();
 				if (route.isEmpty()) {
 					giveUpIfConfirmed(job, item, "its route no longer exists");
 					continue;
 				}
-				ItemRun run = this.runs.get(key);
 				if (run == null || (!run.isRunning() && !run.isDelayed(now))) {
 					long due = job.getSubmittedAtMillis() + route.get().getCompletionTarget().toMillis();
-					waiting.add(new WaitingItem(key, job, item, route.get(),
-							new ItemOrder.Entry(due, (run != null) ? run.getEvents() : 0)));
+					waiting.add(new WaitingItem(key, job, item, route.get(), new ItemOrder.Entry(due, events)));
 				}
 			}
 		}
