--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineStoreStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineStoreStandIn.java
@@ -3,12 +3,15 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.OptionalLong;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -21,8 +24,8 @@
 
 /**
  * Test double of the platform's record store: keyed topics with conditional appends, long
- * polling, and listings of the newest record of each key. Can simulate outages.
- * Thread-safe.
+ * polling, and listings of the newest record of each key in pages. Can simulate outages
+ * and a history that expires. Thread-safe.
  */
 public final class MachineStoreStandIn {
 
@@ -32,11 +35,29 @@
 	/** Topic with the registrations of runners. */
 	public static final String RUNNER_TOPIC = "keyed.servers";
 
+	/** Topic with the records of the gateway. */
+	public static final String GATEWAY_TOPIC = "keyed.wigeonglade";
+
 	/** Interval in milliseconds at which a long poll checks for new records. */
 	private static final long POLL_MILLIS = 5;
 
+	/** Maximum number of records of a page of a listing. */
+	private static final int PAGE_RECORDS = 500;
+
+	/** Maximum size of the values of a page of a listing in bytes. */
+	private static final int PAGE_BYTES = 1 << 20;
+
+	/** Default size in KiB from which a read returns no further record. */
+	private static final String READ_KIB = "1024";
+
 	private final StandInServer server;
 
+	private volatile long historyNanos = TimeUnit.DAYS.toNanos(1);
+
+	private long readBytesPerSecond;
+
+	private long readsSentNanos = System.nanoTime();
+
 	private final Map<String, Topic> topics = new TreeMap<>();
 
 	private volatile Mode mode = Mode.SERVING;
@@ -87,6 +108,23 @@
 		this.mode = next;
 	}
 
+	/**
+	 * Limits the time for which records can be read by their offset; listings still
+	 * return the newest record of each key.
+	 * @param time the time, not null
+	 */
+	public void setHistory(Duration time) {
+		this.historyNanos = time.toNanos();
+	}
+
+	/**
+	 * Limits the rate of the responses to all reads and listings together.
+	 * @param limit the rate in bytes per second, 0 for no limit
+	 */
+	public synchronized void setReadRate(long limit) {
+		this.readBytesPerSecond = limit;
+	}
+
 	/**
 	 * Appends a record without HTTP, unaffected by the mode.
 	 * @param topic the topic, not null
@@ -182,12 +220,14 @@
 	private void pollUntilDeadline(RoutingContext context, long from, long deadline) {
 		synchronized (this) {
 			Topic topic = topic(context.request().getParam("topic"));
+			topic.expire(System.nanoTime() - this.historyNanos);
 			if (from < topic.first) {
 				context.response().setStatusCode(410).end(new JsonObject().put("first", topic.first).toBuffer());
 				return;
 			}
 			if (from < topic.end() || System.nanoTime() >= deadline) {
-				context.response().end(topic.slice(from));
+				int kib = Integer.parseInt(context.request().getParam("max-kb", READ_KIB));
+				respond(context, topic.slice(from, kib * 1024));
 				return;
 			}
 		}
@@ -196,13 +236,38 @@
 
 	private synchronized void newest(RoutingContext context) {
 		Topic topic = topic(context.request().getParam("topic"));
+		String after = context.request().getParam("after");
 		JsonArray items = new JsonArray();
-		topic.newestByKey.forEach((key,
-				record) -> items.add(new JsonObject().put("key", key)
-					.put("value", Base64.getEncoder().encodeToString(record.value))
-					.put("offset", record.offset)));
-		context.response()
-			.end(new JsonObject().put("items", items).put("truncated", false).put("end", topic.end()).toBuffer());
+		int bytes = 0;
+		boolean truncated = false;
+		for (Map.Entry<String, StoredRecord> entry : topic.newestAfter(after).entrySet()) {
+			StoredRecord record = entry.getValue();
+			bytes += record.value.length;
+			truncated = items.size() == PAGE_RECORDS || (bytes > PAGE_BYTES && !items.isEmpty());
+			if (truncated) {
+				break;
+			}
+			items.add(new JsonObject().put("key", entry.getKey())
+				.put("value", Base64.getEncoder().encodeToString(record.value))
+				.put("offset", record.offset));
+		}
+		respond(context,
+				new JsonObject().put("items", items).put("truncated", truncated).put("end", topic.end()).toBuffer());
+	}
+
+	// One response after the other takes its time at the rate of the store.
+	private synchronized void respond(RoutingContext context, Buffer body) {
+		long now = System.nanoTime();
+		long sendingNanos = (this.readBytesPerSecond > 0)
+				? TimeUnit.SECONDS.toNanos(body.length()) / this.readBytesPerSecond : 0;
+		this.readsSentNanos = Math.max(now, this.readsSentNanos) + sendingNanos;
+		long delayMillis = TimeUnit.NANOSECONDS.toMillis(this.readsSentNanos - now);
+		if (delayMillis <= 0) {
+			context.response().end(body);
+		}
+		else {
+			this.server.getVertx().setTimer(delayMillis, (timer) -> context.response().end(body));
+		}
 	}
 
 	private Topic topic(String name) {
@@ -232,12 +297,12 @@
 
 		private final List<StoredRecord> records = new ArrayList<>();
 
-		private final Map<String, StoredRecord> newestByKey = new TreeMap<>();
+		private final NavigableMap<String, StoredRecord> newestByKey = new TreeMap<>();
 
 		private long first;
 
 		private void add(String key, byte[] value) {
-			StoredRecord stored = new StoredRecord(end(), key, value);
+			StoredRecord stored = new StoredRecord(end(), key, value, System.nanoTime());
 			this.records.add(stored);
 			if (value != null) {
 				this.newestByKey.put(key, stored);
@@ -256,7 +321,20 @@
 			this.records.clear();
 		}
 
-		private Buffer slice(long from) {
+		private void expire(long limitNanos) {
+			int expired = 0;
+			while (expired < this.records.size() && this.records.get(expired).appendedNanos - limitNanos < 0) {
+				expired++;
+			}
+			this.records.subList(0, expired).clear();
+			this.first += expired;
+		}
+
+		private Map<String, StoredRecord> newestAfter(String key) {
+			return (key != null) ? this.newestByKey.tailMap(key, false) : this.newestByKey;
+		}
+
+		private Buffer slice(long from, int maxBytes) {
 			ByteArrayOutputStream body = new ByteArrayOutputStream();
 			body.writeBytes(ByteBuffer.allocate(16).putLong(end()).putLong(this.first).array());
 			for (StoredRecord record : this.records.subList((int) (from - this.first), this.records.size())) {
@@ -268,13 +346,16 @@
 				if (record.value != null) {
 					body.writeBytes(record.value);
 				}
+				if (body.size() >= maxBytes) {
+					break;
+				}
 			}
 			return Buffer.buffer(body.toByteArray());
 		}
 
 	}
 
-	private record StoredRecord(long offset, String key, byte[] value) {
+	private record StoredRecord(long offset, String key, byte[] value, long appendedNanos) {
 
 	}
 
--- a/standins/src/main/java/org/wigeonglade/standins/net/NetworkLink.java
+++ b/standins/src/main/java/org/wigeonglade/standins/net/NetworkLink.java
@@ -16,9 +16,9 @@
 import org.wigeonglade.standins.StandInServer;
 
 /**
- * TCP proxy on loopback that adds a one-way latency and simulates network partitions.
- * Bytes in a cut direction are buffered until the partition is healed, because TCP would
- * retransmit them. Thread-safe.
+ * TCP proxy on loopback that adds a one-way latency, limits the rate of each direction
+ * and simulates network partitions. Bytes in a cut direction are buffered until the
+ * partition is healed, because TCP would retransmit them. Thread-safe.
  */
 public final class NetworkLink {
 
@@ -30,8 +30,6 @@
 
 	private final int targetPort;
 
-	private final long latencyMicros;
-
 	private final Set<Pipe> pipes = ConcurrentHashMap.newKeySet();
 
 	private final Set<NetSocket> sockets = ConcurrentHashMap.newKeySet();
@@ -40,15 +38,19 @@
 
 	private NetClient client;
 
-	private volatile boolean forwardCut;
+	private final Direction forward = new Direction();
+
+	private final Direction backward = new Direction();
 
-	private volatile boolean backwardCut;
+	private volatile long latencyNanos;
+
+	private volatile long bytesPerSecond;
 
 	private NetworkLink(Vertx vertx, ScheduledExecutorService scheduler, int targetPort, long latencyMicros) {
 		this.vertx = vertx;
 		this.scheduler = scheduler;
 		this.targetPort = targetPort;
-		this.latencyMicros = latencyMicros;
+		this.latencyNanos = TimeUnit.MICROSECONDS.toNanos(latencyMicros);
 	}
 
 	/**
@@ -88,11 +90,28 @@
 	 * @param backward whether bytes from the target are buffered
 	 */
 	public void cut(boolean forward, boolean backward) {
-		this.forwardCut = forward;
-		this.backwardCut = backward;
+		this.forward.cut = forward;
+		this.backward.cut = backward;
 		this.pipes.forEach(Pipe::flush);
 	}
 
+	/**
+	 * Sets the one-way latency of bytes that arrive from now on. The order of the bytes
+	 * of a connection stays.
+	 * @param latencyMicros the latency in microseconds, 0 for none
+	 */
+	public void setLatency(long latencyMicros) {
+		this.latencyNanos = TimeUnit.MICROSECONDS.toNanos(latencyMicros);
+	}
+
+	/**
+	 * Limits the rate of each direction, which all connections share.
+	 * @param limit the rate in bytes per second, 0 for no limit
+	 */
+	public void setRate(long limit) {
+		this.bytesPerSecond = limit;
+	}
+
 	/**
 	 * Restores both directions and delivers the buffered bytes.
 	 */
@@ -133,17 +152,17 @@
 				return;
 			}
 			this.sockets.add(connected.result());
-			forward(incoming, connected.result(), true);
-			forward(connected.result(), incoming, false);
+			forward(incoming, connected.result(), this.forward);
+			forward(connected.result(), incoming, this.backward);
 			incoming.resume();
 		});
 	}
 
-	private void forward(NetSocket from, NetSocket to, boolean forward) {
-		Pipe pipe = new Pipe(to, forward);
+	private void forward(NetSocket from, NetSocket to, Direction direction) {
+		Pipe pipe = new Pipe(to, direction);
 		this.pipes.add(pipe);
 		from.handler((bytes) -> {
-			pipe.runAfterLatency(() -> pipe.deliver(bytes));
+			pipe.runWhenArrived(bytes.length(), () -> pipe.deliver(bytes));
 			if (to.writeQueueFull()) {
 				from.pause();
 				to.drainHandler((ignored) -> from.resume());
@@ -151,40 +170,69 @@
 		});
 		from.closeHandler((ignored) -> {
 			this.sockets.remove(from);
-			pipe.runAfterLatency(pipe::close);
+			pipe.runWhenArrived(0, pipe::close);
 		});
 	}
 
+	/**
+	 * One direction of the link, whose rate all connections share.
+	 */
+	private final class Direction {
+
+		private volatile boolean cut;
+
+		private long freeNanos = System.nanoTime();
+
+		// Returns when the last of some bytes that are sent now arrives.
+		private synchronized long send(int bytes, long now) {
+			long rate = NetworkLink.this.bytesPerSecond;
+			long sendingNanos = (rate > 0) ? TimeUnit.SECONDS.toNanos(bytes) / rate : 0;
+			this.freeNanos = Math.max(now, this.freeNanos) + sendingNanos;
+			return this.freeNanos + NetworkLink.this.latencyNanos;
+		}
+
+	}
+
 	private final class Pipe {
 
 		private final NetSocket to;
 
-		private final boolean forward;
+		private final Direction direction;
 
 		private final Deque<Buffer> buffered = new ArrayDeque<>();
 
 		private boolean closePending;
 
-		private Pipe(NetSocket to, boolean forward) {
-			this.to = to;
-			this.forward = forward;
-		}
+		private int inTransit;
+
+		private long lastArrivalNanos = System.nanoTime();
 
-		private boolean isCut() {
-			return (this.forward) ? NetworkLink.this.forwardCut : NetworkLink.this.backwardCut;
+		private Pipe(NetSocket to, Direction direction) {
+			this.to = to;
+			this.direction = direction;
 		}
 
-		private void runAfterLatency(Runnable action) {
-			if (NetworkLink.this.latencyMicros <= 0) {
+		// Nothing overtakes what was sent before, also when the latency falls.
+		private synchronized void runWhenArrived(int bytes, Runnable action) {
+			long now = System.nanoTime();
+			this.lastArrivalNanos = Math.max(this.lastArrivalNanos, this.direction.send(bytes, now));
+			if (this.lastArrivalNanos <= now && this.inTransit == 0) {
 				action.run();
 			}
 			else if (!NetworkLink.this.scheduler.isShutdown()) {
-				NetworkLink.this.scheduler.schedule(action, NetworkLink.this.latencyMicros, TimeUnit.MICROSECONDS);
+				this.inTransit++;
+				NetworkLink.this.scheduler.schedule(() -> arrive(action), this.lastArrivalNanos - now,
+						TimeUnit.NANOSECONDS);
 			}
 		}
 
+		private synchronized void arrive(Runnable action) {
+			this.inTransit--;
+			action.run();
+		}
+
 		private synchronized void deliver(Buffer bytes) {
-			if (isCut() || !this.buffered.isEmpty()) {
+			if (this.direction.cut || !this.buffered.isEmpty()) {
 				this.buffered.addLast(bytes);
 			}
 			else {
@@ -193,7 +241,7 @@
 		}
 
 		private synchronized void close() {
-			if (isCut()) {
+			if (this.direction.cut) {
 				this.closePending = true;
 				return;
 			}
@@ -202,7 +250,7 @@
 		}
 
 		private synchronized void flush() {
-			if (isCut()) {
+			if (this.direction.cut) {
 				return;
 			}
 			while (!this.buffered.isEmpty()) {
