--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -149,6 +149,8 @@
 
 	private final StreamFollower gatewayStreamFollower;
 
+	private final StreamAgeMonitor gatewayStreamAge;
+
 	private final PeerStateExchange exchange;
 
 	private final ItemScheduler items;
@@ -226,6 +228,8 @@
 		this.fleet.setRegistrations(this.runnerFollower::whenCaughtUp);
 		this.gatewayStreamFollower = new StreamFollower(log, KeyedStream.OWN, GATEWAY_STREAM_POLL_TIMING, this.loop,
 				ticker, this.stateUpdater.gatewayStreamListener(this::jobChanged, this.crashReports, this.limits));
+		this.gatewayStreamAge = new StreamAgeMonitor(KeyedStream.OWN, this.gatewayStreamFollower,
+				MAX_JOB_STATE_AGE_MILLIS, this.registry, ticker);
 		this.relayServer = new RelayServer(this.loop, this.fleet.getDirectory()::find,
 				() -> !paths.isCutOff() && this.shutdown == null);
 		this.exchange.setRelaySupplier(this.relayServer::isAvailable);
@@ -441,6 +445,7 @@
 		this.limits.repeat();
 		this.jobs.removeFinishedLongPolls();
 		this.peerMonitor.checkLiveness();
+		this.gatewayStreamAge.check();
 		this.exchange.sendHeartbeats();
 		updateReadiness();
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -204,13 +204,14 @@
 			respond(exchange, 404, "no such job");
 		}
 		else {
-			respondUncertain(exchange, id);
+			respondUncertain(exchange, id, "the job is not known");
 		}
 	}
 
-	private void respondUncertain(CallerExchange exchange, JobId id) {
+	private void respondUncertain(CallerExchange exchange, JobId id, String cause) {
 		if (!exchange.isEnded()) {
-			LOG.log(GatewayEvent.JOB_STATE_UNCERTAIN, id, this.follower.getAgeMillis(), 503);
+			LOG.log(GatewayEvent.JOB_STATE_UNCERTAIN, id, this.follower.getAgeMillis(), 503, cause,
+					this.follower.isListed());
 			exchange.respond(503, this.protocol.refusalHeaders(STORE_RETRY_AFTER_MILLIS), new byte[0]);
 		}
 	}
@@ -236,7 +237,8 @@
 			writeResults(exchange, job, read);
 			return;
 		}
-		whenCaughtUp(() -> writeResults(exchange, job, read), () -> respondUncertain(exchange, job.getId()));
+		whenCaughtUp(() -> writeResults(exchange, job, read),
+				() -> respondUncertain(exchange, job.getId(), "no result from position " + read.from()));
 	}
 
 	private void writeResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read) {
@@ -281,7 +283,8 @@
 
 	private void respondUncertainEnd(CallerExchange exchange, Job job) {
 		if (!exchange.isEnded()) {
-			LOG.log(GatewayEvent.JOB_STATE_UNCERTAIN, job.getId(), this.follower.getAgeMillis(), 504);
+			LOG.log(GatewayEvent.JOB_STATE_UNCERTAIN, job.getId(), this.follower.getAgeMillis(), 504,
+					"the end of the job may not be stored", this.follower.isListed());
 			respond(exchange, 504, "the end of the job may not be recorded");
 		}
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -220,7 +220,8 @@
 	RECORD_INVALID(4511, Level.ERROR, "record cannot be decoded and is skipped", "offset", "key"),
 
 	/** The state of a job could not be confirmed for a caller. */
-	JOB_STATE_UNCERTAIN(4512, Level.WARNING, "state of a job cannot be confirmed", "job", "state_age_ms", "status"),
+	JOB_STATE_UNCERTAIN(4512, Level.WARNING, "state of a job cannot be confirmed", "job", "state_age_ms", "status",
+			"cause", "listed"),
 
 	/**
 	 * The run of an item on this host was cancelled for another reason than online work.
@@ -251,6 +252,13 @@
 	ORIGINS_UNREADABLE(5505, Level.WARNING, "log of stream origins cannot be read; streams are not resumed",
 			"partition", "searches", "reason"),
 
+	/** The state derived from a stream is older than the host may act on. */
+	STREAM_LAGGING(5507, Level.WARNING, "host lags behind the stream", "stream", "age_ms", "next_offset", "listed",
+			"reachable"),
+
+	/** The state derived from a stream is current again. */
+	STREAM_CURRENT(5508, Level.INFO, "host has caught up with the stream", "stream", "lagged_ms", "next_offset"),
+
 	/** The records of a stream could not be applied. */
 	STREAM_LISTENER_FAILED(5506, Level.ERROR, "records could not be applied; the stream is listed again", "stream",
 			"next_offset"),
