Answer reads from state of the last 700 ms also after a wait

A read without results waits up to 900 ms for the newest state. The answer was written when that had been read, though the read itself may have taken 900 ms: the state was older than the 700 ms up to which a host says that there is no result. Results that were read elsewhere meanwhile are missing in it. The age is compared again now, and the read gets 503 if it is too old.

--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -232,13 +232,25 @@
 
 	// A caller may have read a result at another host that this host has not read yet.
 	private void respondResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read) {
-		boolean listed = !job.getResults(read.from()).isEmpty() || (job.isDone() && !job.isEnded());
-		if (listed || this.follower.getAgeMillis() <= MAX_STATE_AGE_MILLIS) {
+		if (isAnswerable(job, read)) {
 			writeResults(exchange, job, read);
 			return;
 		}
-		whenCaughtUp(() -> writeResults(exchange, job, read),
-				() -> respondUncertain(exchange, job.getId(), "no result from position " + read.from()));
+		// The state that has been read may be as old as the time that the read took.
+		Runnable respond = () -> {
+			if (isAnswerable(job, read)) {
+				writeResults(exchange, job, read);
+			}
+			else {
+				respondUncertain(exchange, job.getId(), "no result from position " + read.from());
+			}
+		};
+		whenCaughtUp(respond, respond);
+	}
+
+	private boolean isAnswerable(Job job, CallerOperation.ReadResults read) {
+		return !job.getResults(read.from()).isEmpty() || (job.isDone() && !job.isEnded())
+				|| this.follower.getAgeMillis() <= MAX_STATE_AGE_MILLIS;
 	}
 
 	private void writeResults(CallerExchange exchange, Job job, CallerOperation.ReadResults read) {
