Start no items at a host that lags behind the stream

It continues items of which it holds output although other hosts own them by then, and sent them to runners again although the job had been ended, and that had been acknowledged, more than 3 s before. Reads of the store that take 6 s and runners that reset connections show it on (StaleJobsTests.itemOfAnEndedJobIsNotResumedByAHostThatLagsBehind: items of an ended job resumed after event 73).

A host that reads the store, but whose state is older than 2 s, starts none now; its output is kept. While the store does not answer, known items run as before: no end can have been acknowledged to all, and the other hosts take over.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -286,7 +286,7 @@
 			this.loop.scheduleWithFixedDelay(catchAndLog(this::cleanUp), CLEANUP_INTERVAL_MILLIS,
 					CLEANUP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 			this.loop.scheduleWithFixedDelay(
-					catchAndLog(() -> this.items.step(isStartupGraceOver(), isJobStateCurrent())),
+					catchAndLog(() -> this.items.step(isStartupGraceOver(), isJobStateCurrent(), isLagging())),
 					ITEM_SCHEDULING_INTERVAL_MILLIS, ITEM_SCHEDULING_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		}).syncUninterruptibly();
 		LOG.log(GatewayEvent.STARTED, this.settings.host(), this.settings.domain(), this.self.getIncarnation(),
@@ -493,6 +493,11 @@
 				&& this.gatewayStreamFollower.getAgeMillis() <= MAX_JOB_STATE_AGE_MILLIS;
 	}
 
+	private boolean isLagging() {
+		return this.gatewayStreamFollower.isReachable()
+				&& this.gatewayStreamFollower.getAgeMillis() > MAX_JOB_STATE_AGE_MILLIS;
+	}
+
 	private Duration reportLag() {
 		return this.exchange.getReportLag();
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -186,11 +186,14 @@
 
 	/**
 	 * Performs one scheduling step: discards runs that are no longer needed on this host,
-	 * gives up items that reached a limit, and starts waiting items on idle slots.
+	 * gives up items that reached a limit, and starts waiting items on idle slots. A host
+	 * that lags starts none, since their jobs may have been ended.
 	 * @param settled whether this host has run long enough to have found the other hosts
 	 * @param caughtUp whether this host has the current state of jobs
+	 * @param lagging whether this host reads the store, but not fast enough to have the
+	 * current state
 	 */
-	public void step(boolean settled, boolean caughtUp) {
+	public void step(boolean settled, boolean caughtUp, boolean lagging) {
 		boolean changed = this.caughtUp != caughtUp;
 		this.caughtUp = caughtUp;
 		this.ownership.setSelfCaughtUp(caughtUp);
@@ -204,7 +207,7 @@
 		long now = this.ticker.millis();
 		this.caughtUpSinceMillis = !caughtUp ? -1 : (this.caughtUpSinceMillis < 0) ? now : this.caughtUpSinceMillis;
 		boolean ownershipUnsettled = caughtUp && now - this.caughtUpSinceMillis < OWNERSHIP_DELAY_MILLIS;
-		if (!settled || ownershipUnsettled || this.fleet.getRoutingTable() == null) {
+		if (!settled || ownershipUnsettled || lagging || this.fleet.getRoutingTable() == null) {
 			return;
 		}
 		List<WaitingItem> waiting = findWaitingItems();
