Go on with a listing after a failed page, and when it takes long

After the loss of power of all hosts each of them lists all jobs, and the store serves all of them at one rate. A page that failed, as by its time-out, began the whole listing anew; so did a listing that took longer than the store retains records, for ever. Meanwhile the host answers reads with 503 and runs no items.

The follower keeps the pages that it has and reads the records that were appended meanwhile every 2 s, before the store forgets them. The age of the state after a listing counts from the last call, which has the newest state, not from the first.

StreamFollowerTests, three new tests: 3 of 3 fail on (10 pages in place of 6, no end after 43 pages, an age of 12 s in place of 3 s) and pass.

--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -242,7 +242,7 @@
 	STORE_UNREACHABLE(5502, Level.WARNING, "store is unreachable", "stream", "next_offset", "reason"),
 
 	/** The latest records of a stream were listed. */
-	STREAM_LISTED(5503, Level.INFO, "stream listed", "stream", "records", "end"),
+	STREAM_LISTED(5503, Level.INFO, "stream listed", "stream", "records", "end", "pages", "bytes", "elapsed_ms"),
 
 	/** The next offset of a follower is no longer retained by the store. */
 	STREAM_OFFSET_EXPIRED(5504, Level.WARNING, "next offset is no longer retained; the stream is listed again",
--- a/gateway/src/main/java/org/wigeonglade/gateway/store/KeyedRecord.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/KeyedRecord.java
@@ -29,4 +29,12 @@
 		return new KeyedRecord(-1, key, value);
 	}
 
+	/**
+	 * Returns the size of the key and the value.
+	 * @return the size in bytes, without the overhead of the store
+	 */
+	public int size() {
+		return this.key.length() + ((this.value != null) ? this.value.length : 0);
+	}
+
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
@@ -18,7 +18,8 @@
 /**
  * Follows a keyed stream: lists the latest record of each key first, then polls for
  * appended records. When the store no longer retains the next offset, the stream is
- * listed again. Confined to the event loop; all callbacks are run there.
+ * listed again. A listing goes on after a failed call, and may take longer than the store
+ * retains records. Confined to the event loop; all callbacks are run there.
  */
 public final class StreamFollower {
 
@@ -33,6 +34,12 @@
 	 */
 	private static final long MAX_BACKOFF_MILLIS = 600;
 
+	/**
+	 * Time in milliseconds after which a listing reads the records that were appended
+	 * meanwhile. It is short so that the store still retains them.
+	 */
+	private static final long LISTING_READ_INTERVAL_MILLIS = 2_000;
+
 	private final KeyedLog log;
 
 	private final KeyedStream stream;
@@ -47,6 +54,8 @@
 
 	private long next = -1;
 
+	private Listing listing;
+
 	private boolean listed;
 
 	private boolean reachable;
@@ -228,44 +237,61 @@
 			return;
 		}
 		this.reading = true;
-		if (this.next < 0) {
-			list(new StreamListing(), null, this.ticker.millis());
+		if (this.next >= 0) {
+			read();
+			return;
+		}
+		if (this.listing == null) {
+			this.listing = new Listing(this.ticker.millis());
+		}
+		continueListing();
+	}
+
+	private void continueListing() {
+		if (this.listing.isRecordReadDue(this.ticker.millis())) {
+			readRecordsOfListing();
+		}
+		else if (!this.listing.pagesComplete) {
+			readPageOfListing();
 		}
 		else {
-			read();
+			completeListing();
 		}
 	}
 
-	private void list(StreamListing listing, String afterKey, long startMillis) {
-		this.log.list(this.stream, afterKey).subscribe().with((page) -> continueOnLoop(() -> {
-			listing.addPage(page);
-			if (page.truncated() && !page.records().isEmpty()) {
-				list(listing, page.records().get(page.records().size() - 1).key(), startMillis);
-			}
-			else {
-				completeListing(listing, startMillis);
-			}
+	private void readPageOfListing() {
+		Listing current = this.listing;
+		long startMillis = this.ticker.millis();
+		this.log.list(this.stream, current.afterKey).subscribe().with((page) -> continueOnLoop(() -> {
+			recordSuccess();
+			current.addPage(page, startMillis);
+			continueListing();
 		}, List.of()), this::handleFailureOnLoop);
 	}
 
-	private void completeListing(StreamListing listing, long startMillis) {
-		if (!listing.isComplete()) {
-			this.log.read(this.stream, listing.getNextOffset(), Duration.ZERO)
-				.subscribe()
-				.with((slice) -> continueOnLoop(() -> {
-					listing.addSlice(slice);
-					completeListing(listing, startMillis);
-				}, List.of()), this::handleFailureOnLoop);
-			return;
-		}
-		List<KeyedRecord> records = listing.toRecords();
-		recordSuccess();
+	private void readRecordsOfListing() {
+		Listing current = this.listing;
+		long startMillis = this.ticker.millis();
+		this.log.read(this.stream, current.records.getNextOffset(), Duration.ZERO)
+			.subscribe()
+			.with((slice) -> continueOnLoop(() -> {
+				recordSuccess();
+				current.addSlice(slice, startMillis);
+				continueListing();
+			}, List.of()), this::handleFailureOnLoop);
+	}
+
+	private void completeListing() {
+		Listing complete = this.listing;
+		this.listing = null;
+		List<KeyedRecord> records = complete.records.toRecords();
 		this.listener.listed(records);
 		this.backoffMillis = INITIAL_BACKOFF_MILLIS;
-		this.next = listing.getNextOffset();
-		this.currentAsOfMillis = startMillis;
+		this.next = complete.records.getNextOffset();
+		this.currentAsOfMillis = complete.asOfMillis;
 		this.listed = true;
-		LOG.log(GatewayEvent.STREAM_LISTED, this.stream, records.size(), this.next);
+		LOG.log(GatewayEvent.STREAM_LISTED, this.stream, records.size(), this.next, complete.pages, complete.bytes,
+				this.ticker.millis() - complete.startMillis);
 		this.reading = false;
 		schedule(0);
 	}
@@ -304,9 +330,8 @@
 	}
 
 	// Continues a listing or a read on the event loop. If that fails, the state derived
-	// from
-	// the stream is incomplete, so the stream is listed anew before the callbacks are
-	// run.
+	// from the stream is incomplete, so the stream is listed anew before the callbacks
+	// are run.
 	private void continueOnLoop(Runnable task, List<Runnable> callbacks) {
 		this.loop.execute(() -> {
 			try {
@@ -315,6 +340,7 @@
 			catch (RuntimeException | StackOverflowError | OutOfMemoryError ex) {
 				LOG.log(GatewayEvent.STREAM_LISTENER_FAILED, ex, this.stream, this.next);
 				this.next = -1;
+				this.listing = null;
 				this.listed = false;
 				this.reading = false;
 				this.readCallbacks.addAll(callbacks);
@@ -355,8 +381,10 @@
 	private void handleFailure(Throwable failure) {
 		this.reading = false;
 		if (failure instanceof PlatformException platform && platform.getCode() == ErrorCode.OFFSET_EXPIRED) {
-			LOG.log(GatewayEvent.STREAM_OFFSET_EXPIRED, this.stream, this.next);
+			LOG.log(GatewayEvent.STREAM_OFFSET_EXPIRED, this.stream,
+					(this.listing != null) ? this.listing.records.getNextOffset() : this.next);
 			this.next = -1;
+			this.listing = null;
 			schedule(0);
 			return;
 		}
@@ -374,6 +402,60 @@
 		}
 	}
 
+	/**
+	 * A listing in progress, with what the next call needs.
+	 */
+	private static final class Listing {
+
+		private final StreamListing records = new StreamListing();
+
+		private final long startMillis;
+
+		private String afterKey;
+
+		private boolean pagesComplete;
+
+		private long recordsReadMillis;
+
+		private long asOfMillis;
+
+		private int pages;
+
+		private long bytes;
+
+		private Listing(long startMillis) {
+			this.startMillis = startMillis;
+			this.recordsReadMillis = startMillis;
+		}
+
+		private boolean isRecordReadDue(long nowMillis) {
+			return this.pagesComplete ? !this.records.isComplete()
+					: this.pages > 0 && nowMillis - this.recordsReadMillis >= LISTING_READ_INTERVAL_MILLIS;
+		}
+
+		// The first page sets the offset from which records are read.
+		private void addPage(KeyedPage page, long readMillis) {
+			this.records.addPage(page);
+			this.asOfMillis = readMillis;
+			this.recordsReadMillis = (this.pages++ > 0) ? this.recordsReadMillis : readMillis;
+			this.bytes += page.records().stream().mapToLong(KeyedRecord::size).sum();
+			this.pagesComplete = !page.truncated() || page.records().isEmpty();
+			if (!this.pagesComplete) {
+				this.afterKey = page.records().get(page.records().size() - 1).key();
+			}
+		}
+
+		private void addSlice(KeyedSlice slice, long readMillis) {
+			this.records.addSlice(slice);
+			if (slice.next() >= slice.end()) {
+				this.recordsReadMillis = readMillis;
+				this.asOfMillis = readMillis;
+			}
+			this.bytes += slice.records().stream().mapToLong(KeyedRecord::size).sum();
+		}
+
+	}
+
 	/**
 	 * Receives the records of a stream on the event loop.
 	 */
--- a/gateway/src/main/java/org/wigeonglade/gateway/store/StreamListing.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/StreamListing.java
@@ -7,9 +7,9 @@
 
 /**
  * A consistent listing of a keyed stream, assembled from pages and from the records that
- * were appended while the pages were read. Pages are not a snapshot: a record that is
- * appended between two pages may replace one that the pages should still have shown. Not
- * thread-safe.
+ * were appended while the pages were read. These may be added between the pages too.
+ * Pages are not a snapshot: a record that is appended between two pages may replace one
+ * that the pages should still have shown. Not thread-safe.
  */
 final class StreamListing {
 
--- a/gateway/src/test/java/org/wigeonglade/gateway/store/PagedLog.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/store/PagedLog.java
@@ -69,6 +69,14 @@
 		this.records.clear();
 	}
 
+	/**
+	 * Forgets the history before an offset.
+	 */
+	public synchronized void truncate(long offset) {
+		this.records.subList(0, (int) (offset - this.firstOffset)).clear();
+		this.firstOffset = offset;
+	}
+
 	/**
 	 * Lets the next calls fail.
 	 */
@@ -83,6 +91,10 @@
 		this.silent = value;
 	}
 
+	public synchronized int getPages() {
+		return this.pages;
+	}
+
 	public synchronized int getReads() {
 		return this.reads;
 	}
--- a/gateway/src/test/java/org/wigeonglade/gateway/store/StreamFollowerTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/store/StreamFollowerTests.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -15,7 +17,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.core.time.ManualTicker;
 
 /**
  * Guards against a follower that stops to read, or counts as current, after a failure.
@@ -26,6 +28,8 @@
 
 	private final List<String> keys = new ArrayList<>();
 
+	private ManualTicker ticker;
+
 	private EventLoop loop;
 
 	private PagedLog log;
@@ -44,6 +48,7 @@
 		this.failure = null;
 		this.failingKey = null;
 		this.listings = 0;
+		this.ticker = ManualTicker.startingAt(0);
 		this.loop = new DefaultEventLoop();
 		this.log = new PagedLog(2);
 		put("a", "b", "c");
@@ -117,6 +122,56 @@
 		Assert.assertEquals(this.keys, List.of("a", "b", "c"));
 	}
 
+	// Guards against a host that never has the jobs, because it lists them anew again and
+	// again.
+	@Test
+	public void listingThatTakesLongerThanTheHistoryIsCompleted() {
+		AtomicLong end = new AtomicLong();
+		put("d", "e", "f");
+		this.log.onPage((page) -> {
+			this.ticker.advance(Duration.ofSeconds(3));
+			if (page > 0 && page < 20) {
+				put("a" + page);
+				this.log.truncate(end.get());
+			}
+			end.set(this.log.end());
+		});
+		follow();
+		await(this.follower::isListed);
+		Assert.assertEquals(this.listings, 1);
+		Assert.assertTrue(this.keys.containsAll(List.of("a", "b", "c", "d", "e", "f", "a1", "a2")),
+				this.keys.toString());
+		Assert.assertEquals(this.keys.size(), Set.copyOf(this.keys).size(), this.keys.toString());
+		Assert.assertTrue(this.log.getPages() < 20, this.log.getPages() + " pages");
+	}
+
+	@Test
+	public void listingGoesOnAfterAFailedPage() {
+		this.log = new PagedLog(1);
+		put("a", "b", "c", "d", "e", "f");
+		this.log.onPage((page) -> {
+			if (page == 3) {
+				this.log.fail(1);
+			}
+		});
+		follow();
+		await(this.follower::isListed);
+		Assert.assertEquals(this.keys, List.of("a", "b", "c", "d", "e", "f"));
+		Assert.assertEquals(this.log.getPages(), 6);
+	}
+
+	@Test
+	public void stateIsAsOldAsTheLastCallOfItsListing() {
+		put("d", "e", "f", "g");
+		this.log.onPage((page) -> {
+			this.ticker.advance(Duration.ofSeconds(3));
+			this.log.setSilent(page == 3);
+		});
+		follow();
+		await(this.follower::isListed);
+		Assert.assertEquals(this.follower.getAgeMillis(), 3_000);
+	}
+
 	@Test
 	public void callerThatNeedsTheNewestStateDoesNotWaitForTheNextPoll() throws Exception {
 		follow();
@@ -143,7 +198,7 @@
 
 	private void follow() {
 		this.follower = new StreamFollower(this.log, KeyedStream.OWN,
-				new PollTiming(Duration.ofSeconds(1), Duration.ZERO), this.loop, Ticker.system(), new Listener());
+				new PollTiming(Duration.ofSeconds(1), Duration.ZERO), this.loop, this.ticker, new Listener());
 		this.loop.execute(this.follower::start);
 	}
 
