Ask for the end of a stream without reading its records again

A request that needs the newest state, while a read of the stream is in progress, asked for the end of the stream by a second read from the same offset, and threw its records away. At a host that lags behind these are the records that it is just reading, up to 1 MB each time: with reads of results waiting, its link and the store carried them several times, and it lagged the longer.

The end is asked for with the smallest size of a response now.

--- a/gateway/src/main/java/org/wigeonglade/gateway/store/KeyedLog.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/KeyedLog.java
@@ -34,6 +34,16 @@
 	 */
 	Uni<KeyedSlice> read(KeyedStream stream, long fromOffset, Duration wait);
 
+	/**
+	 * Finds the end of a stream, with hardly any of its records.
+	 * @param stream the stream, not null
+	 * @param fromOffset an offset that is not beyond the end, at least 0
+	 * @return the offset after the last record; fails with
+	 * {@link org.wigeonglade.core.error.ErrorCode#OFFSET_EXPIRED} if the offset is no
+	 * longer retained
+	 */
+	Uni<Long> findEnd(KeyedStream stream, long fromOffset);
+
 	/**
 	 * Appends records atomically.
 	 * @param stream the stream, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
@@ -192,27 +192,27 @@
 		});
 	}
 
-	// Reads beside the long poll in progress, so that callbacks do not wait for its end.
-	// Callbacks that are added meanwhile share the next probe.
+	// Asks for the end beside the read in progress, so that callbacks do not wait for its
+	// end. Callbacks that are added meanwhile share the next probe.
 	private void probe() {
 		this.probing = true;
 		long startMillis = this.ticker.millis();
 		List<Runnable> callbacks = this.probeCallbacks;
 		this.probeCallbacks = new ArrayList<>();
-		this.log.read(this.stream, this.next, Duration.ZERO)
+		this.log.findEnd(this.stream, this.next)
 			.subscribe()
-			.with((slice) -> this.loop.execute(() -> probeCompleted(slice, startMillis, callbacks)),
+			.with((end) -> this.loop.execute(() -> probeCompleted(end, startMillis, callbacks)),
 					(failure) -> this.loop.execute(() -> probeFailed(callbacks)));
 	}
 
-	// Records beyond the next offset are delivered by the long poll in progress, which
-	// returns as soon as they are appended; the callbacks are run after the next read.
-	private void probeCompleted(KeyedSlice slice, long startMillis, List<Runnable> callbacks) {
+	// Records beyond the next offset are delivered by the read in progress, which returns
+	// as soon as they are appended; the callbacks are run after the next one.
+	private void probeCompleted(long end, long startMillis, List<Runnable> callbacks) {
 		this.probing = false;
 		if (!this.probeCallbacks.isEmpty()) {
 			probe();
 		}
-		if (slice.end() <= this.next) {
+		if (end <= this.next) {
 			this.currentAsOfMillis = Math.max(this.currentAsOfMillis, startMillis);
 			runAll(callbacks);
 		}
--- a/gateway/src/test/java/org/wigeonglade/gateway/store/PagedLog.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/store/PagedLog.java
@@ -135,6 +135,11 @@
 		return Uni.createFrom().item(new KeyedSlice(slice, fromOffset + slice.size(), end()));
 	}
 
+	@Override
+	public Uni<Long> findEnd(KeyedStream stream, long fromOffset) {
+		return read(stream, fromOffset, Duration.ZERO).map(KeyedSlice::end);
+	}
+
 	@Override
 	public synchronized Uni<Long> append(KeyedStream stream, List<KeyedRecord> appended) {
 		long first = end();
--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineStoreStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineStoreStandIn.java
@@ -58,6 +58,8 @@
 
 	private long readsSentNanos = System.nanoTime();
 
+	private long bytesRead;
+
 	private final Map<String, Topic> topics = new TreeMap<>();
 
 	private volatile Mode mode = Mode.SERVING;
@@ -125,6 +127,14 @@
 		this.readBytesPerSecond = limit;
 	}
 
+	/**
+	 * Returns the size of all responses to reads and listings so far.
+	 * @return the size in bytes
+	 */
+	public synchronized long getBytesRead() {
+		return this.bytesRead;
+	}
+
 	/**
 	 * Appends a record without HTTP, unaffected by the mode.
 	 * @param topic the topic, not null
@@ -257,6 +267,7 @@
 
 	// One response after the other takes its time at the rate of the store.
 	private synchronized void respond(RoutingContext context, Buffer body) {
+		this.bytesRead += body.length();
 		long now = System.nanoTime();
 		long sendingNanos = (this.readBytesPerSecond > 0)
 				? TimeUnit.SECONDS.toNanos(body.length()) / this.readBytesPerSecond : 0;
