Measure listings after a start with the load tool

bin/wigeonglade bench listing starts hosts at the same moment beside a store that holds finished jobs, and measures the time until each gives back results, what it lists, and what it follows at the same rate of jobs.

--- a/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/BenchCommand.java
@@ -39,7 +39,7 @@
 		description = "Measures the system against its stand-ins on this machine, on loopback.",
 		subcommands = { BenchMixedCommand.class, BenchOverheadCommand.class, BenchCommand.Report.class,
 				BenchCommand.Fleet.class, BenchCommand.Faults.class, BenchCommand.Capacity.class,
-				BenchCommand.Compare.class, BenchBatchCommand.class })
+				BenchCommand.Compare.class, BenchBatchCommand.class, BenchListingCommand.class })
 final class BenchCommand implements Runnable {
 
 	@CommandLine.Spec
