--- a/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
@@ -272,7 +272,7 @@
 	private void readRecordsOfListing() {
 		Listing current = this.listing;
 		long startMillis = this.ticker.millis();
-		this.log.read(this.stream, current.records.getNextOffset(), Duration.ZERO)
+		this.log.read(this.stream, current.content.getNextOffset(), Duration.ZERO)
 			.subscribe()
 			.with((slice) -> continueOnLoop(() -> {
 				recordSuccess();
@@ -284,10 +284,10 @@
 	private void completeListing() {
 		Listing complete = this.listing;
 		this.listing = null;
-		List<KeyedRecord> records = complete.records.toRecords();
+		List<KeyedRecord> records = complete.content.toRecords();
 		this.listener.listed(records);
 		this.backoffMillis = INITIAL_BACKOFF_MILLIS;
-		this.next = complete.records.getNextOffset();
+		this.next = complete.content.getNextOffset();
 		this.currentAsOfMillis = complete.asOfMillis;
 		this.listed = true;
 		LOG.log(GatewayEvent.STREAM_LISTED, this.stream, records.size(), this.next, complete.pages, complete.bytes,
@@ -382,7 +382,7 @@
 		this.reading = false;
 		if (failure instanceof PlatformException platform && platform.getCode() == ErrorCode.OFFSET_EXPIRED) {
 			LOG.log(GatewayEvent.STREAM_OFFSET_EXPIRED, this.stream,
-					(this.listing != null) ? this.listing.records.getNextOffset() : this.next);
+					(this.listing != null) ? this.listing.content.getNextOffset() : this.next);
 			this.next = -1;
 			this.listing = null;
 			schedule(0);
@@ -407,7 +407,7 @@
 	 */
 	private static final class Listing {
 
-		private final StreamListing records = new StreamListing();
+		private final StreamListing content = new StreamListing();
 
 		private final long startMillis;
 
@@ -429,13 +429,13 @@
 		}
 
 		private boolean isRecordReadDue(long nowMillis) {
-			return this.pagesComplete ? !this.records.isComplete()
+			return this.pagesComplete ? !this.content.isComplete()
 					: this.pages > 0 && nowMillis - this.recordsReadMillis >= LISTING_READ_INTERVAL_MILLIS;
 		}
 
 		// The first page sets the offset from which records are read.
 		private void addPage(KeyedPage page, long readMillis) {
-			this.records.addPage(page);
+			this.content.addPage(page);
 			this.asOfMillis = readMillis;
 			this.recordsReadMillis = (this.pages++ > 0) ? this.recordsReadMillis : readMillis;
 			this.bytes += page.records().stream().mapToLong(KeyedRecord::size).sum();
@@ -446,7 +446,7 @@
 		}
 
 		private void addSlice(KeyedSlice slice, long readMillis) {
-			this.records.addSlice(slice);
+			this.content.addSlice(slice);
 			if (slice.next() >= slice.end()) {
 				this.recordsReadMillis = readMillis;
 				this.asOfMillis = readMillis;
