--- /dev/null
+++ b/core/src/main/java/org/wigeonglade/core/workspace/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Authentication of workspaces by API keys, common to both kinds of hosts.
+ */
+package org.wigeonglade.core.workspace;
