Authorize requests by the API keys of workspaces

CallerAuthorizer denies requests without a known key (401), waits for one read of the configuration when the newest one has to decide, and refuses (503) when it cannot be read. A lease on the freshness of the configuration, measured on both clocks, ends before the bound on withdrawals. Runners are told the workspace and never the key; jobs and their items belong to a workspace, whose quota of waiting tokens is its own. Without `tenants` nothing changes.

--- a/gateway/src/main/java/org/wigeonglade/gateway/caller/CallerOperation.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/caller/CallerOperation.java
@@ -1,5 +1,7 @@
 package org.wigeonglade.gateway.caller;
 
+import java.util.Optional;
+
 import org.wigeonglade.gateway.job.ItemId;
 import org.wigeonglade.gateway.job.JobId;
 
@@ -8,6 +10,19 @@
  */
 public sealed interface CallerOperation {
 
+	/**
+	 * Returns the job that the operation concerns.
+	 * @return the job, empty for a request that is handled by its route
+	 */
+	default Optional<JobId> job() {
+		return switch (this) {
+			case Routed routed -> Optional.empty();
+			case ReadResults read -> Optional.of(read.jobId());
+			case ReadItem read -> Optional.of(read.jobId());
+			case EndJob end -> Optional.of(end.jobId());
+		};
+	}
+
 	/**
 	 * A request that is handled by its route: forwarded to a runner, or submitted as a
 	 * job if the route accepts jobs.
@@ -19,31 +34,31 @@
 	/**
 	 * Reads results of a job.
 	 *
-	 * @param job the job, not null
+	 * @param jobId the job, not null
 	 * @param from the position of the first result, at least 0
 	 * @param waitMillis the time to wait for a result if there is none yet, in
 	 * milliseconds
 	 */
-	record ReadResults(JobId job, int from, long waitMillis) implements CallerOperation {
+	record ReadResults(JobId jobId, int from, long waitMillis) implements CallerOperation {
 
 	}
 
 	/**
 	 * Reads the body of an item.
 	 *
-	 * @param job the job, not null
+	 * @param jobId the job, not null
 	 * @param item the item, not null
 	 */
-	record ReadItem(JobId job, ItemId item) implements CallerOperation {
+	record ReadItem(JobId jobId, ItemId item) implements CallerOperation {
 
 	}
 
 	/**
 	 * Ends a job before it is complete.
 	 *
-	 * @param job the job, not null
+	 * @param jobId the job, not null
 	 */
-	record EndJob(JobId job) implements CallerOperation {
+	record EndJob(JobId jobId) implements CallerOperation {
 
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/caller/CallerProtocol.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/caller/CallerProtocol.java
@@ -35,6 +35,14 @@
 	 */
 	Optional<String> requestId(HttpHeaders headers);
 
+	/**
+	 * Returns the API key of a request.
+	 * @param headers the headers, not null
+	 * @return the key, empty if the caller gave none, several, or one that no workspace
+	 * can have
+	 */
+	Optional<String> apiKey(HttpHeaders headers);
+
 	/**
 	 * Returns how long the caller waits for the response.
 	 * @param headers the headers, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
@@ -19,6 +19,7 @@
 import org.wigeonglade.gateway.route.Route;
 import org.wigeonglade.gateway.route.RouteKind;
 import org.wigeonglade.gateway.store.StreamFollower;
+import org.wigeonglade.gateway.workspace.RequestIdentity;
 
 /**
  * Dispatches the requests of callers to the handlers of jobs and of online requests.
@@ -50,13 +51,16 @@
 
 	private final Supplier<GracefulShutdown> shutdown;
 
+	private final CallerAuthorizer authorizer;
+
 	// The supplier returns null unless the host is shutting down.
-	CallRouter(JobService jobs, OnlineContext online, StreamFollower configurationFollower,
+	CallRouter(JobService jobs, OnlineContext online, StreamFollower configurationFollower, CallerAuthorizer authorizer,
 			Supplier<GracefulShutdown> shutdown) {
 		this.protocol = online.protocol();
 		this.jobs = jobs;
 		this.online = online;
 		this.configurationFollower = configurationFollower;
+		this.authorizer = authorizer;
 		this.shutdown = shutdown;
 	}
 
@@ -67,8 +71,12 @@
 			if (parsed instanceof CallerOperation.Routed) {
 				route(call);
 			}
-			else if (admit(call, JobService.getMaxTime(parsed)).isPresent()) {
-				this.jobs.handle(call, parsed);
+			else {
+				this.authorizer.authorize(call, this.jobs.isKeyless(parsed), (identity) -> {
+					if (admit(call, JobService.getMaxTime(parsed)).isPresent()) {
+						this.jobs.handle(call, parsed, identity);
+					}
+				});
 			}
 		});
 	}
@@ -124,7 +132,7 @@
 		}
 		Optional<Route> route = findRoute(call);
 		if (route.isPresent()) {
-			start(call, route.get());
+			authorizeAndStart(call, route.get());
 		}
 		else {
 			confirmMissingRoute(call);
@@ -144,7 +152,8 @@
 			Duration remaining = Duration.ofMillis(Math.max(0, answerByMillis - this.online.ticker().millis()));
 			this.configurationFollower.whenCaughtUp(remaining, () -> handleSafely(call, () -> {
 				if (!call.isEnded()) {
-					findRoute(call).ifPresentOrElse((route) -> start(call, route), () -> respondNoRoute(call));
+					findRoute(call).ifPresentOrElse((route) -> authorizeAndStart(call, route),
+							() -> respondNoRoute(call));
 				}
 			}), () -> refuseWithoutConfiguration(call));
 		});
@@ -154,15 +163,20 @@
 		return this.online.fleet().getRoutingTable().find(hostName(call), call.getPath());
 	}
 
-	private void start(CallerExchange call, Route route) {
+	private void authorizeAndStart(CallerExchange call, Route route) {
+		this.authorizer.authorize(call, route.isKeyless(),
+				(identity) -> handleSafely(call, () -> start(call, route, identity)));
+	}
+
+	private void start(CallerExchange call, Route route, RequestIdentity identity) {
 		long timeout = route.getTimeout().toMillis();
 		long limitMillis = Math.min(timeout, this.protocol.waitMillis(call.getRequest().headers()).orElse(timeout));
 		admit(call, Duration.ofMillis(limitMillis)).ifPresent((deadlineMillis) -> {
 			if (route.getKind() == RouteKind.BATCH) {
-				this.jobs.submit(call, route, deadlineMillis);
+				this.jobs.submit(call, route, identity, deadlineMillis);
 			}
 			else {
-				OnlineRequest.start(this.online, call, route, deadlineMillis);
+				OnlineRequest.start(this.online, call, route, identity, deadlineMillis);
 			}
 		});
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -53,6 +53,7 @@
 import org.wigeonglade.gateway.store.PollTiming;
 import org.wigeonglade.gateway.store.RecordWriter;
 import org.wigeonglade.gateway.store.StreamFollower;
+import org.wigeonglade.gateway.workspace.ConfigurationLease;
 import org.wigeonglade.schema.generated.crash.CrashNotice;
 import org.wigeonglade.schema.generated.gateway.HostEntry;
 import org.wigeonglade.schema.generated.gateway.RunnerLimit;
@@ -250,8 +251,10 @@
 				this.crashReports, this.origins,
 				new SlotPreemptor(settings.host(), this.items, this.fleet.getLoadTracker(), this.exchange),
 				new OnlineMetrics(this.registry));
+		CallerAuthorizer authorizer = new CallerAuthorizer(this.fleet, adapters.getCallerProtocol(),
+				this.configurationFollower, ConfigurationLease.of(settings.revocationDelay()), ticker);
 		this.callerServer = new CallerServer(this.group, ticker, this::callerLimits,
-				new CallRouter(this.jobs, online, this.configurationFollower, () -> this.shutdown)::handle);
+				new CallRouter(this.jobs, online, this.configurationFollower, authorizer, () -> this.shutdown)::handle);
 		this.readinessServer = new CallerServer(this.group, ticker, () -> CallerLimits.DEFAULTS, this::answerReadiness);
 		this.metricsServer = new CallerServer(this.group, ticker, () -> CallerLimits.DEFAULTS, this::answerMetrics);
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewaySettings.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
@@ -18,9 +19,12 @@
  * @param gracePeriod the grace period from SIGTERM until the process is killed, not null
  * @param resultRetention the time after the submission of a job for which its results
  * remain readable, not null
+ * @param revocationDelay the time after which the withdrawal of an API key must be in
+ * force on every host, also one that is cut off from the store; empty if such a host may
+ * serve with the last configuration that it has read; not null
  */
 public record GatewaySettings(HostId host, FailureDomain domain, InetSocketAddress callerAddress,
 		InetSocketAddress readinessAddress, InetSocketAddress peerAddress, InetSocketAddress metricsAddress,
-		Duration gracePeriod, Duration resultRetention) {
+		Duration gracePeriod, Duration resultRetention, Optional<Duration> revocationDelay) {
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -27,6 +27,7 @@
 import org.wigeonglade.gateway.stream.StreamBinding;
 import org.wigeonglade.gateway.stream.StreamEvent;
 import org.wigeonglade.gateway.stream.StreamParser;
+import org.wigeonglade.gateway.workspace.RequestIdentity;
 
 /**
  * Execution state of one item on this host, across all of its runs. Received output is
@@ -172,7 +173,7 @@
 		headers.set(HttpHeaderNames.HOST, this.job.getHostName());
 		RunnerRequest request = new RunnerRequest(this.item.id().value(), HttpMethod.POST, this.item.path(), headers,
 				this.item.body(), ticker.millis() + remaining.toMillis(), this.sequence.getLast(),
-				Optional.of(this.binding), true, this.freshConnection);
+				Optional.of(this.binding), true, RequestIdentity.ofJob(this.job.getWorkspace()), this.freshConnection);
 		Receiver current = new Receiver(loop, ticker, runner);
 		this.receiver = current;
 		RunnerCall started = RunnerCall.start(fleet, runner, request, current);
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -485,7 +485,7 @@
 			this.configuration.whenCaughtUp(() -> {
 			});
 		}
-		else if (this.giveUps.isConfirmed(key, this.configuration.getCurrentAsOfMillis())) {
+		else if (this.giveUps.isConfirmed(key, this.configuration.getCurrentAsOf().monotonicMillis())) {
 			giveUp(job, item, reason);
 		}
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/Job.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/Job.java
@@ -10,6 +10,8 @@
 
 import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.PlatformException;
+import org.wigeonglade.core.id.WorkspaceId;
+import org.wigeonglade.gateway.workspace.RequestIdentity;
 import org.wigeonglade.schema.generated.gateway.JobPart;
 
 /**
@@ -36,6 +38,8 @@
 
 	private String path = "";
 
+	private Optional<WorkspaceId> workspace = Optional.empty();
+
 	private long submittedAtMillis;
 
 	private long openTokens;
@@ -96,6 +100,23 @@
 		return this.path;
 	}
 
+	/**
+	 * Returns the workspace that the job belongs to.
+	 * @return the workspace, empty if the job was submitted without a key
+	 */
+	public Optional<WorkspaceId> getWorkspace() {
+		return this.workspace;
+	}
+
+	/**
+	 * Returns whether a request may access the job.
+	 * @param identity on whose behalf the request is made, not null
+	 * @return false if the job belongs to another workspace
+	 */
+	public boolean isAccessibleTo(RequestIdentity identity) {
+		return this.workspace.isEmpty() || this.workspace.equals(identity.workspace());
+	}
+
 	/**
 	 * Returns when the job was submitted.
 	 * @return milliseconds since the epoch
@@ -179,6 +200,8 @@
 		}
 		this.hostName = part.getRouteHost();
 		this.path = part.getRoutePath();
+		this.workspace = part.getWorkspace().isEmpty() ? Optional.empty()
+				: Optional.of(WorkspaceId.of(part.getWorkspace()));
 		this.submittedAtMillis = part.getSubmittedAtMs();
 		for (int i = 0; i < part.getParts(); i++) {
 			this.parts.get(i).getItemsList().forEach((item) -> {
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobRecords.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobRecords.java
@@ -11,6 +11,7 @@
 import com.google.protobuf.UnsafeByteOperations;
 import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.PlatformException;
+import org.wigeonglade.core.id.WorkspaceId;
 import org.wigeonglade.gateway.store.KeyedRecord;
 import org.wigeonglade.schema.generated.gateway.ItemHeader;
 import org.wigeonglade.schema.generated.gateway.ItemResult;
@@ -63,6 +64,7 @@
 				.setRoutePath(job.path())
 				.setPart(i)
 				.setParts(parts.size())
+				.setWorkspace(job.workspace().map(WorkspaceId::value).orElse(""))
 				.setTotalItems(job.items().size())
 				.setFirstItem(first)
 				.addAllItems(parts.get(i))
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobService.java
@@ -24,6 +24,7 @@
 import org.wigeonglade.gateway.store.KeyedRecord;
 import org.wigeonglade.gateway.store.KeyedStream;
 import org.wigeonglade.gateway.store.StreamFollower;
+import org.wigeonglade.gateway.workspace.RequestIdentity;
 
 /**
  * Handles the job API of submitters: submit a job, read results, read an item, end a job.
@@ -99,25 +100,33 @@
 	 * again.
 	 * @param exchange the request, not null
 	 * @param route the route of the request, not null
+	 * @param identity on whose behalf it is made, not null
 	 * @param deadlineMillis the monotonic time in milliseconds by which the request must
 	 * be answered
 	 */
-	public void submit(CallerExchange exchange, Route route, long deadlineMillis) {
+	public void submit(CallerExchange exchange, Route route, RequestIdentity identity, long deadlineMillis) {
 		Optional<String> id = this.protocol.requestId(exchange.getRequest().headers());
 		if (id.isEmpty()) {
 			respond(exchange, 400, "the job has no id");
 			return;
 		}
 		JobId jobId = JobId.of(id.get());
-		if (this.jobTable.find(jobId).isPresent()) {
-			LOG.log(GatewayEvent.JOB_RESUBMITTED, jobId);
-			respond(exchange, 202, "");
+		Optional<Job> known = this.jobTable.find(jobId);
+		if (known.isPresent()) {
+			if (known.get().isAccessibleTo(identity)) {
+				LOG.log(GatewayEvent.JOB_RESUBMITTED, jobId);
+				respond(exchange, 202, "");
+			}
+			else {
+				respondUnusableId(exchange);
+			}
 			return;
 		}
 		SubmittedJob job;
 		try {
-			job = this.protocol.readJob(jobId, route.getHostName(), exchange.getPath(), this.ticker.wallMillis(),
-					exchange.getBody());
+			job = this.protocol
+				.readJob(jobId, route.getHostName(), exchange.getPath(), this.ticker.wallMillis(), exchange.getBody())
+				.withWorkspace(identity.workspace());
 		}
 		catch (InvalidRequestException ex) {
 			LOG.log(GatewayEvent.JOB_REFUSED, jobId, 400, ex.getMessage(), 0);
@@ -137,18 +146,30 @@
 		return (operation instanceof CallerOperation.EndJob) ? MAX_APPEND_TIME : FRESH_STATE_WAIT;
 	}
 
+	/**
+	 * Returns whether a request about a job needs no API key.
+	 * @param operation the decoded operation, not null
+	 * @return true if its job is known and was submitted without one
+	 */
+	public boolean isKeyless(CallerOperation operation) {
+		return operation.job().flatMap(this.jobTable::find).filter((job) -> job.getWorkspace().isEmpty()).isPresent();
+	}
+
 	/**
 	 * Handles a request about a job.
 	 * @param exchange the request, not null
 	 * @param operation the decoded operation, not null
+	 * @param identity on whose behalf it is made; a job of another workspace does not
+	 * exist for it; not null
 	 * @throws IllegalArgumentException if the operation does not concern a job
 	 */
-	public void handle(CallerExchange exchange, CallerOperation operation) {
+	public void handle(CallerExchange exchange, CallerOperation operation, RequestIdentity identity) {
 		switch (operation) {
 			case CallerOperation.ReadResults read ->
-				withJob(exchange, read.job(), (job) -> readResults(exchange, job, read));
-			case CallerOperation.ReadItem read -> withJob(exchange, read.job(), (job) -> readItem(exchange, job, read));
-			case CallerOperation.EndJob end -> withJob(exchange, end.job(), (job) -> end(exchange, job));
+				withJob(exchange, read.jobId(), identity, (job) -> readResults(exchange, job, read));
+			case CallerOperation.ReadItem read ->
+				withJob(exchange, read.jobId(), identity, (job) -> readItem(exchange, job, read));
+			case CallerOperation.EndJob end -> withJob(exchange, end.jobId(), identity, (job) -> end(exchange, job));
 			case CallerOperation.Routed routed -> throw new IllegalArgumentException("not an operation on a job");
 		}
 	}
@@ -178,22 +199,25 @@
 				waitMillis, TimeUnit.MILLISECONDS);
 	}
 
-	private void withJob(CallerExchange exchange, JobId id, Consumer<Job> action) {
-		Optional<Job> job = this.jobTable.find(id);
+	private void withJob(CallerExchange exchange, JobId id, RequestIdentity identity, Consumer<Job> action) {
+		Optional<Job> job = find(id, identity);
 		if (job.isPresent() && this.follower.isListed()) {
 			action.accept(job.get());
 			return;
 		}
 		Runnable respond = () -> {
 			if (!exchange.isEnded()) {
-				this.jobTable.find(id)
-					.filter((found) -> this.follower.isListed())
+				find(id, identity).filter((found) -> this.follower.isListed())
 					.ifPresentOrElse(action, () -> respondUnknownJob(exchange, id));
 			}
 		};
 		whenCaughtUp(respond, respond);
 	}
 
+	private Optional<Job> find(JobId id, RequestIdentity identity) {
+		return this.jobTable.find(id).filter((job) -> job.isAccessibleTo(identity));
+	}
+
 	private void whenCaughtUp(Runnable caughtUp, Runnable timedOut) {
 		long waitMillis = Math.min(FRESH_STATE_WAIT.toMillis(), this.answerEndMillis - this.ticker.millis());
 		this.follower.whenCaughtUp(Duration.ofMillis(Math.max(0, waitMillis)), caughtUp, timedOut);
@@ -301,6 +325,11 @@
 		}
 	}
 
+	// Tells nothing of the job of the other workspace.
+	static void respondUnusableId(CallerExchange exchange) {
+		respond(exchange, 400, "the id of the job cannot be used");
+	}
+
 	static void respond(CallerExchange exchange, int status, String text) {
 		exchange.respond(status, List.of(), text.getBytes(StandardCharsets.UTF_8));
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobSubmitter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobSubmitter.java
@@ -197,12 +197,22 @@
 	private void accept(Submission submission, Long offset) {
 		SubmittedJob job = submission.job;
 		this.unconfirmed.remove(job.id(), submission);
-		if (!submission.exchange.isEnded()) {
+		if (isOfAnotherWorkspace(job)) {
+			JobService.respondUnusableId(submission.exchange);
+		}
+		else if (!submission.exchange.isEnded()) {
 			LOG.log(GatewayEvent.JOB_ACCEPTED, job.id(), job.items().size(), offset, elapsed(submission));
 			JobService.respond(submission.exchange, 202, "");
 		}
 	}
 
+	// Of two jobs with the same id, the one that is first in the stream is kept.
+	private boolean isOfAnotherWorkspace(SubmittedJob job) {
+		return this.jobTable.find(job.id())
+			.filter((known) -> known.isComplete() && !known.getWorkspace().equals(job.workspace()))
+			.isPresent();
+	}
+
 	// The job is neither confirmed nor refused while the outcome of an append is unknown.
 	private void appendFailed(Submission submission, Throwable failure) {
 		JobId id = submission.job.id();
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/RouteQuotaTracker.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/RouteQuotaTracker.java
@@ -3,17 +3,20 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
+import org.wigeonglade.core.id.WorkspaceId;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.route.Route;
 import org.wigeonglade.gateway.route.RoutingTable;
 
 /**
- * Tracks the quota usage of routes: the waiting tokens of all jobs read from the stream,
- * plus the tokens of jobs that this host has just appended. Confined to the event loop.
+ * Tracks the quota usage of routes, for each workspace by itself: the waiting tokens of
+ * all jobs read from the stream, plus the tokens of jobs that this host has just
+ * appended. Confined to the event loop.
  */
 public final class RouteQuotaTracker {
 
@@ -93,7 +96,8 @@
 	 */
 	void addPending(SubmittedJob job, Route route) {
 		expirePending();
-		this.pending.put(job.id(), new Pending(route.getName(), job.getTokens(), this.ticker.millis()));
+		this.pending.put(job.id(),
+				new Pending(route.getName(), job.workspace(), job.getTokens(), this.ticker.millis()));
 	}
 
 	/**
@@ -112,11 +116,12 @@
 		expirePending();
 		long own = this.pending.entrySet()
 			.stream()
-			.filter((p) -> p.getValue().route.equals(route.getName()) && !p.getKey().equals(job.id()))
+			.filter((p) -> p.getValue().route.equals(route.getName()) && p.getValue().workspace.equals(job.workspace())
+					&& !p.getKey().equals(job.id()))
 			.mapToLong((p) -> p.getValue().tokens)
 			.sum();
-		return new QuotaPolicy.Usage(route.getQuotaTokens(), waitingTokens(route), own, this.hosts.getAsInt(),
-				this.ageMillis.getAsLong() <= MAX_RECENT_AGE_MILLIS);
+		return new QuotaPolicy.Usage(route.getQuotaTokens(), waitingTokens(route, job.workspace()), own,
+				this.hosts.getAsInt(), this.ageMillis.getAsLong() <= MAX_RECENT_AGE_MILLIS);
 	}
 
 	private void expirePending() {
@@ -124,13 +129,14 @@
 		this.pending.values().removeIf((p) -> now - p.sinceMillis > PENDING_EXPIRY_MILLIS);
 	}
 
-	private long waitingTokens(Route route) {
+	private long waitingTokens(Route route, Optional<WorkspaceId> workspace) {
 		RoutingTable current = this.table.get();
 		long sum = 0;
 		for (Job job : this.jobTable.getJobs()) {
-			if (!job.isDone() && current.find(job.getHostName(), job.getPath())
-				.filter((r) -> r.getName().equals(route.getName()))
-				.isPresent()) {
+			if (!job.isDone() && job.getWorkspace().equals(workspace)
+					&& current.find(job.getHostName(), job.getPath())
+						.filter((r) -> r.getName().equals(route.getName()))
+						.isPresent()) {
 				sum += job.getOpenTokens();
 			}
 		}
@@ -151,7 +157,7 @@
 		}
 	}
 
-	private record Pending(String route, long tokens, long sinceMillis) {
+	private record Pending(String route, Optional<WorkspaceId> workspace, long tokens, long sinceMillis) {
 
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -33,6 +33,16 @@
 	/** An unexpected exception ended a thread. */
 	THREAD_FAILED(1509, Level.ERROR, "unexpected exception ended a thread", "thread"),
 
+	/** The API key of a request is missing or unknown. */
+	KEY_DENIED(2520, Level.INFO, "request denied; its API key is missing or unknown", "request_id", "config_version"),
+
+	/**
+	 * A request with an API key was refused, since the newest configuration is not known.
+	 */
+	KEY_UNCERTAIN(2521, Level.WARNING,
+			"request refused; its API key may have been withdrawn by a configuration that is not known yet",
+			"request_id", "status", "config_age_ms"),
+
 	/** A runner was chosen for a request. */
 	PLACED(2501, Level.INFO, "request placed", "request_id", "route", "service", "runner", "started_ms", "version",
 			"attempt", "resumes", "resume_after", "online", "batch", "slots", "expected_wait_ms", "preempted_hosts",
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -35,6 +35,7 @@
 import org.wigeonglade.gateway.stream.EventSequence;
 import org.wigeonglade.gateway.stream.StreamBinding;
 import org.wigeonglade.gateway.stream.StreamOrigin;
+import org.wigeonglade.gateway.workspace.RequestIdentity;
 
 /**
  * State machine of one online request, from its arrival to its final response: places the
@@ -85,6 +86,8 @@
 
 	private final HttpHeaders headers;
 
+	private final RequestIdentity identity;
+
 	private final RetryPolicy retryPolicy;
 
 	private final Set<RunnerId> triedRunners = new HashSet<>();
@@ -109,10 +112,12 @@
 
 	private AttemptOutcome.RunnerError lastError;
 
-	private OnlineRequest(OnlineContext context, CallerExchange exchange, Route route, long deadlineMillis) {
+	private OnlineRequest(OnlineContext context, CallerExchange exchange, Route route, RequestIdentity identity,
+			long deadlineMillis) {
 		this.context = context;
 		this.exchange = exchange;
 		this.route = route;
+		this.identity = identity;
 		HttpHeaders received = exchange.getRequest().headers();
 		this.id = context.protocol().requestId(received).orElse("");
 		this.resumedStream = context.protocol().resumedStream(received).orElse(null);
@@ -138,11 +143,13 @@
 	 * @param context the shared collaborators, not null
 	 * @param exchange the request and its response, not null
 	 * @param route the route of the request, not null
+	 * @param identity on whose behalf it is made, not null
 	 * @param deadlineMillis the monotonic time in milliseconds by which it must be
 	 * answered
 	 */
-	public static void start(OnlineContext context, CallerExchange exchange, Route route, long deadlineMillis) {
-		OnlineRequest request = new OnlineRequest(context, exchange, route, deadlineMillis);
+	public static void start(OnlineContext context, CallerExchange exchange, Route route, RequestIdentity identity,
+			long deadlineMillis) {
+		OnlineRequest request = new OnlineRequest(context, exchange, route, identity, deadlineMillis);
 		exchange.onDisconnect(request::callerDisconnected);
 		long remaining = request.deadlineMillis - context.ticker().millis();
 		request.deadlineTimer = context.loop()
@@ -269,7 +276,7 @@
 				this.exchange.getRequest().uri(), this.headers, this.exchange.getBody(), this.deadlineMillis,
 				this.response.getLastEventId(),
 				(this.route.getKind() == RouteKind.STREAM) ? Optional.of(this.binding) : Optional.empty(), false,
-				this.freshConnection);
+				this.identity, this.freshConnection);
 		this.attempt = new Attempt(this.context, this.route, this.response, this, runner, expectedWaitMillis);
 		this.attempt.start(request);
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/route/Route.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/route/Route.java
@@ -38,6 +38,8 @@
 
 	private final long quotaTokens;
 
+	private final boolean keyless;
+
 	private Route(Builder builder) {
 		this.name = builder.name;
 		this.hostName = builder.hostName;
@@ -52,6 +54,7 @@
 		this.completionTarget = builder.completionTarget;
 		this.retention = builder.retention;
 		this.quotaTokens = builder.quotaTokens;
+		this.keyless = builder.keyless;
 	}
 
 	/**
@@ -172,9 +175,17 @@
 		return this.retention;
 	}
 
+	/**
+	 * Returns whether requests need no API key, also if the configuration has workspaces.
+	 * @return true for a public route
+	 */
+	public boolean isKeyless() {
+		return this.keyless;
+	}
+
 	/**
 	 * Returns the maximum number of tokens of waiting items on the route, counted over
-	 * all hosts.
+	 * all hosts: for each workspace, or for all callers if there are no workspaces.
 	 * @return the number; 0 for no limit
 	 */
 	public long getQuotaTokens() {
@@ -246,6 +257,8 @@
 
 		private long quotaTokens;
 
+		private boolean keyless;
+
 		private Builder(String name) {
 			this.name = name;
 		}
@@ -371,6 +384,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets whether requests need no API key.
+		 * @param value true for a public route
+		 * @return this builder
+		 */
+		public Builder keyless(boolean value) {
+			this.keyless = value;
+			return this;
+		}
+
 		/**
 		 * Builds the route.
 		 * @return the route, never null
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -223,6 +223,7 @@
 	public HttpRequest request() {
 		Duration remaining = Duration.ofMillis(Math.max(1, this.request.deadlineMillis() - this.fleet.getMillis()));
 		HttpHeaders headers = new DefaultHttpHeaders().set(this.request.headers());
+		this.fleet.getProtocol().writeIdentity(headers, this.request.identity());
 		this.fleet.getProtocol()
 			.writeHeaders(headers, this.request.id(), this.runner.id(), remaining, this.request.resumeAfter());
 		if (isLengthStated(headers)) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerProtocol.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerProtocol.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.workspace.RequestIdentity;
 
 /**
  * Port to the wire format of runners: encodes the headers of requests and decodes the
@@ -29,6 +30,14 @@
 	void writeHeaders(HttpHeaders headers, String requestId, RunnerId runner, Duration remaining,
 			OptionalLong resumeAfter);
 
+	/**
+	 * Tells the runner on whose behalf a request is made. Unless the configuration has no
+	 * workspaces, the credentials of the caller and what it claims itself are removed.
+	 * @param headers the headers of the request, modified in place
+	 * @param identity the identity, not null
+	 */
+	void writeIdentity(HttpHeaders headers, RequestIdentity identity);
+
 	/**
 	 * Returns the field in which a runner repeats the id of the request.
 	 * @return the name, never null
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.wigeonglade.gateway.stream.StreamBinding;
+import org.wigeonglade.gateway.workspace.RequestIdentity;
 
 /**
  * A request to a runner.
@@ -20,10 +21,11 @@
  * @param binding the runners that may produce the next event, empty if the response is
  * not a stream
  * @param batch whether it is a batch item rather than an online request
+ * @param identity on whose behalf it is made, not null
  * @param freshConnection whether it must be sent on a new connection
  */
 public record RunnerRequest(String id, HttpMethod method, String uri, HttpHeaders headers, byte[] body,
 		long deadlineMillis, OptionalLong resumeAfter, Optional<StreamBinding> binding, boolean batch,
-		boolean freshConnection) {
+		RequestIdentity identity, boolean freshConnection) {
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
@@ -12,6 +12,7 @@
 import org.wigeonglade.core.error.FailureText;
 import org.wigeonglade.core.error.PlatformException;
 import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.time.ClockReading;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.log.GatewayEvent;
 
@@ -70,7 +71,7 @@
 
 	private long backoffMillis = INITIAL_BACKOFF_MILLIS;
 
-	private long currentAsOfMillis = Long.MIN_VALUE;
+	private ClockReading currentAsOf = new ClockReading(Long.MIN_VALUE / 2, Long.MIN_VALUE / 2);
 
 	private List<Runnable> readCallbacks = new ArrayList<>();
 
@@ -131,16 +132,16 @@
 	 * @return the age in milliseconds, very large before the first listing
 	 */
 	public long getAgeMillis() {
-		return this.listed ? this.ticker.millis() - this.currentAsOfMillis : Long.MAX_VALUE / 2;
+		return this.listed ? this.ticker.millis() - this.currentAsOf.monotonicMillis() : Long.MAX_VALUE / 2;
 	}
 
 	/**
 	 * Returns when the last read that reached the end of the stream was started. The
 	 * state derived from the stream is at least as new.
-	 * @return the monotonic time in milliseconds, very low before the first listing
+	 * @return the time by both clocks, very low before the first listing
 	 */
-	public long getCurrentAsOfMillis() {
-		return this.currentAsOfMillis;
+	public ClockReading getCurrentAsOf() {
+		return this.currentAsOf;
 	}
 
 	/**
@@ -196,24 +197,24 @@
 	// end. Callbacks that are added meanwhile share the next probe.
 	private void probe() {
 		this.probing = true;
-		long startMillis = this.ticker.millis();
+		ClockReading start = ClockReading.of(this.ticker);
 		List<Runnable> callbacks = this.probeCallbacks;
 		this.probeCallbacks = new ArrayList<>();
 		this.log.findEnd(this.stream, this.next)
 			.subscribe()
-			.with((end) -> this.loop.execute(() -> probeCompleted(end, startMillis, callbacks)),
+			.with((end) -> this.loop.execute(() -> probeCompleted(end, start, callbacks)),
 					(failure) -> this.loop.execute(() -> probeFailed(callbacks)));
 	}
 
 	// Records beyond the next offset are delivered by the read in progress, which returns
 	// as soon as they are appended; the callbacks are run after the next one.
-	private void probeCompleted(long end, long startMillis, List<Runnable> callbacks) {
+	private void probeCompleted(long end, ClockReading start, List<Runnable> callbacks) {
 		this.probing = false;
 		if (!this.probeCallbacks.isEmpty()) {
 			probe();
 		}
 		if (end <= this.next) {
-			this.currentAsOfMillis = Math.max(this.currentAsOfMillis, startMillis);
+			recordCurrent(start);
 			runAll(callbacks);
 		}
 		else {
@@ -261,22 +262,22 @@
 
 	private void readPageOfListing() {
 		Listing current = this.listing;
-		long startMillis = this.ticker.millis();
+		ClockReading start = ClockReading.of(this.ticker);
 		this.log.list(this.stream, current.afterKey).subscribe().with((page) -> continueOnLoop(() -> {
 			recordSuccess();
-			current.addPage(page, startMillis);
+			current.addPage(page, start);
 			continueListing();
 		}, List.of()), this::handleFailureOnLoop);
 	}
 
 	private void readRecordsOfListing() {
 		Listing current = this.listing;
-		long startMillis = this.ticker.millis();
+		ClockReading start = ClockReading.of(this.ticker);
 		this.log.read(this.stream, current.content.getNextOffset(), Duration.ZERO)
 			.subscribe()
 			.with((slice) -> continueOnLoop(() -> {
 				recordSuccess();
-				current.addSlice(slice, startMillis);
+				current.addSlice(slice, start);
 				continueListing();
 			}, List.of()), this::handleFailureOnLoop);
 	}
@@ -288,7 +289,7 @@
 		this.listener.listed(records);
 		this.backoffMillis = INITIAL_BACKOFF_MILLIS;
 		this.next = complete.content.getNextOffset();
-		this.currentAsOfMillis = complete.asOfMillis;
+		this.currentAsOf = complete.asOf;
 		this.listed = true;
 		LOG.log(GatewayEvent.STREAM_LISTED, this.stream, records.size(), this.next, complete.pages, complete.bytes,
 				this.ticker.millis() - complete.startMillis);
@@ -297,20 +298,19 @@
 	}
 
 	private void read() {
-		long startMillis = this.ticker.millis();
+		ClockReading start = ClockReading.of(this.ticker);
 		List<Runnable> callbacks = this.readCallbacks;
 		this.readCallbacks = new ArrayList<>();
 		Duration wait = callbacks.isEmpty() ? this.timing.maxWait() : Duration.ZERO;
 		this.log.read(this.stream, this.next, wait)
 			.subscribe()
-			.with((slice) -> continueOnLoop(() -> readCompleted(slice, startMillis, callbacks), callbacks),
-					(failure) -> {
-						this.loop.execute(() -> this.readCallbacks.addAll(callbacks));
-						handleFailureOnLoop(failure);
-					});
+			.with((slice) -> continueOnLoop(() -> readCompleted(slice, start, callbacks), callbacks), (failure) -> {
+				this.loop.execute(() -> this.readCallbacks.addAll(callbacks));
+				handleFailureOnLoop(failure);
+			});
 	}
 
-	private void readCompleted(KeyedSlice slice, long startMillis, List<Runnable> callbacks) {
+	private void readCompleted(KeyedSlice slice, ClockReading start, List<Runnable> callbacks) {
 		recordSuccess();
 		if (!slice.records().isEmpty()) {
 			this.listener.appended(slice.records());
@@ -323,12 +323,18 @@
 			schedule(0);
 			return;
 		}
-		this.currentAsOfMillis = Math.max(this.currentAsOfMillis, startMillis);
+		recordCurrent(start);
 		runAll(callbacks);
-		long elapsedMillis = this.ticker.millis() - startMillis;
+		long elapsedMillis = this.ticker.millis() - start.monotonicMillis();
 		schedule(this.readCallbacks.isEmpty() ? Math.max(0, this.timing.interval().toMillis() - elapsedMillis) : 0);
 	}
 
+	private void recordCurrent(ClockReading start) {
+		if (start.monotonicMillis() > this.currentAsOf.monotonicMillis()) {
+			this.currentAsOf = start;
+		}
+	}
+
 	// Continues a listing or a read on the event loop. If that fails, the state derived
 	// from the stream is incomplete, so the stream is listed anew before the callbacks
 	// are run.
@@ -417,7 +423,7 @@
 
 		private long recordsReadMillis;
 
-		private long asOfMillis;
+		private ClockReading asOf;
 
 		private int pages;
 
@@ -434,10 +440,10 @@
 		}
 
 		// The first page sets the offset from which records are read.
-		private void addPage(KeyedPage page, long readMillis) {
+		private void addPage(KeyedPage page, ClockReading read) {
 			this.content.addPage(page);
-			this.asOfMillis = readMillis;
-			this.recordsReadMillis = (this.pages++ > 0) ? this.recordsReadMillis : readMillis;
+			this.asOf = read;
+			this.recordsReadMillis = (this.pages++ > 0) ? this.recordsReadMillis : read.monotonicMillis();
 			this.bytes += page.records().stream().mapToLong(KeyedRecord::size).sum();
 			this.pagesComplete = !page.truncated() || page.records().isEmpty();
 			if (!this.pagesComplete) {
@@ -445,11 +451,11 @@
 			}
 		}
 
-		private void addSlice(KeyedSlice slice, long readMillis) {
+		private void addSlice(KeyedSlice slice, ClockReading read) {
 			this.content.addSlice(slice);
 			if (slice.next() >= slice.end()) {
-				this.recordsReadMillis = readMillis;
-				this.asOfMillis = readMillis;
+				this.recordsReadMillis = read.monotonicMillis();
+				this.asOf = read;
 			}
 			this.bytes += slice.records().stream().mapToLong(KeyedRecord::size).sum();
 		}
--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineOperatorStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineOperatorStandIn.java
@@ -4,6 +4,8 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -53,6 +55,10 @@
 
 	private final Map<String, String> furtherRoutes = new TreeMap<>();
 
+	private final Set<String> keylessRoutes = new HashSet<>();
+
+	private JsonArray workspaces;
+
 	/**
 	 * Creates an operator.
 	 * @param store the store to publish to, not null
@@ -104,6 +110,33 @@
 		this.furtherRoutes.put(name, kind);
 	}
 
+	/**
+	 * Makes a route of the configurations published afterwards public.
+	 * @param name its name, not null
+	 */
+	public void addKeylessRoute(String name) {
+		this.keylessRoutes.add(name);
+	}
+
+	/**
+	 * Adds a workspace to the configurations published afterwards, or replaces it.
+	 * @param name its name, not null
+	 * @param ratePerSecond its rate limit, 0 for none
+	 * @param keys its API keys, not null
+	 */
+	public void setWorkspace(String name, double ratePerSecond, List<String> keys) {
+		JsonArray others = new JsonArray();
+		if (this.workspaces != null) {
+			this.workspaces.stream()
+				.filter((workspace) -> !((JsonObject) workspace).getString("name").equals(name))
+				.forEach(others::add);
+		}
+		this.workspaces = others.add(new JsonObject().put("name", name)
+			.put("api-keys", new JsonArray(keys))
+			.put("rate-per-s", ratePerSecond)
+			.put("burst", ratePerSecond));
+	}
+
 	/**
 	 * Publishes the default routes with the next version: safe, once, stream,
 	 * plain-stream and batch-stream.
@@ -138,6 +171,9 @@
 			.put("backends",
 					new JsonArray().add(new JsonObject().put("name", service).put("max-connections", MAX_CONNECTIONS)))
 			.put("limits", new JsonObject());
+		if (this.workspaces != null) {
+			config.put("tenants", this.workspaces);
+		}
 		this.store.put(MachineStoreStandIn.CONFIGURATION_TOPIC, "config", config.toBuffer().getBytes());
 		return this.version;
 	}
@@ -202,7 +238,8 @@
 			.put("target-latency-ms", 300)
 			.put("priority", 0)
 			.put("backend", service)
-			.put("max-attempts", attempts);
+			.put("max-attempts", attempts)
+			.put("public", this.keylessRoutes.contains(name));
 	}
 
 }
--- a/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
+++ b/standins/src/main/java/org/wigeonglade/standins/machines/MachineRunnerStandIn.java
@@ -246,7 +246,8 @@
 		}
 		synchronized (this) {
 			this.runs.add(new Run(requestId, request.uri(), request.getHeader("Last-Event-Id"),
-					request.getHeader("Deadline-Ms"), Objects.toString(context.body().asString(), "")));
+					request.getHeader("Deadline-Ms"), Objects.toString(context.body().asString(), ""),
+					request.headers().getAll("Tenant"), request.headers().contains("Authorization")));
 		}
 		if (injected == Fault.SILENT) {
 			return;
@@ -371,8 +372,11 @@
 	 * @param resumeAfter the header {@code Last-Event-Id}, or null
 	 * @param deadline the header {@code Deadline-Ms}, or null
 	 * @param body the body as text
+	 * @param workspaces the values of the header {@code Tenant}
+	 * @param authorized whether there was a header {@code Authorization}
 	 */
-	public record Run(String requestId, String uri, String resumeAfter, String deadline, String body) {
+	public record Run(String requestId, String uri, String resumeAfter, String deadline, String body,
+			List<String> workspaces, boolean authorized) {
 
 	}
 
