--- a/gateway/src/main/java/org/wigeonglade/gateway/workspace/ConfigurationLease.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/workspace/ConfigurationLease.java
@@ -22,10 +22,11 @@
 	private static final double DURATION_SHARE = 0.9;
 
 	/**
-	 * Age in milliseconds up to which the configuration counts as recent. The store
-	 * answers a long poll at least once a second, and changes apply within 3 s.
+	 * Age in milliseconds up to which the configuration counts as recent. A long poll
+	 * waits 1 s, so that without changes the age reaches twice as much. Changes have to
+	 * apply within 3 s.
 	 */
-	private static final long RECENT_MILLIS = 1_500;
+	private static final long RECENT_MILLIS = 2_200;
 
 	/**
 	 * Time in milliseconds by which the time of day may lag behind the monotonic clock:
