--- a/gateway/src/main/java/org/wigeonglade/gateway/route/RoutingTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/route/RoutingTable.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import org.wigeonglade.core.id.ServiceName;
+import org.wigeonglade.gateway.workspace.WorkspaceTable;
 
 /**
  * An immutable version of the routes, the services and the limits on callers.
@@ -21,16 +22,19 @@
 
 	private final CallerLimits limits;
 
+	private final WorkspaceTable workspaces;
+
 	private RoutingTable(long version, Map<String, Map<String, Route>> routes, Map<ServiceName, ServiceSpec> services,
-			CallerLimits limits) {
+			CallerLimits limits, WorkspaceTable workspaces) {
 		this.version = version;
 		this.routes = routes;
 		this.services = services;
 		this.limits = limits;
+		this.workspaces = workspaces;
 	}
 
 	/**
-	 * Returns a table.
+	 * Returns a table without workspaces.
 	 * @param version the version, greater than that of any previous table
 	 * @param routes the routes, not null; of several with the same host name and path
 	 * prefix, the first one applies
@@ -39,6 +43,21 @@
 	 * @return a table, never null
 	 */
 	public static RoutingTable of(long version, List<Route> routes, List<ServiceSpec> services, CallerLimits limits) {
+		return of(version, routes, services, limits, WorkspaceTable.NONE);
+	}
+
+	/**
+	 * Returns a table.
+	 * @param version the version, greater than that of any previous table
+	 * @param routes the routes, not null; of several with the same host name and path
+	 * prefix, the first one applies
+	 * @param services the services, not null
+	 * @param limits the limits for callers, not null
+	 * @param workspaces the workspaces, not null
+	 * @return a table, never null
+	 */
+	public static RoutingTable of(long version, List<Route> routes, List<ServiceSpec> services, CallerLimits limits,
+			WorkspaceTable workspaces) {
 		Map<String, Map<String, Route>> byHost = new HashMap<>();
 		for (Route route : routes) {
 			byHost.computeIfAbsent(route.getHostName(), (h) -> new HashMap<>())
@@ -46,7 +65,7 @@
 		}
 		Map<ServiceName, ServiceSpec> byName = new HashMap<>();
 		services.forEach((s) -> byName.put(s.name(), s));
-		return new RoutingTable(version, byHost, byName, limits);
+		return new RoutingTable(version, byHost, byName, limits, workspaces);
 	}
 
 	/**
@@ -65,6 +84,14 @@
 		return this.limits;
 	}
 
+	/**
+	 * Returns the workspaces.
+	 * @return the workspaces, never null
+	 */
+	public WorkspaceTable getWorkspaces() {
+		return this.workspaces;
+	}
+
 	/**
 	 * Returns a service.
 	 * @param name the name, not null
--- /dev/null
+++ b/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageBucket.java
@@ -0,0 +1,241 @@
+package org.wigeonglade.gateway.workspace;
+
+import java.time.Duration;
+
+import org.wigeonglade.core.id.WorkspaceId;
+
+/**
+ * The replica of the token bucket of one workspace at this host. It holds the tokens of
+ * the hosts that contribute to it, this one included. Not thread-safe.
+ */
+final class UsageBucket {
+
+	/**
+	 * Requests beyond the configured burst, so that random arrivals of a workspace below
+	 * its limit are not rejected: a workspace with 0.5/s and a burst of 0.8 would lose a
+	 * third of them. The permitted sum over all hosts leaves 20 requests.
+	 */
+	static final double EXTRA_BURST = 8;
+
+	/**
+	 * Time in seconds whose requests the debt may amount to. The permitted sum is
+	 * measured over 5 s, so an older excess need not be paid off.
+	 */
+	private static final double MAX_DEBT_SECONDS = 5;
+
+	/** Factor on the chance to admit for each request that makes a debt. */
+	private static final double CHANCE_DECREASE = 0.9;
+
+	/** Factor on the chance to admit for each refill that was not used. */
+	private static final double CHANCE_INCREASE = 1.5;
+
+	/** Time in milliseconds between two increases of the chance to admit. */
+	private static final long INCREASE_INTERVAL_MILLIS = 100;
+
+	private static final double MIN_CHANCE = 0.01;
+
+	/** Share of the burst below which the chance to admit applies. */
+	private static final double LOW_LEVEL_SHARE = 0.25;
+
+	/** Level in requests that counts as a refill that was not used. */
+	private static final double UNUSED_REFILL = 2;
+
+	private static final int SLOT_MILLIS = 50;
+
+	/**
+	 * Slots of the recent charges: longer than the silence of a host that is detached.
+	 */
+	private static final int SLOTS = 20;
+
+	/** Time in milliseconds after which a rejection counts half for retry times. */
+	private static final double REJECTION_HALF_LIFE_MILLIS = 1_000;
+
+	/** Time in milliseconds over which rejected callers are spread at least. */
+	private static final double MIN_SPREAD_MILLIS = 100;
+
+	/** Time in milliseconds over which rejected callers are spread at most. */
+	private static final double MAX_SPREAD_MILLIS = 3_000;
+
+	private final WorkspaceId workspace;
+
+	private final long hash;
+
+	private final double[] charged = new double[SLOTS];
+
+	private final long[] slots = new long[SLOTS];
+
+	private UsageLimit limit;
+
+	private double level;
+
+	private double settledMillis;
+
+	private double chance = 1;
+
+	private long increasedMillis;
+
+	private double rejections;
+
+	private long rejectedMillis;
+
+	private int admitted;
+
+	private long changedMillis;
+
+	// A bucket starts with one token for all hosts together, so that a start adds no
+	// burst.
+	UsageBucket(WorkspaceId workspace, UsageLimit limit, UsageGroup group) {
+		this.workspace = workspace;
+		this.hash = UsageEntry.hash(workspace);
+		reset(limit, group);
+	}
+
+	void reset(UsageLimit next, UsageGroup group) {
+		this.limit = next;
+		this.level = group.getShare();
+		this.settledMillis = group.getAccruedMillis();
+	}
+
+	WorkspaceId getWorkspace() {
+		return this.workspace;
+	}
+
+	long getHash() {
+		return this.hash;
+	}
+
+	int getAdmitted() {
+		return this.admitted;
+	}
+
+	long getChangedMillis() {
+		return this.changedMillis;
+	}
+
+	double getLevel() {
+		return this.level;
+	}
+
+	// Of what has accrued or is stored, a lower limit leaves what fits it.
+	void setLimit(UsageLimit next, UsageGroup group) {
+		settle(group);
+		this.limit = next;
+		this.level = Math.clamp(this.level, getMinLevel(), getCapacity(group));
+	}
+
+	void settle(UsageGroup group) {
+		double accrued = getRatePerMilli() * (group.getAccruedMillis() - this.settledMillis);
+		this.level = Math.min(getCapacity(group), this.level + accrued);
+		this.settledMillis = group.getAccruedMillis();
+	}
+
+	boolean tryTake(UsageGroup group, double random, long nowMillis) {
+		settle(group);
+		increaseChance(group, nowMillis);
+		boolean low = this.level < LOW_LEVEL_SHARE * getCapacity(group);
+		if (this.level * group.getConfidence() < 1 || (low && random >= this.chance)) {
+			return false;
+		}
+		this.level--;
+		recordCharge(1, nowMillis);
+		this.admitted++;
+		this.changedMillis = nowMillis;
+		return true;
+	}
+
+	void giveBack(UsageGroup group, long nowMillis) {
+		settle(group);
+		this.level = Math.min(getCapacity(group), this.level + 1);
+		recordCharge(-1, nowMillis);
+		this.admitted--;
+		this.changedMillis = nowMillis;
+	}
+
+	// The number is negative if another host has given requests back.
+	void charge(int requests, UsageGroup group, long nowMillis) {
+		settle(group);
+		this.level = Math.clamp(this.level - requests, getMinLevel(), getCapacity(group));
+		recordCharge(requests, nowMillis);
+		double owed = Math.min(requests, -this.level);
+		if (owed > 0) {
+			this.chance = Math.max(MIN_CHANCE, this.chance * Math.pow(CHANCE_DECREASE, owed));
+		}
+	}
+
+	// Removes the share of one host as of its last datagram: it does not know of later
+	// charges and may have used its share.
+	double removeShare(UsageGroup group, long lastHeardMillis, double lastAccruedMillis) {
+		settle(group);
+		double accrued = getRatePerMilli() * (group.getAccruedMillis() - lastAccruedMillis);
+		double before = Math.min(getCapacity(group), this.level + getCharged(lastHeardMillis) - accrued);
+		double share = before / group.getContributors();
+		this.level = Math.max(getMinLevel(), this.level - share);
+		return share;
+	}
+
+	// Called when the group has been enlarged by the host.
+	void addShare(double share, UsageGroup group) {
+		settle(group);
+		double bound = getDepth() / group.getSize();
+		double debtBound = getMinLevel() / group.getSize();
+		this.level = Math.clamp(this.level + Math.clamp(share, debtBound, bound), getMinLevel(), getCapacity(group));
+	}
+
+	double getAccrual(long millis, UsageGroup group) {
+		return getRatePerMilli() * millis / group.getSize();
+	}
+
+	Duration reject(UsageGroup group, double random, long nowMillis) {
+		double age = nowMillis - this.rejectedMillis;
+		this.rejections = this.rejections * Math.pow(0.5, age / REJECTION_HALF_LIFE_MILLIS) + 1;
+		this.rejectedMillis = nowMillis;
+		double untilFit = Math.max(0, 1 / group.getConfidence() - this.level) / (getRatePerMilli() * group.getShare());
+		double spread = this.rejections * group.getSize() / getRatePerMilli();
+		double bounded = Math.clamp(spread, MIN_SPREAD_MILLIS, MAX_SPREAD_MILLIS);
+		return Duration.ofMillis(1 + Math.round(untilFit + random * bounded));
+	}
+
+	private void increaseChance(UsageGroup group, long nowMillis) {
+		double refill = Math.min(UNUSED_REFILL, LOW_LEVEL_SHARE * getCapacity(group));
+		if (this.level >= refill && nowMillis - this.increasedMillis >= INCREASE_INTERVAL_MILLIS) {
+			this.chance = Math.min(1, this.chance * CHANCE_INCREASE);
+			this.increasedMillis = nowMillis;
+		}
+	}
+
+	private void recordCharge(int requests, long nowMillis) {
+		long slot = Math.floorDiv(nowMillis, SLOT_MILLIS);
+		int index = Math.floorMod(slot, SLOTS);
+		if (this.slots[index] != slot) {
+			this.slots[index] = slot;
+			this.charged[index] = 0;
+		}
+		this.charged[index] += requests;
+	}
+
+	private double getCharged(long sinceMillis) {
+		long first = Math.floorDiv(sinceMillis, SLOT_MILLIS);
+		double sum = 0;
+		for (int index = 0; index < SLOTS; index++) {
+			sum += (this.slots[index] >= first) ? this.charged[index] : 0;
+		}
+		return sum;
+	}
+
+	private double getCapacity(UsageGroup group) {
+		return getDepth() * group.getShare();
+	}
+
+	private double getDepth() {
+		return this.limit.burst() + EXTRA_BURST;
+	}
+
+	private double getMinLevel() {
+		return -MAX_DEBT_SECONDS * this.limit.requestsPerSecond() - getDepth();
+	}
+
+	private double getRatePerMilli() {
+		return this.limit.requestsPerSecond() / 1_000;
+	}
+
+}
