--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -39,6 +39,7 @@
 import org.wigeonglade.gateway.peer.PeerStateExchange;
 import org.wigeonglade.gateway.peer.PeerTable;
 import org.wigeonglade.gateway.peer.RelaySelection;
+import org.wigeonglade.gateway.peer.UsageExchange;
 import org.wigeonglade.gateway.relay.RelayConnector;
 import org.wigeonglade.gateway.relay.RelayServer;
 import org.wigeonglade.gateway.route.CallerLimits;
@@ -53,6 +54,7 @@
 import org.wigeonglade.gateway.store.PollTiming;
 import org.wigeonglade.gateway.store.RecordWriter;
 import org.wigeonglade.gateway.store.StreamFollower;
+import org.wigeonglade.gateway.workspace.WorkspaceRateLimiter;
 import org.wigeonglade.schema.generated.crash.CrashNotice;
 import org.wigeonglade.schema.generated.gateway.HostEntry;
 import org.wigeonglade.schema.generated.gateway.RunnerLimit;
@@ -153,6 +155,8 @@
 
 	private final PeerStateExchange exchange;
 
+	private final WorkspaceUsageLimiter usage;
+
 	private final ItemScheduler items;
 
 	private final JobService jobs;
@@ -219,6 +223,11 @@
 				this::register);
 		this.exchange = new PeerStateExchange(this.self, this.loop, ticker, this.fleet.getLoadTracker(),
 				this.fleet.getRequestLimits(), this.peers, new PeerListener());
+		WorkspaceRateLimiter rateLimiter = new WorkspaceRateLimiter(this.self.getIncarnation(), random,
+				ticker.millis());
+		this.exchange.setUsageExchange(new UsageExchange(rateLimiter));
+		this.usage = new WorkspaceUsageLimiter(rateLimiter, this.exchange::scheduleReport, this.registry, ticker);
+		this.stateUpdater.onConfigurationApplied(this.usage::setLimits);
 		this.crashReports = new CrashReportPublisher(this.self, this.exchange, this.writer, this.loop, ticker);
 		this.limits = new RequestLimitPublisher(this.fleet, this.exchange, this.writer, ticker);
 		this.configurationFollower = new StreamFollower(log, KeyedStream.CONFIGURATION, CONFIGURATION_POLL_TIMING,
@@ -249,7 +258,7 @@
 		OnlineContext online = new OnlineContext(this.loop, ticker, this.fleet, policy, adapters.getCallerProtocol(),
 				this.crashReports, this.origins,
 				new SlotPreemptor(settings.host(), this.items, this.fleet.getLoadTracker(), this.exchange),
-				new OnlineMetrics(this.registry));
+				new OnlineMetrics(this.registry), this.usage);
 		this.callerServer = new CallerServer(this.group, ticker, this::callerLimits,
 				new CallRouter(this.jobs, online, this.configurationFollower, () -> this.shutdown)::handle);
 		this.readinessServer = new CallerServer(this.group, ticker, () -> CallerLimits.DEFAULTS, this::answerReadiness);
@@ -445,6 +454,7 @@
 		this.limits.repeat();
 		this.jobs.removeFinishedLongPolls();
 		this.peerMonitor.checkLiveness();
+		this.usage.maintain(this.peers, this.gatewayStreamFollower.isListed());
 		this.gatewayStreamAge.check();
 		this.exchange.sendHeartbeats();
 		updateReadiness();
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
@@ -50,6 +50,9 @@
 
 	private final Runnable registerSelf;
 
+	private Consumer<RoutingTable> configurationApplied = (table) -> {
+	};
+
 	StreamStateUpdater(GatewayAdapters adapters, Fleet fleet, JobTable jobTable, PeerTable peers, Ticker ticker,
 			HostEntry self, Runnable registerSelf) {
 		this.adapters = adapters;
@@ -61,6 +64,10 @@
 		this.registerSelf = registerSelf;
 	}
 
+	void onConfigurationApplied(Consumer<RoutingTable> listener) {
+		this.configurationApplied = listener;
+	}
+
 	StreamFollower.Listener configurationListener() {
 		return new StreamFollower.Listener() {
 			@Override
@@ -108,6 +115,7 @@
 		RoutingTable last = this.fleet.getRoutingTable();
 		if (next != null && (last == null || next.getVersion() > last.getVersion())) {
 			this.fleet.setRoutingTable(next);
+			this.configurationApplied.accept(next);
 			LOG.log(GatewayEvent.CONFIGURATION_IN_FORCE, next.getVersion(), (last != null) ? last.getVersion() : null,
 					record.offset(), next.getRouteCount());
 		}
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -110,6 +110,14 @@
 			"request_id", "answered_id", "runner", "connection", "exchange", "relayed", "kind", "reason",
 			"head_forwarded", "received"),
 
+	/** Requests of a workspace exceed its usage limit. */
+	WORKSPACE_LIMITED(2525, Level.WARNING, "requests of a workspace exceed its usage limit and are rejected",
+			"workspace", "hosts", "retry_after_ms"),
+
+	/** No request of a limited workspace was rejected for some time. */
+	WORKSPACE_LIMIT_ENDED(2526, Level.INFO, "requests of a workspace are within its usage limit again", "workspace",
+			"rejected", "limited_ms"),
+
 	/** A new configuration took effect. */
 	CONFIGURATION_IN_FORCE(3501, Level.INFO, "configuration in force", "version", "previous", "offset", "routes"),
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
@@ -6,6 +6,7 @@
 
 import io.netty.channel.EventLoop;
 import org.wigeonglade.core.id.Fingerprint;
+import org.wigeonglade.core.id.WorkspaceId;
 import org.wigeonglade.core.retry.Quarantine;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.caller.CallerProtocol;
@@ -13,6 +14,7 @@
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.runner.Fleet;
 import org.wigeonglade.gateway.stream.StreamOrigin;
+import org.wigeonglade.gateway.workspace.UsageDecision;
 
 /**
  * The collaborators shared by all online requests.
@@ -26,9 +28,11 @@
  * @param origins keeps what began each stream, not null
  * @param preemptor preempts batch items, not null
  * @param metrics the metrics of online requests, not null
+ * @param usage limits the requests of workspaces, not null
  */
 public record OnlineContext(EventLoop loop, Ticker ticker, Fleet fleet, PlacementPolicy policy, CallerProtocol protocol,
-		CrashReporter crashReporter, StreamOrigins origins, Preemptor preemptor, OnlineMetrics metrics) {
+		CrashReporter crashReporter, StreamOrigins origins, Preemptor preemptor, OnlineMetrics metrics,
+		UsageLimiter usage) {
 
 	/**
 	 * Preempts batch items.
@@ -46,6 +50,26 @@
 
 	}
 
+	/**
+	 * Limits the requests of workspaces over all hosts.
+	 */
+	public interface UsageLimiter {
+
+		/**
+		 * Decides on a request and charges it if it fits the limit of its workspace.
+		 * @param workspace the workspace, not null
+		 * @return the decision, never null
+		 */
+		UsageDecision tryAdmit(WorkspaceId workspace);
+
+		/**
+		 * Returns the cost of an admitted request that was rejected and has not run.
+		 * @param workspace the workspace, not null
+		 */
+		void giveBack(WorkspaceId workspace);
+
+	}
+
 	/**
 	 * Keeps what began each stream, so that all hosts can find it.
 	 */
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
@@ -113,6 +114,8 @@
 
 	private Supplier<List<OutputClaims.Claim>> outputClaims = List::of;
 
+	private Optional<UsageExchange> usage = Optional.empty();
+
 	/**
 	 * Creates an exchange that is not bound to a socket yet.
 	 * @param self this host, not null
@@ -160,6 +163,14 @@
 		this.outputClaims = claims;
 	}
 
+	/**
+	 * Sets the exchange of the usage of workspaces.
+	 * @param exchange the exchange, not null
+	 */
+	public void setUsageExchange(UsageExchange exchange) {
+		this.usage = Optional.of(exchange);
+	}
+
 	/**
 	 * Sets whether this host connects others to runners.
 	 * @param isRelaying the supplier of the answer, not null
@@ -241,6 +252,12 @@
 		if (this.channel != null && this.table.getPeers().stream().anyMatch((peer) -> isDue(peer, false, now))) {
 			sendToDue(newDatagram().build(), (peer) -> true, false);
 		}
+		sendUsageReports(now);
+	}
+
+	private void sendUsageReports(long now) {
+		this.usage.ifPresent((exchange) -> exchange.sendReports(now, (host, report) -> this.table.find(host)
+			.ifPresent((peer) -> send(peer, newDatagram().mergeFrom(report).build().toByteArray()))));
 	}
 
 	/**
@@ -315,6 +332,7 @@
 			.forEach((claim) -> builder
 				.addOutputClaims(OutputClaim.newBuilder().setItemHash(claim.itemHash()).setEvents(claim.events())));
 		addLoads(builder);
+		this.usage.ifPresent((exchange) -> exchange.addChanges(builder, this.ticker.millis()));
 		return builder;
 	}
 
@@ -355,14 +373,15 @@
 	}
 
 	private void receive(byte[] bytes) {
-		Datagram datagram;
 		try {
-			datagram = Datagram.parseFrom(bytes);
+			receive(Datagram.parseFrom(bytes));
 		}
 		catch (InvalidProtocolBufferException ex) {
 			LOG.log(GatewayEvent.DATAGRAM_INVALID, ex, bytes.length);
-			return;
 		}
+	}
+
+	private void receive(Datagram datagram) {
 		HostEntry sender = datagram.getSender();
 		if (sender.getHost().equals(this.self.getHost())) {
 			return;
@@ -381,6 +400,7 @@
 			peer.setWaitingItems(datagram.getWaitingItems());
 			peer.setRelays(datagram.getRelays());
 		});
+		this.usage.ifPresent((exchange) -> exchange.recordHeard(datagram, now));
 		Map<RunnerId, LoadTracker.Load> loads = new HashMap<>();
 		datagram.getLoadsList()
 			.forEach((l) -> loads.put(RunnerId.of(l.getRunner()), new LoadTracker.Load(l.getOnline(), l.getBatch())));
@@ -388,6 +408,7 @@
 		if (this.loadTracker.applyReport(host,
 				new LoadTracker.Report(sender.getIncarnation(), datagram.getSequence(), now, loads))) {
 			chargeRemoteRequests(host + "." + sender.getIncarnation(), datagram, now);
+			this.usage.ifPresent((exchange) -> exchange.apply(datagram, now));
 			this.listener.outputClaimed(host,
 					datagram.getOutputClaimsList()
 						.stream()
@@ -403,6 +424,7 @@
 		datagram.getLeavingRunnersList()
 			.forEach((l) -> this.listener.runnerLeavingReported(RunnerId.of(l.getRunner()), l.getRunnerStartedMs(),
 					host));
+		sendUsageReports(now);
 	}
 
 	private void chargeRemoteRequests(String incarnation, Datagram datagram, long nowMillis) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageBucket.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageBucket.java
@@ -60,7 +60,8 @@
 
 	private final long hash;
 
-	private final double[] charged = new double[SLOTS];
+	// Portion of each contributing host at the first use within each recent slot.
+	private final double[] portions = new double[SLOTS];
 
 	private final long[] slots = new long[SLOTS];
 
@@ -90,9 +91,15 @@
 		reset(limit, group);
 	}
 
+	// Called when the hosts become known.
+	void addFirstToken(UsageGroup group) {
+		settle(group);
+		this.level = Math.min(getCapacity(group), this.level + 1.0 / group.getSize());
+	}
+
 	void reset(UsageLimit next, UsageGroup group) {
 		this.limit = next;
-		this.level = group.getShare();
+		this.level = group.isKnown() ? group.getShare() : 0;
 		this.settledMillis = group.getAccruedMillis();
 	}
 
@@ -127,35 +134,46 @@
 		double accrued = getRatePerMilli() * (group.getAccruedMillis() - this.settledMillis);
 		this.level = Math.min(getCapacity(group), this.level + accrued);
 		this.settledMillis = group.getAccruedMillis();
+		long slot = Math.floorDiv(group.getNowMillis(), SLOT_MILLIS);
+		int index = Math.floorMod(slot, SLOTS);
+		if (this.slots[index] != slot) {
+			this.slots[index] = slot;
+			this.portions[index] = this.level / group.getContributors();
+		}
 	}
 
 	boolean tryTake(UsageGroup group, double random, long nowMillis) {
 		settle(group);
 		increaseChance(group, nowMillis);
 		boolean low = this.level < LOW_LEVEL_SHARE * getCapacity(group);
-		if (this.level * group.getConfidence() < 1 || (low && random >= this.chance)) {
+		if (getUsable(group) < 1 || (low && random >= this.chance)) {
 			return false;
 		}
 		this.level--;
-		recordCharge(1, nowMillis);
 		this.admitted++;
 		this.changedMillis = nowMillis;
 		return true;
 	}
 
+	// Without what is withheld of silent hosts: their portions as of their last
+	// datagrams.
+	private double getUsable(UsageGroup group) {
+		double withheld = group.getWithheldHosts();
+		return (withheld > 0) ? this.level - withheld * Math.max(0, getPortion(group, group.getWithheldSinceMillis()))
+				: this.level;
+	}
+
 	void giveBack(UsageGroup group, long nowMillis) {
 		settle(group);
 		this.level = Math.min(getCapacity(group), this.level + 1);
-		recordCharge(-1, nowMillis);
 		this.admitted--;
 		this.changedMillis = nowMillis;
 	}
 
 	// The number is negative if another host has given requests back.
-	void charge(int requests, UsageGroup group, long nowMillis) {
+	void charge(int requests, UsageGroup group) {
 		settle(group);
 		this.level = Math.clamp(this.level - requests, getMinLevel(), getCapacity(group));
-		recordCharge(requests, nowMillis);
 		double owed = Math.min(requests, -this.level);
 		if (owed > 0) {
 			this.chance = Math.max(MIN_CHANCE, this.chance * Math.pow(CHANCE_DECREASE, owed));
@@ -164,11 +182,9 @@
 
 	// Removes the share of one host as of its last datagram: it does not know of later
 	// charges and may have used its share.
-	double removeShare(UsageGroup group, long lastHeardMillis, double lastAccruedMillis) {
+	double removeShare(UsageGroup group, long lastHeardMillis) {
 		settle(group);
-		double accrued = getRatePerMilli() * (group.getAccruedMillis() - lastAccruedMillis);
-		double before = Math.min(getCapacity(group), this.level + getCharged(lastHeardMillis) - accrued);
-		double share = before / group.getContributors();
+		double share = getPortion(group, lastHeardMillis);
 		this.level = Math.max(getMinLevel(), this.level - share);
 		return share;
 	}
@@ -189,7 +205,7 @@
 		double age = nowMillis - this.rejectedMillis;
 		this.rejections = this.rejections * Math.pow(0.5, age / REJECTION_HALF_LIFE_MILLIS) + 1;
 		this.rejectedMillis = nowMillis;
-		double untilFit = Math.max(0, 1 / group.getConfidence() - this.level) / (getRatePerMilli() * group.getShare());
+		double untilFit = Math.max(0, 1 - getUsable(group)) / (getRatePerMilli() * group.getShare());
 		double spread = this.rejections * group.getSize() / getRatePerMilli();
 		double bounded = Math.clamp(spread, MIN_SPREAD_MILLIS, MAX_SPREAD_MILLIS);
 		return Duration.ofMillis(1 + Math.round(untilFit + random * bounded));
@@ -203,23 +219,17 @@
 		}
 	}
 
-	private void recordCharge(int requests, long nowMillis) {
-		long slot = Math.floorDiv(nowMillis, SLOT_MILLIS);
-		int index = Math.floorMod(slot, SLOTS);
-		if (this.slots[index] != slot) {
-			this.slots[index] = slot;
-			this.charged[index] = 0;
-		}
-		this.charged[index] += requests;
-	}
-
-	private double getCharged(long sinceMillis) {
-		long first = Math.floorDiv(sinceMillis, SLOT_MILLIS);
-		double sum = 0;
-		for (int index = 0; index < SLOTS; index++) {
-			sum += (this.slots[index] >= first) ? this.charged[index] : 0;
+	// The portion of each host at a time. A bucket that was not used then had at most the
+	// level that was recorded later.
+	private double getPortion(UsageGroup group, long millis) {
+		long last = Math.floorDiv(group.getNowMillis(), SLOT_MILLIS);
+		for (long slot = Math.max(Math.floorDiv(millis, SLOT_MILLIS), last - SLOTS + 1); slot <= last; slot++) {
+			int index = Math.floorMod(slot, SLOTS);
+			if (this.slots[index] == slot) {
+				return this.portions[index];
+			}
 		}
-		return sum;
+		return this.level / group.getContributors();
 	}
 
 	private double getCapacity(UsageGroup group) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageGroup.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageGroup.java
@@ -12,7 +12,11 @@
 
 	private int contributors = 1;
 
-	private double confidence = 1;
+	private double withheldHosts;
+
+	private long withheldSinceMillis;
+
+	private boolean known;
 
 	private double accruedMillis;
 
@@ -47,12 +51,29 @@
 	}
 
 	/**
-	 * Returns the share of the stored tokens that may be used now: it decreases while
-	 * contributing hosts are silent, before they are detached.
-	 * @return a share, more than 0, at most 1
+	 * Returns how many contributing hosts have been silent for so long that their stored
+	 * tokens are not used; the longer a host is silent, the larger the part of it that
+	 * counts.
+	 * @return the number, at least 0
+	 */
+	double getWithheldHosts() {
+		return this.withheldHosts;
+	}
+
+	/**
+	 * Returns the time of the last datagrams of the withheld hosts.
+	 * @return the mean of the monotonic times in milliseconds
+	 */
+	long getWithheldSinceMillis() {
+		return this.withheldSinceMillis;
+	}
+
+	/**
+	 * Returns the time up to which the portion of this host has accrued.
+	 * @return the monotonic time in milliseconds
 	 */
-	double getConfidence() {
-		return this.confidence;
+	long getNowMillis() {
+		return this.ownMillis;
 	}
 
 	/**
@@ -63,8 +84,23 @@
 		return this.accruedMillis;
 	}
 
+	/**
+	 * Returns whether the hosts are known. Until then this host has no portion, or hosts
+	 * that start together would each have the whole rate.
+	 * @return true once the registrations have been read
+	 */
+	boolean isKnown() {
+		return this.known;
+	}
+
+	void setKnown() {
+		this.known = true;
+	}
+
 	void accrueOwn(long nowMillis) {
-		accrue(nowMillis - this.ownMillis);
+		if (this.known) {
+			accrue(nowMillis - this.ownMillis);
+		}
 		this.ownMillis = nowMillis;
 	}
 
@@ -76,8 +112,9 @@
 		this.size = Math.max(hosts, this.contributors);
 	}
 
-	void setConfidence(double heardContributors) {
-		this.confidence = heardContributors / this.contributors;
+	void setWithheld(double hosts, long sinceMillis) {
+		this.withheldHosts = hosts;
+		this.withheldSinceMillis = sinceMillis;
 	}
 
 	void attach() {
--- a/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageMember.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageMember.java
@@ -33,8 +33,6 @@
 
 	private long heardAccruedMillis;
 
-	private double heardAccrued;
-
 	private long returnedMillis;
 
 	UsageMember(long incarnation, boolean startedLater, long nowMillis) {
@@ -79,10 +77,6 @@
 		return this.heardMillis;
 	}
 
-	double getHeardAccrued() {
-		return this.heardAccrued;
-	}
-
 	long getReturnedMillis() {
 		return this.returnedMillis;
 	}
@@ -99,11 +93,10 @@
 		return millis;
 	}
 
-	void recordHeard(boolean isLeaving, double accrued, long nowMillis) {
+	void recordHeard(boolean isLeaving, long nowMillis) {
 		this.everHeard = true;
 		this.leaving = isLeaving;
 		this.heardMillis = nowMillis;
-		this.heardAccrued = accrued;
 	}
 
 	// The counters of the new process start at 0, and this host has seen all of them.
--- a/gateway/src/main/java/org/wigeonglade/gateway/workspace/WorkspaceRateLimiter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/workspace/WorkspaceRateLimiter.java
@@ -65,6 +65,9 @@
 	/** Number of times that all levels are sent to a host that has become alive. */
 	private static final int REPORT_REPETITIONS = 3;
 
+	/** Interval between these in milliseconds. */
+	private static final long REPORT_INTERVAL_MILLIS = 250;
+
 	private static final UsageDecision ADMIT = new UsageDecision.Admit();
 
 	private final Map<WorkspaceId, UsageBucket> buckets = new HashMap<>();
@@ -78,7 +81,7 @@
 
 	private final Map<HostId, UsageMember> members = new HashMap<>();
 
-	private final Map<HostId, Integer> reportsDue = new HashMap<>();
+	private final Map<HostId, DueReport> reportsDue = new HashMap<>();
 
 	private final UsageGroup group;
 
@@ -101,13 +104,22 @@
 	}
 
 	/**
-	 * Returns whether a workspace is limited.
+	 * Returns whether any workspace is limited.
 	 * @return false if there is nothing to decide
 	 */
 	public boolean isActive() {
 		return !this.buckets.isEmpty();
 	}
 
+	/**
+	 * Returns whether a workspace is limited.
+	 * @param workspace the workspace, not null
+	 * @return false if all its requests are admitted
+	 */
+	public boolean isLimited(WorkspaceId workspace) {
+		return this.buckets.containsKey(workspace);
+	}
+
 	/**
 	 * Replaces the limits. A workspace that gets a limit starts with one token.
 	 * @param limits the limits by workspace, not null; those without a rate are no limits
@@ -185,8 +197,9 @@
 	}
 
 	/**
-	 * Replaces the registered hosts. Hosts count from their registration, and hosts that
-	 * are no longer registered until they are silent.
+	 * Replaces the registered hosts; before the first call, this host has no portion of
+	 * the rates. Hosts count from their registration, and hosts that are no longer
+	 * registered until they are silent.
 	 * @param registered the incarnations of the other hosts, not null
 	 * @param nowMillis the monotonic time in milliseconds
 	 */
@@ -196,6 +209,10 @@
 			.removeIf((entry) -> !registered.containsKey(entry.getKey())
 					&& entry.getValue().getState() == UsageMember.State.ABSENT);
 		check(nowMillis);
+		if (!this.group.isKnown()) {
+			this.group.setKnown();
+			this.buckets.values().forEach((bucket) -> bucket.addFirstToken(this.group));
+		}
 	}
 
 	private UsageMember findOrAdd(HostId host, long started, long nowMillis) {
@@ -238,7 +255,7 @@
 					member.setReturned(nowMillis);
 				}
 				if (!shortSilence) {
-					this.reportsDue.put(host, REPORT_REPETITIONS);
+					this.reportsDue.put(host, new DueReport(REPORT_REPETITIONS, nowMillis));
 				}
 			}
 			case RETURNING -> {
@@ -247,7 +264,7 @@
 				}
 			}
 		}
-		member.recordHeard(leaving, this.group.getAccruedMillis(), nowMillis);
+		member.recordHeard(leaving, nowMillis);
 	}
 
 	/**
@@ -283,7 +300,7 @@
 				bucket.addShare(entry.portion().getAsDouble(), this.group);
 			}
 			else if (added != 0) {
-				bucket.charge(added, this.group, nowMillis);
+				bucket.charge(added, this.group);
 			}
 		}
 	}
@@ -313,17 +330,23 @@
 
 	/**
 	 * Returns the hosts to which all levels are to be sent now, and counts that as done.
-	 * Hosts get them when they have started or were silent, and again with the next
-	 * calls.
+	 * Hosts get them several times when they have started or were silent.
+	 * @param nowMillis the monotonic time in milliseconds
 	 * @return the hosts, never null
 	 */
-	public Collection<HostId> takeReportsDue() {
+	public Collection<HostId> takeReportsDue(long nowMillis) {
 		if (this.reportsDue.isEmpty()) {
 			return List.of();
 		}
-		List<HostId> hosts = List.copyOf(this.reportsDue.keySet());
-		this.reportsDue.replaceAll((host, remaining) -> remaining - 1);
-		this.reportsDue.values().removeIf((remaining) -> remaining <= 0);
+		List<HostId> hosts = new ArrayList<>();
+		this.reportsDue.replaceAll((host, due) -> {
+			if (nowMillis < due.atMillis()) {
+				return due;
+			}
+			hosts.add(host);
+			return new DueReport(due.remaining() - 1, nowMillis + REPORT_INTERVAL_MILLIS);
+		});
+		this.reportsDue.values().removeIf((due) -> due.remaining() == 0);
 		return isActive() ? hosts : List.of();
 	}
 
@@ -362,7 +385,8 @@
 		this.checkedMillis = nowMillis;
 		this.group.accrueOwn(nowMillis);
 		int size = 1;
-		double heard = 1;
+		double withheld = 0;
+		double withheldSilence = 0;
 		for (UsageMember member : this.members.values()) {
 			long silence = member.getSilenceMillis(nowMillis);
 			if (member.getState() != UsageMember.State.ABSENT && silence > SILENCE_MILLIS) {
@@ -376,17 +400,18 @@
 				size++;
 			}
 			if (member.getState() == UsageMember.State.CONTRIBUTING) {
-				double fresh = (double) (SILENCE_MILLIS - silence) / (SILENCE_MILLIS - FRESH_MILLIS);
-				heard += Math.clamp(fresh, 0, 1);
+				double part = Math.max(0, silence - FRESH_MILLIS) / (double) (SILENCE_MILLIS - FRESH_MILLIS);
+				withheld += part;
+				withheldSilence += part * silence;
 			}
 		}
 		this.group.setSize(size);
-		this.group.setConfidence(heard);
+		this.group.setWithheld(withheld, nowMillis - Math.round(withheldSilence / Math.max(withheld, 1e-9)));
 	}
 
 	private void detach(UsageMember member) {
 		this.buckets.values().forEach((bucket) -> {
-			double share = bucket.removeShare(this.group, member.getHeardMillis(), member.getHeardAccrued());
+			double share = bucket.removeShare(this.group, member.getHeardMillis());
 			member.getFrozen().put(bucket.getHash(), share);
 		});
 		this.group.detach();
@@ -411,4 +436,8 @@
 		member.setState(UsageMember.State.CONTRIBUTING);
 	}
 
+	private record DueReport(int remaining, long atMillis) {
+
+	}
+
 }
