--- a/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
@@ -20,6 +20,7 @@
 import org.wigeonglade.gateway.route.RouteKind;
 import org.wigeonglade.gateway.store.StreamFollower;
 import org.wigeonglade.gateway.workspace.RequestIdentity;
+import org.wigeonglade.gateway.workspace.UsageDecision;
 
 /**
  * Dispatches the requests of callers to the handlers of jobs and of online requests.
@@ -41,6 +42,8 @@
 	 */
 	private static final Duration FRESH_CONFIGURATION_WAIT = Duration.ofMillis(900);
 
+	private static final int TOO_MANY_REQUESTS = 429;
+
 	private final CallerProtocol protocol;
 
 	private final JobService jobs;
@@ -175,12 +178,22 @@
 			if (route.getKind() == RouteKind.BATCH) {
 				this.jobs.submit(call, route, identity, deadlineMillis);
 			}
-			else {
+			else if (isWithinUsageLimit(call, identity)) {
 				OnlineRequest.start(this.online, call, route, identity, deadlineMillis);
 			}
 		});
 	}
 
+	private boolean isWithinUsageLimit(CallerExchange call, RequestIdentity identity) {
+		Optional<UsageDecision> decision = identity.workspace().map(this.online.usage()::tryAdmit);
+		if (decision.isPresent() && decision.get() instanceof UsageDecision.Reject rejection) {
+			call.respond(TOO_MANY_REQUESTS, this.protocol.refusalHeaders(rejection.retryAfter().toMillis()),
+					new byte[0]);
+			return false;
+		}
+		return true;
+	}
+
 	private void respondNoRoute(CallerExchange call) {
 		LOG.log(GatewayEvent.NO_ROUTE, requestId(call), hostName(call), call.getPath(),
 				this.online.fleet().getRoutingTable().getVersion(), this.configurationFollower.getAgeMillis());
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -464,7 +464,11 @@
 		}
 	}
 
+	// A request that has not run costs its workspace nothing.
 	private void respond(int status, long retryMillis) {
+		if (status == SERVICE_UNAVAILABLE) {
+			this.identity.workspace().ifPresent(this.context.usage()::giveBack);
+		}
 		this.exchange.respond(status, this.context.protocol().refusalHeaders(retryMillis), new byte[0]);
 		finish();
 	}
