--- a/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageBucket.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageBucket.java
@@ -56,6 +56,9 @@
 	/** Time in milliseconds over which rejected callers are spread at most. */
 	private static final double MAX_SPREAD_MILLIS = 3_000;
 
+	/** Longest time until a request fits, in milliseconds: rates may be close to 0. */
+	private static final double MAX_WAIT_MILLIS = 600_000;
+
 	private final WorkspaceId workspace;
 
 	private final long hash;
@@ -208,7 +211,7 @@
 		double untilFit = Math.max(0, 1 - getUsable(group)) / (getRatePerMilli() * group.getShare());
 		double spread = this.rejections * group.getSize() / getRatePerMilli();
 		double bounded = Math.clamp(spread, MIN_SPREAD_MILLIS, MAX_SPREAD_MILLIS);
-		return Duration.ofMillis(1 + Math.round(untilFit + random * bounded));
+		return Duration.ofMillis(1 + Math.round(Math.min(untilFit, MAX_WAIT_MILLIS) + random * bounded));
 	}
 
 	private void increaseChance(UsageGroup group, long nowMillis) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/workspace/WorkspaceRateLimiter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/workspace/WorkspaceRateLimiter.java
@@ -55,6 +55,18 @@
 	 */
 	static final long RETENTION_MILLIS = 30_000;
 
+	/**
+	 * Time in milliseconds without any work from which this process has been delayed:
+	 * there is a check with each interval of heartbeats.
+	 */
+	private static final long DELAY_MILLIS = 400;
+
+	/**
+	 * Time in milliseconds after a delay of this process in which no host counts as
+	 * silent: its datagrams may wait to be read behind requests.
+	 */
+	private static final long DELAY_GRACE_MILLIS = 100;
+
 	/**
 	 * Ages in milliseconds of a change at which it is sent: at once, and repeated twice
 	 * within 2 s, because datagrams are lost. Each period is longer than the interval of
@@ -89,7 +101,11 @@
 
 	private final RandomGenerator random;
 
-	private long checkedMillis = Long.MIN_VALUE;
+	private long checkedMillis;
+
+	private long activeMillis;
+
+	private long graceEndMillis;
 
 	/**
 	 * Creates a limiter without limits and without other hosts.
@@ -101,6 +117,9 @@
 		this.incarnation = incarnation;
 		this.random = random;
 		this.group = new UsageGroup(nowMillis);
+		this.checkedMillis = nowMillis - 1;
+		this.activeMillis = nowMillis;
+		this.graceEndMillis = nowMillis;
 	}
 
 	/**
@@ -138,7 +157,7 @@
 		limits.forEach((workspace, limit) -> {
 			UsageBucket known = this.buckets.get(workspace);
 			if (known != null) {
-				known.setLimit(limit.isLimited() ? limit : UsageLimit.NONE, this.group);
+				known.setLimit(limit, this.group);
 			}
 			else if (limit.isLimited()) {
 				addBucket(workspace, limit);
@@ -232,6 +251,7 @@
 		if (started < member.getIncarnation()) {
 			return;
 		}
+		recordActive(nowMillis);
 		this.group.accrueOwn(nowMillis);
 		boolean restarted = started > member.getIncarnation();
 		if (member.getState() == UsageMember.State.CONTRIBUTING
@@ -253,8 +273,6 @@
 				else {
 					member.setState(UsageMember.State.RETURNING);
 					member.setReturned(nowMillis);
-				}
-				if (!shortSilence) {
 					this.reportsDue.put(host, new DueReport(REPORT_REPETITIONS, nowMillis));
 				}
 			}
@@ -382,6 +400,7 @@
 
 	// Detaches silent hosts, and counts those that share the rate.
 	private void check(long nowMillis) {
+		recordActive(nowMillis);
 		this.checkedMillis = nowMillis;
 		this.group.accrueOwn(nowMillis);
 		int size = 1;
@@ -389,6 +408,9 @@
 		double withheldSilence = 0;
 		for (UsageMember member : this.members.values()) {
 			long silence = member.getSilenceMillis(nowMillis);
+			if (nowMillis < this.graceEndMillis && member.getState() == UsageMember.State.CONTRIBUTING) {
+				silence = 0;
+			}
 			if (member.getState() != UsageMember.State.ABSENT && silence > SILENCE_MILLIS) {
 				if (member.getState() == UsageMember.State.CONTRIBUTING) {
 					detach(member);
@@ -409,6 +431,15 @@
 		this.group.setWithheld(withheld, nowMillis - Math.round(withheldSilence / Math.max(withheld, 1e-9)));
 	}
 
+	// After a longer delay, other hosts have counted this one as silent.
+	private void recordActive(long nowMillis) {
+		long delay = nowMillis - this.activeMillis;
+		if (delay > DELAY_MILLIS && delay <= SHORT_SILENCE_MILLIS) {
+			this.graceEndMillis = nowMillis + DELAY_GRACE_MILLIS;
+		}
+		this.activeMillis = nowMillis;
+	}
+
 	private void detach(UsageMember member) {
 		this.buckets.values().forEach((bucket) -> {
 			double share = bucket.removeShare(this.group, member.getHeardMillis());
--- a/gateway/src/test/java/org/wigeonglade/gateway/workspace/SimulatedHosts.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/workspace/SimulatedHosts.java
@@ -91,6 +91,11 @@
 		this.hosts[host].limiter = null;
 	}
 
+	// The process stands still; datagrams and requests wait for it.
+	void pause(int host, long millis) {
+		this.hosts[host].pauseEndMillis = this.now + millis;
+	}
+
 	void deregister(int host) {
 		kill(host);
 		this.hosts[host].registered = false;
@@ -105,7 +110,7 @@
 	void request(int host) {
 
 		Host target = this.hosts[host];
-		if (target.limiter == null) {
+		if (target.defers(() -> request(host)) || target.limiter == null) {
 			return;
 		}
 		boolean admitted = target.limiter.tryAdmit(WORKSPACE, this.now) instanceof UsageDecision.Admit;
@@ -174,6 +179,8 @@
 
 		private boolean deaf;
 
+		private long pauseEndMillis;
+
 		private boolean scheduled;
 
 		private long sentMillis;
@@ -206,7 +213,7 @@
 		}
 
 		private void tick(WorkspaceRateLimiter started) {
-			if (this.limiter != started) {
+			if (this.limiter != started || defers(() -> tick(started))) {
 				return;
 			}
 			setMembers();
@@ -222,13 +229,23 @@
 				this.scheduled = true;
 				WorkspaceRateLimiter started = this.limiter;
 				long coalescing = Math.round(0.35 * SimulatedHosts.this.hosts.length);
-				at(SimulatedHosts.this.now + coalescing, () -> {
-					if (this.limiter == started) {
-						this.scheduled = false;
-						send();
-					}
-				});
+				at(SimulatedHosts.this.now + coalescing, () -> sendScheduled(started));
+			}
+		}
+
+		private void sendScheduled(WorkspaceRateLimiter started) {
+			if (this.limiter == started && !defers(() -> sendScheduled(started))) {
+				this.scheduled = false;
+				send();
+			}
+		}
+
+		private boolean defers(Runnable task) {
+			boolean paused = SimulatedHosts.this.now < this.pauseEndMillis;
+			if (paused) {
+				at(this.pauseEndMillis, task);
 			}
+			return paused;
 		}
 
 		private void sendReports() {
@@ -261,7 +278,7 @@
 		}
 
 		private void receive(Host sender, long started, long number, List<UsageEntry> entries) {
-			if (this.limiter == null) {
+			if (defers(() -> receive(sender, started, number, entries)) || this.limiter == null) {
 				return;
 			}
 			this.limiter.heard(sender.id, started, false, SimulatedHosts.this.now);
--- a/gateway/src/test/java/org/wigeonglade/gateway/workspace/UsageScheduleTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/workspace/UsageScheduleTests.java
@@ -1,5 +1,7 @@
 package org.wigeonglade.gateway.workspace;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 
 import org.testng.Assert;
@@ -7,8 +9,8 @@
 
 /**
  * Guards against hosts that together admit more than the limit of a workspace, on random
- * schedules of lag, loss, network partitions, restarts and load. CI runs the first 60
- * schedules; -Dusage.schedules=10000 runs all.
+ * schedules of lag, loss, network partitions, pauses, restarts, membership and load. CI
+ * runs the first 60 schedules; -Dusage.schedules=10000 runs all.
  */
 public class UsageScheduleTests {
 
@@ -33,24 +35,35 @@
 	private static SimulatedHosts play(int seed) {
 		Random random = new Random(seed);
 		int count = new int[] { 2, 3, 5, 8, 11, 16 }[random.nextInt(6)];
-		double rate = Math.pow(10, random.nextDouble() * 2.4 - 0.3);
+		double rate = Math.pow(10, random.nextDouble() * 2.7 - 0.3);
 		UsageLimit limit = new UsageLimit(rate, rate * 2 * random.nextDouble());
 		int lag = 1 + random.nextInt(30);
 		SimulatedHosts hosts = new SimulatedHosts(seed, count, limit, lag, lag + random.nextInt(60),
 				random.nextDouble() * 0.1);
-		for (long at = random.nextInt(4_000); at < END_MILLIS; at += 500 + random.nextInt(8_000)) {
+		// Up to 7.5 times the usual rate, of which the limit is 1.6 times, after a pause
+		// that
+		// fills the buckets. Half of the disturbances begin within a moment of such a
+		// step.
+		List<Long> steps = new ArrayList<>();
+		for (long at = 0; at < END_MILLIS; at += 1_000 + random.nextInt(4_000)) {
+			steps.add(at);
+		}
+		for (int step = 0; step < steps.size(); step++) {
+			long end = (step + 1 < steps.size()) ? steps.get(step + 1) : END_MILLIS;
+			double factor = (step % 2 == 0) ? 0.6 * random.nextDouble() : 1.2 + 3.5 * random.nextDouble();
+			hosts.load(steps.get(step), end, rate * factor, 1 + random.nextInt(3));
+		}
+		for (int number = 0; number < 4; number++) {
+			long step = steps.get(random.nextInt(steps.size()));
+			long at = random.nextBoolean() ? Math.max(0, step - 300 + random.nextInt(600))
+					: random.nextLong(END_MILLIS);
 			long length = 200 + random.nextInt(12_000);
-			int kind = random.nextInt(6);
+			int kind = random.nextInt(8);
 			for (int host = 0; host < count; host++) {
 				disturb(hosts, random, kind, host, at, length);
 			}
 			hosts.at(at + length, hosts::join);
 		}
-		// Up to 7.5 times the usual rate, of which the limit is 1.6 times.
-		for (long at = 0; at < END_MILLIS; at += 2_500) {
-			double factor = new double[] { 0.1, 0.6, 1.2, 4.7 }[random.nextInt(4)];
-			hosts.load(at, at + 2_500, rate * factor, 1 + random.nextInt(3));
-		}
 		hosts.runUntil(END_MILLIS);
 		return hosts;
 	}
@@ -59,21 +72,27 @@
 		switch (kind) {
 			case 0 -> hosts.at(at, () -> hosts.setSide(host, random.nextInt(2)));
 			case 1 -> hosts.at(at, () -> hosts.setSide(host, (random.nextDouble() < 0.35) ? host + 1 : 0));
-			case 2 -> {
+			case 2 -> hosts.at(at, () -> hosts.setSide(host, host));
+			case 3 -> {
 				if (random.nextDouble() < 0.35) {
 					hosts.at(at, () -> hosts.setDeaf(host));
 				}
 			}
-			case 3 -> {
+			case 4 -> {
 				hosts.at(at, () -> hosts.kill(host));
 				hosts.at(at + 2_000 + random.nextInt(6_000), () -> hosts.restart(host));
 			}
-			case 4 -> {
+			case 5 -> {
 				if (random.nextInt(3) == 0) {
 					hosts.at(at, () -> hosts.kill(host));
 					hosts.at(at + 200 + length / 3, () -> hosts.restart(host));
 				}
 			}
+			case 6 -> {
+				if (random.nextDouble() < 0.35) {
+					hosts.at(at, () -> hosts.pause(host, length));
+				}
+			}
 			default -> {
 				if (random.nextInt(3) == 0) {
 					hosts.at(at, () -> hosts.deregister(host));
--- a/gateway/src/test/java/org/wigeonglade/gateway/workspace/WorkspaceRateLimiterTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/workspace/WorkspaceRateLimiterTests.java
@@ -81,6 +81,14 @@
 		Assert.assertEquals(take(60_000), 18);
 	}
 
+	@Test
+	public void delayOfThisProcessIsNoSilenceOfOthers() {
+		contact(0, 5_000, 20);
+		Assert.assertEquals(take(6_000), 18);
+		Assert.assertEquals(take(6_200), 0);
+		Assert.assertEquals(take(12_000), 9);
+	}
+
 	@Test
 	public void hostThatWasNeverAliveOrHasLeftIsNotCounted() {
 		this.limiter.setMembers(Map.of(PEER, 5L), 0);
