Reject statuses above 599 and unbounded interim responses in the adapters

Cause: StatusLine takes any three digits from 100 on, and ResponseFraming drops interim responses without a limit. Change: StatusLine tells whether a status has a class, and ResponseFraming rejects those without, and more than 16 interim responses.

--- a/adapters/src/main/java/org/wigeonglade/adapters/http/ResponseFraming.java
+++ b/adapters/src/main/java/org/wigeonglade/adapters/http/ResponseFraming.java
@@ -42,6 +42,9 @@
 
 	private static final int HEXADECIMAL = 16;
 
+	/** Largest number of interim responses to a request; a server sends one or two. */
+	private static final int MAX_INTERIM_HEADS = 16;
+
 	private static final int SWITCHING_PROTOCOLS = 101;
 
 	private static final int OK = 200;
@@ -65,6 +68,8 @@
 
 	private long remaining;
 
+	private int interimHeads;
+
 	/**
 	 * Expects the response to a request.
 	 * @param method the method of the request
@@ -77,6 +82,7 @@
 		this.bodiless = method.equals("HEAD");
 		this.id = exchangeId;
 		this.idNamed = false;
+		this.interimHeads = 0;
 		this.requests++;
 		this.body = new StatusLineScanner();
 		this.state = State.HEAD;
@@ -153,7 +159,7 @@
 
 	private void endHead(String[] lines, CompositeByteBuf out) {
 		StatusLine statusLine = StatusLine.parse(lines[0])
-			.filter((parsed) -> parsed.minorVersion() <= MAX_MINOR_VERSION)
+			.filter((parsed) -> parsed.minorVersion() <= MAX_MINOR_VERSION && parsed.isDefined())
 			.orElseThrow(() -> new MalformedResponseException("malformed status line"));
 		List<FieldLine> fields = Arrays.stream(lines, 1, lines.length).map(ResponseFraming::parseField).toList();
 		if (statusLine.status() == SWITCHING_PROTOCOLS) {
@@ -164,6 +170,9 @@
 			throw new MalformedResponseException(ambiguous.reason());
 		}
 		if (statusLine.status() < OK) {
+			if (++this.interimHeads > MAX_INTERIM_HEADS) {
+				throw new MalformedResponseException("more than " + MAX_INTERIM_HEADS + " interim responses");
+			}
 			this.section.setLength(0);
 			return;
 		}
--- a/core/src/main/java/org/wigeonglade/core/http/StatusLine.java
+++ b/core/src/main/java/org/wigeonglade/core/http/StatusLine.java
@@ -16,6 +16,8 @@
 
 	private static final String PREFIX = "HTTP/1.";
 
+	private static final int MAX_STATUS = 599;
+
 	/**
 	 * Parses a line.
 	 * @param line the line in ISO 8859-1 without its line end, not null
@@ -61,6 +63,14 @@
 		};
 	}
 
+	/**
+	 * Returns whether the status has a class, which says what kind of response it is.
+	 * @return false from 600 on
+	 */
+	public boolean isDefined() {
+		return this.status <= MAX_STATUS;
+	}
+
 	private static boolean beginsAt(String text, int from) {
 		if (text.length() - from < PREFIX_LENGTH) {
 			return false;
