End a response with its connection only after its request

Cause: ClientConnection took the end of the channel as the end of a body without a length, also while its request was being written, and when this side had closed the channel. The kernel's send buffer grew to 4 MiB, so that a request of 3 MB counted as written before the runner had read it. A relaying host told the end of the runner's bytes after a failed write, and whatever the runner had read of the request; frames of requests over 1 MiB ended the relay.

Change: connections to servers are half-closable, so that the end of the input is told apart from a close. ConnectionEnd says why a connection carries no further bytes, and ResponseParser ends a body without length only after an orderly end that follows the last write. A connection whose request is not written whole is closed after its response. The send buffer is 256 KiB. Statuses above 599 are malformed.

--- a/gateway/src/main/java/org/wigeonglade/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/ClientConnection.java
@@ -14,6 +14,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -78,6 +79,8 @@
 
 	private boolean keepAlive = true;
 
+	private boolean requestWritten = true;
+
 	private boolean broken;
 
 	private OptionalLong serverStartMillis = OptionalLong.empty();
@@ -171,6 +174,7 @@
 		this.headReceived = false;
 		this.interimHeads = 0;
 		this.skippedBytes = 0;
+		this.requestWritten = false;
 		HttpRequest head = next.request();
 		boolean bodiless = HttpMethod.HEAD.equals(head.method());
 		this.parser.setBodiless(bodiless);
@@ -184,7 +188,10 @@
 			this.channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(body)));
 		}
 		this.channel.writeAndFlush(new DefaultLastHttpContent()).addListener((future) -> {
-			if (!future.isSuccess()) {
+			if (future.isSuccess()) {
+				this.requestWritten = true;
+			}
+			else {
 				fail("the request could not be written: " + FailureText.of(future.cause()));
 			}
 		});
@@ -247,10 +254,11 @@
 
 	/**
 	 * Returns whether a request may be sent now.
-	 * @return false if the connection is closed or the server will close it
+	 * @return false if the connection is closed, the server will close it, or the last
+	 * request is not written whole
 	 */
 	public boolean isOpen() {
-		return this.keepAlive && !this.broken && this.channel.isActive();
+		return this.keepAlive && this.requestWritten && !this.broken && this.channel.isActive();
 	}
 
 	/**
@@ -305,11 +313,16 @@
 	}
 
 	@Override
-	public void channelInactive(ChannelHandlerContext context) {
-		if (this.exchange != null) {
-			finish(this.parser.close());
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event == ChannelInputShutdownEvent.INSTANCE) {
+			end(this.requestWritten ? ConnectionEnd.AFTER_REQUEST : ConnectionEnd.WITHIN_REQUEST);
 		}
-		fail("the connection was closed " + this.parser.getPosition());
+	}
+
+	// Comes after the end of the input, or without one.
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		end(ConnectionEnd.ABORTED);
 	}
 
 	@Override
@@ -333,6 +346,13 @@
 		}
 	}
 
+	private void end(ConnectionEnd end) {
+		if (this.exchange != null) {
+			finish(this.parser.close(end));
+		}
+		fail(end.getDescription() + " " + this.parser.getPosition());
+	}
+
 	private void finish(ResponsePart part) {
 		if (part instanceof ResponsePart.End) {
 			readEnd(Unpooled.EMPTY_BUFFER);
@@ -400,7 +420,7 @@
 		if (following.isReadable()) {
 			malformed(unrequested(following));
 		}
-		else if (!this.keepAlive) {
+		else if (!this.keepAlive || !this.requestWritten) {
 			this.channel.close();
 		}
 		done.end();
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/Connector.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/Connector.java
@@ -17,6 +17,14 @@
  */
 public final class Connector {
 
+	/**
+	 * Size in bytes of the kernel's send buffer of a connection to a server. Linux
+	 * reserves twice as much. With buffers that grow by themselves, which reach 4 MiB, a
+	 * request of 3 MB counts as written before the server has read any of it. 512 KiB are
+	 * in transit at 420 Mbit/s and a round trip of 10 ms.
+	 */
+	public static final int SEND_BUFFER_BYTES = 256 * 1024;
+
 	private static final AttributeKey<ClientConnection> CONNECTION = AttributeKey.valueOf("client-connection");
 
 	private final EventLoop loop;
@@ -39,6 +47,8 @@
 		new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+			.option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
 			.handler(new ChannelInitializer<Channel>() {
 				@Override
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/ResponseParser.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/ResponseParser.java
@@ -145,12 +145,13 @@
 	}
 
 	/**
-	 * Ends the response at the regular end of the connection.
+	 * Ends the response at the end of the connection.
+	 * @param end why the connection carries no further bytes, not null
 	 * @return the end of the response, malformed if it ends within a head, or incomplete
 	 * if it is not whole
 	 */
-	ResponsePart close() {
-		if (this.state == State.CLOSE_BODY) {
+	ResponsePart close(ConnectionEnd end) {
+		if (this.state == State.CLOSE_BODY && end.isEndOfResponse()) {
 			this.state = State.END;
 		}
 		return settle();
@@ -197,6 +198,9 @@
 		if (parsed.isEmpty()) {
 			return malformed("the first line is no status line");
 		}
+		if (!parsed.get().isDefined()) {
+			return malformed("the status " + parsed.get().status() + " is not within 100 to 599");
+		}
 		this.statusLine = parsed.get();
 		this.fields.clear();
 		this.skipping = false;
--- a/gateway/src/main/java/org/wigeonglade/gateway/relay/RelayConnector.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/relay/RelayConnector.java
@@ -11,12 +11,14 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.wigeonglade.core.error.FailureText;
@@ -105,9 +107,10 @@
 	}
 
 	/**
-	 * Takes off the framing once the runner is connected.
+	 * Takes off the framing once the runner is connected. The connection has ended in
+	 * order if all bytes that were sent on it have been written to the runner.
 	 */
-	private final class RelayHandler extends ChannelInboundHandlerAdapter {
+	private final class RelayHandler extends ChannelDuplexHandler {
 
 		private final Listener listener;
 
@@ -119,6 +122,8 @@
 
 		private boolean ended;
 
+		private long sentBytes;
+
 		private RelayHandler(Listener listener) {
 			this.listener = listener;
 		}
@@ -135,19 +140,47 @@
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
 			ByteBuf frame = (ByteBuf) message;
-			if (this.connected && !RelayFrames.isEnd(frame)) {
+			if (this.connected && !this.ended && !RelayFrames.isEnd(frame)) {
 				context.fireChannelRead(frame);
 				return;
 			}
-			byte[] bytes = ByteBufUtil.getBytes(frame);
-			frame.release();
+			try {
+				if (this.ended) {
+					endInput(context, RelayFrames.readWritten(frame));
+				}
+				else if (this.connected) {
+					this.ended = true;
+				}
+				else if (!this.responded) {
+					readResponse(context, ByteBufUtil.getBytes(frame));
+				}
+			}
+			finally {
+				frame.release();
+			}
+		}
+
+		private void endInput(ChannelHandlerContext context, long writtenBytes) {
+			if (writtenBytes == this.sentBytes) {
+				context.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+			}
+			else {
+				context.fireExceptionCaught(
+						new IOException("the runner closed the connection before the request was written whole"));
+			}
+			context.close();
+		}
+
+		@Override
+		public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+			ByteBuf bytes = (ByteBuf) message;
 			if (this.connected) {
-				this.ended = true;
-				context.close();
+				this.sentBytes += bytes.readableBytes();
 			}
-			else if (!this.responded) {
-				readResponse(context, bytes);
+			while (bytes.readableBytes() > RelayFrames.MAX_PART_BYTES) {
+				context.write(bytes.readRetainedSlice(RelayFrames.MAX_PART_BYTES));
 			}
+			context.write(bytes, promise);
 		}
 
 		private void readResponse(ChannelHandlerContext context, byte[] bytes) {
@@ -179,7 +212,7 @@
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
 			fail("the other host closed the connection");
-			if (this.connected && !this.ended) {
+			if (this.connected) {
 				context.fireExceptionCaught(new IOException("the connection to the relaying host was lost"));
 			}
 			context.fireChannelInactive();
--- a/gateway/src/main/java/org/wigeonglade/gateway/relay/RelayServer.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/relay/RelayServer.java
@@ -22,6 +22,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.timeout.IdleStateHandler;
@@ -29,6 +30,7 @@
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.http.Connector;
 import org.wigeonglade.gateway.log.GatewayEvent;
 import org.wigeonglade.schema.generated.gateway.RelayRequest;
 import org.wigeonglade.schema.generated.gateway.RelayResponse;
@@ -134,12 +136,15 @@
 
 		private final Channel host;
 
+		private final RunnerSide runnerSide;
+
 		private Channel runner;
 
 		private boolean requested;
 
 		private HostSide(Channel host) {
 			this.host = host;
+			this.runnerSide = new RunnerSide(host);
 		}
 
 		@Override
@@ -151,7 +156,7 @@
 		public void channelRead(ChannelHandlerContext context, Object message) {
 			ByteBuf frame = (ByteBuf) message;
 			if (this.runner != null) {
-				this.runner.writeAndFlush(frame);
+				this.runnerSide.write(this.runner, frame);
 				this.host.config().setAutoRead(this.runner.isWritable());
 				return;
 			}
@@ -206,8 +211,10 @@
 			new Bootstrap().group(RelayServer.this.loop)
 				.channel(NioSocketChannel.class)
 				.option(ChannelOption.TCP_NODELAY, true)
+				.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+				.option(ChannelOption.SO_SNDBUF, Connector.SEND_BUFFER_BYTES)
 				.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
-				.handler(new RunnerSide(this.host))
+				.handler(this.runnerSide)
 				.connect(entry.get().address())
 				.addListener((ChannelFuture opened) -> connected(id, opened));
 		}
@@ -244,12 +251,19 @@
 
 		private final Channel host;
 
-		private boolean failed;
+		private long writtenBytes;
+
+		private boolean ended;
 
 		private RunnerSide(Channel host) {
 			this.host = host;
 		}
 
+		private void write(Channel runner, ByteBuf frame) {
+			int bytes = frame.readableBytes();
+			runner.writeAndFlush(frame).addListener((future) -> this.writtenBytes += future.isSuccess() ? bytes : 0);
+		}
+
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
 			this.host.writeAndFlush(message);
@@ -261,21 +275,32 @@
 			this.host.config().setAutoRead(context.channel().isWritable());
 		}
 
-		// A reset must not look like an orderly end to the other host.
+		// The bytes that are written later, when the runner has ended its response, are
+		// no
+		// part of a request that was written whole before.
+		@Override
+		public void userEventTriggered(ChannelHandlerContext context, Object event) {
+			if (event == ChannelInputShutdownEvent.INSTANCE) {
+				this.ended = true;
+				this.host.write(RelayFrames.end());
+				this.host.writeAndFlush(RelayFrames.written(this.writtenBytes))
+					.addListener(ChannelFutureListener.CLOSE);
+				context.close();
+			}
+		}
+
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			this.failed = true;
 			context.close();
 		}
 
+		// A reset, or a write that failed, must not look like an orderly end to the other
+		// host.
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
-			if (this.failed) {
+			if (!this.ended) {
 				this.host.close();
 			}
-			else {
-				this.host.writeAndFlush(RelayFrames.end()).addListener(ChannelFutureListener.CLOSE);
-			}
 		}
 
 	}
--- a/gateway/src/test/java/org/wigeonglade/gateway/http/EarlyEndTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/http/EarlyEndTests.java
@@ -151,7 +151,11 @@
 		/** The channel is closed on this side, for example with its event loop. */
 		CLOSED_HERE;
 
+		// A channel that a failed write has closed reads no more.
 		void apply(Connection connection) {
+			if (!connection.channel.isOpen()) {
+				return;
+			}
 			switch (this) {
 				case ORDERLY ->
 					connection.channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
--- a/gateway/src/test/java/org/wigeonglade/gateway/http/ResponseParserTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/http/ResponseParserTests.java
@@ -66,11 +66,12 @@
 		String ok = "HTTP/1.1 200 OK\r\n";
 		return Stream
 			.of("\r\n" + ok, "x" + ok, " " + ok, "HTTP/1.1  200 OK\r\n", "HTTP/1.1 20 OK\r\n", "HTTP/1.1 2000 OK\r\n",
-					"HTTP/1.1 099 OK\r\n", "HTTP/2.0 200 OK\r\n", "http/1.1 200 OK\r\n", "HTTP/1.1 200 OK\n",
-					"HTTP/1.1 200 O\rK\r\n", "HTTP/1.1 200 O\u0000K\r\n", "HTTP/1.1 200 HTTP/1.1 500 Error\r\n",
-					ok + "Request-Id\r\n", ok + "Request-Id : a\r\n", ok + ": a\r\n", ok + "X: a\r\n folded\r\n",
-					ok + "X: a\n", ok + "X: a\rY: b\r\n", ok + "X(y): a\r\n", ok + "X: aHTTP/1.1 500 Error\r\n",
-					ok + "HTTP/1.1 500 Error: x\r\n", ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
+					"HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 999 OK\r\n", "HTTP/2.0 200 OK\r\n",
+					"http/1.1 200 OK\r\n", "HTTP/1.1 200 OK\n", "HTTP/1.1 200 O\rK\r\n", "HTTP/1.1 200 O\u0000K\r\n",
+					"HTTP/1.1 200 HTTP/1.1 500 Error\r\n", ok + "Request-Id\r\n", ok + "Request-Id : a\r\n",
+					ok + ": a\r\n", ok + "X: a\r\n folded\r\n", ok + "X: a\n", ok + "X: a\rY: b\r\n",
+					ok + "X(y): a\r\n", ok + "X: aHTTP/1.1 500 Error\r\n", ok + "HTTP/1.1 500 Error: x\r\n",
+					ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
 					ok + "Content-Length: 1\r\nContent-Length: 1\r\n\r\n", ok + "Content-Length: 1, 1\r\n\r\n",
 					ok + "Content-Length: -1\r\n\r\n", ok + "Content-Length: +1\r\n\r\n",
 					ok + "Content-Length: 0x1\r\n\r\n", ok + "Content-Length:\r\n\r\n",
@@ -184,7 +185,12 @@
 			for (int i = random.nextInt(4); i >= 0; i--) {
 				bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
 			}
-			read(new String(bytes, StandardCharsets.ISO_8859_1), random.nextInt(1, 64));
+			ResponseParser parser = newParser();
+			read(parser, new String(bytes, StandardCharsets.ISO_8859_1), random.nextInt(1, 64));
+			boolean undelimited = parser.getPosition().equals("within a response");
+			ConnectionEnd end = ConnectionEnd.values()[random.nextInt(ConnectionEnd.values().length)];
+			boolean ended = parser.close(end) instanceof ResponsePart.End;
+			Assert.assertFalse(ended && !(undelimited && end == ConnectionEnd.AFTER_REQUEST), round + ": " + end);
 		}
 	}
 
@@ -198,18 +204,23 @@
 
 	@Test(dataProvider = "undelimited")
 	public void undelimitedBodyThatHoldsAnotherHeadIsWhole(String body, boolean whole) {
-		ResponseParser parser = newParser();
-		String found = read(parser, "HTTP/1.1 200 OK\r\nServer: x\r\n\r\n" + body, 9);
-		Assert.assertEquals(!found.endsWith("!") && parser.close() instanceof ResponsePart.End, whole, found);
+		for (ConnectionEnd end : ConnectionEnd.values()) {
+			ResponseParser parser = newParser();
+			String found = read(parser, "HTTP/1.1 200 OK\r\nServer: x\r\n\r\n" + body, 9);
+			Assert.assertEquals(!found.endsWith("!") && parser.close(end) instanceof ResponsePart.End,
+					whole && end == ConnectionEnd.AFTER_REQUEST, end + ": " + found);
+		}
 	}
 
 	@Test
 	public void responseThatIsCutByTheEndOfTheConnectionIsWhole() {
 		String response = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX: y\r\n\r\n";
 		for (int cut = 0; cut < response.length(); cut++) {
-			ResponseParser parser = newParser();
-			Assert.assertFalse(read(parser, response.substring(0, cut), 5).contains("|"), "cut at " + cut);
-			Assert.assertTrue(parser.close() instanceof ResponsePart.Incomplete, "cut at " + cut);
+			for (ConnectionEnd end : ConnectionEnd.values()) {
+				ResponseParser parser = newParser();
+				Assert.assertFalse(read(parser, response.substring(0, cut), 5).contains("|"), "cut at " + cut);
+				Assert.assertTrue(parser.close(end) instanceof ResponsePart.Incomplete, "cut at " + cut);
+			}
 		}
 	}
 
