Leave requests in the bucket that others have admitted and not reported yet

Change: reported requests of the last 60 ms are withheld once more, silent hosts are withheld from 0.1 s, 6 instead of 8 extra requests.

--- a/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageBucket.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageBucket.java
@@ -13,9 +13,10 @@
 	/**
 	 * Requests beyond the configured burst, so that random arrivals of a workspace below
 	 * its limit are not rejected: a workspace with 0.5/s and a burst of 0.8 would lose a
-	 * third of them. The permitted sum over all hosts leaves 20 requests.
+	 * third of them. The permitted sum over all hosts leaves 20 requests,
+	 * most of which are for the delay of reports.
 	 */
-	static final double EXTRA_BURST = 8;
+	static final double EXTRA_BURST = 6;
 
 	/**
 	 * Time in seconds whose requests the debt may amount to. The permitted sum is
@@ -32,6 +33,12 @@
 	/** Time in milliseconds between two increases of the chance to admit. */
 	private static final long INCREASE_INTERVAL_MILLIS = 100;
 
+	/**
+	 * Time in milliseconds whose reported requests are taken to be on their way again:
+	 * the delay of reports.
+	 */
+	private static final double REPORT_DELAY_MILLIS = 60;
+
 	private static final double MIN_CHANCE = 0.01;
 
 	/** Share of the burst below which the chance to admit applies. */
@@ -78,6 +85,10 @@
 
 	private long increasedMillis;
 
+	private double recentCharges;
+
+	private long recentMillis;
+
 	private double rejections;
 
 	private long rejectedMillis;
@@ -158,12 +169,20 @@
 		return true;
 	}
 
-	// Without what is withheld of silent hosts: their portions as of their last
-	// datagrams.
+	// Without the requests that others have probably admitted and not reported yet, and
+	// without what is withheld of silent hosts: their portions as of their last datagrams.
 	private double getUsable(UsageGroup group) {
+		double usable = this.level - decayRecentCharges(group);
 		double withheld = group.getWithheldHosts();
-		return (withheld > 0) ? this.level - withheld * Math.max(0, getPortion(group, group.getWithheldSinceMillis()))
-				: this.level;
+		return (withheld > 0) ? usable - withheld * Math.max(0, getPortion(group, group.getWithheldSinceMillis()))
+				: usable;
+	}
+
+	private double decayRecentCharges(UsageGroup group) {
+		double age = group.getNowMillis() - this.recentMillis;
+		this.recentCharges *= Math.exp(-age / REPORT_DELAY_MILLIS);
+		this.recentMillis = group.getNowMillis();
+		return this.recentCharges;
 	}
 
 	void giveBack(UsageGroup group, long nowMillis) {
@@ -177,6 +196,7 @@
 	void charge(int requests, UsageGroup group) {
 		settle(group);
 		this.level = Math.clamp(this.level - requests, getMinLevel(), getCapacity(group));
+		this.recentCharges = Math.clamp(decayRecentCharges(group) + requests, 0, getDepth());
 		double owed = Math.min(requests, -this.level);
 		if (owed > 0) {
 			this.chance = Math.max(MIN_CHANCE, this.chance * Math.pow(CHANCE_DECREASE, owed));
--- a/gateway/src/main/java/org/wigeonglade/gateway/workspace/WorkspaceRateLimiter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/workspace/WorkspaceRateLimiter.java
@@ -31,9 +31,10 @@
 
 	/**
 	 * Silence in milliseconds from which less and less of the share of a host may be
-	 * used: a heartbeat interval and the delay of a datagram.
+	 * used. It is shorter than the interval of heartbeats, since a host that admits sends
+	 * a datagram at once; of a host that is idle, a quarter is withheld at most.
 	 */
-	static final long FRESH_MILLIS = 300;
+	static final long FRESH_MILLIS = 100;
 
 	/**
 	 * Silence in milliseconds up to which a host is taken to have lost datagrams only:
