Learn the speed of runners on all hosts and place by it

A slot counted the same at each runner, and a host learned hold times from its own few requests only. RunnerSpeedsTests and PlacementPolicyTests pass.

--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/Candidate.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/Candidate.java
@@ -13,9 +13,10 @@
  * @param meanHoldTime the mean time for which a request occupies one of its slots, not
  * null
  * @param allowance the requests that its rate limit admits now, not null
+ * @param capacity what has been learned of its speed and saturation, not null
  */
 public record Candidate(RunnerEntry entry, LoadTracker.Load load, boolean avoided, boolean sameDomain,
-		Duration meanHoldTime, Allowance allowance) {
+		Duration meanHoldTime, Allowance allowance, RunnerCapacity capacity) {
 
 	/**
 	 * Share of the slots of a runner with a rate limit that is kept free of batch items:
@@ -23,6 +24,20 @@
 	 */
 	private static final double LIMITED_FREE_SHARE = 0.25;
 
+	/**
+	 * Creates a candidate of which nothing has been learned.
+	 * @param entry the registration, not null
+	 * @param load the requests in progress from all hosts, not null
+	 * @param avoided whether it is used only if no other runner is available
+	 * @param sameDomain whether it is in the failure domain of this host
+	 * @param meanHoldTime the mean time for which a request occupies a slot, not null
+	 * @param allowance the requests that its rate limit admits now, not null
+	 */
+	public Candidate(RunnerEntry entry, LoadTracker.Load load, boolean avoided, boolean sameDomain,
+			Duration meanHoldTime, Allowance allowance) {
+		this(entry, load, avoided, sameDomain, meanHoldTime, allowance, RunnerCapacity.UNKNOWN);
+	}
+
 	/**
 	 * Returns the number of idle slots.
 	 * @return the slots less the requests in progress, negative if requests are queued
@@ -31,13 +46,22 @@
 		return this.entry.slots() - this.load.getTotal();
 	}
 
+	/**
+	 * Returns the number of further requests that an idle slot serves without saturating
+	 * the runner.
+	 * @return the number, 0 or negative if there is none
+	 */
+	public int getUsefulSlots() {
+		return Math.min(getFreeSlots(), this.capacity.knee() - this.load.getTotal());
+	}
+
 	/**
 	 * Returns the number of batch items that may be started.
 	 * @return the number, 0 or negative if none may be started
 	 */
 	public int getBatchCapacity() {
 		int keptFree = this.allowance.isLimited() ? (int) Math.round(LIMITED_FREE_SHARE * this.entry.slots()) : 0;
-		return Math.min(getFreeSlots() - keptFree, this.allowance.batch());
+		return Math.min(getUsefulSlots() - keptFree, this.allowance.batch());
 	}
 
 	/**
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/HoldTimeEstimate.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/HoldTimeEstimate.java
@@ -28,15 +28,6 @@
 		return new HoldTimeEstimate(INITIAL_MILLIS);
 	}
 
-	/**
-	 * Returns an estimate that starts at the current mean of another one.
-	 * @param other the other estimate, not null
-	 * @return a new estimate, independent of the other one, never null
-	 */
-	public static HoldTimeEstimate copyOf(HoldTimeEstimate other) {
-		return new HoldTimeEstimate(other.meanMillis);
-	}
-
 	/**
 	 * Adds the sample of one completed request.
 	 * @param holdTime the time for which it occupied a slot, not null
@@ -46,11 +37,12 @@
 	}
 
 	/**
-	 * Returns the current mean.
+	 * Returns the mean at a runner of a known speed.
+	 * @param speed the speed of the runner relative to the mean of the service, above 0
 	 * @return the mean, rounded to milliseconds, never null
 	 */
-	public Duration getMean() {
-		return Duration.ofMillis(Math.round(this.meanMillis));
+	public Duration getMean(double speed) {
+		return Duration.ofMillis(Math.round(this.meanMillis / speed));
 	}
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
@@ -7,6 +7,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
+import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
 
 /**
@@ -79,6 +80,15 @@
 	/** Shortest retry delay, so that a refused caller does not retry immediately. */
 	private static final Duration MIN_RETRY = Duration.ofMillis(40);
 
+	/** Resolution of speeds as weights of a draw. */
+	private static final int SPEED_STEPS = 1_000;
+
+	/**
+	 * Share of requests that are placed by chance although the reports are current, while
+	 * a runner is slower than the others.
+	 */
+	private static final double PROBE_SHARE = 0.05;
+
 	private final RandomGenerator random;
 
 	private final Supplier<Duration> reportLag;
@@ -132,7 +142,7 @@
 	/**
 	 * Places a batch item on an idle slot. Runners with a rate limit are tried first,
 	 * since an item holds a slot for long with one request, then those with the most idle
-	 * slots.
+	 * slots, weighted by their speed.
 	 * @param candidates the runners of the service that accept requests, not null
 	 * @param slotAllocator allocates an idle slot of a runner and returns true, or
 	 * returns false if none is allocated to this host, not null
@@ -142,7 +152,7 @@
 		return candidates.stream()
 			.filter((c) -> !c.avoided() && c.getBatchCapacity() > 0)
 			.sorted(Comparator.<Candidate, Boolean>comparing((c) -> !c.allowance().isLimited())
-				.thenComparing(Comparator.comparingInt(Candidate::getFreeSlots).reversed()))
+				.thenComparing(Comparator.comparingDouble(PlacementPolicy::getIdleSpeed).reversed()))
 			.filter(slotAllocator)
 			.findFirst()
 			.map(Candidate::entry);
@@ -193,7 +203,7 @@
 	}
 
 	private static int getFreeCapacity(Candidate candidate) {
-		return Math.max(0, Math.min(candidate.allowance().online(), candidate.getFreeSlots()));
+		return Math.max(0, Math.min(candidate.allowance().online(), candidate.getUsefulSlots()));
 	}
 
 	// A preempted item takes another request of a rate limit when it is resumed.
@@ -218,21 +228,35 @@
 	// With current reports, the runner with the most capacity is the best choice.
 	// With outdated ones, each host draws two runners weighted by capacity and takes
 	// the better one, so that the requests of all hosts together are distributed in
-	// proportion to the capacity.
+	// proportion to the capacity. A slot counts as much as its speed.
 	private Candidate choose(List<Candidate> candidates, ToIntFunction<Candidate> capacity, double unreported) {
 		List<Candidate> eligible = candidates.stream().filter((c) -> capacity.applyAsInt(c) > 0).toList();
-		if (unreported < 1) {
-			return selectBest(eligible, Comparator.comparingInt(capacity).reversed());
+		ToLongFunction<Candidate> weight = weightBySpeed(eligible, capacity);
+		if (unreported < 1 && !isProbe(eligible)) {
+			return selectBest(eligible, Comparator.comparingLong(weight).reversed());
 		}
-		Candidate first = drawByCapacity(eligible, capacity);
-		Candidate second = drawByCapacity(eligible, capacity);
-		return (capacity.applyAsInt(second) > capacity.applyAsInt(first)) ? second : first;
+		Candidate first = drawByWeight(eligible, weight);
+		Candidate second = drawByWeight(eligible, weight);
+		return (weight.applyAsLong(second) > weight.applyAsLong(first)) ? second : first;
+	}
+
+	// A runner that is slower than the others would not be chosen again while they have
+	// room, and its recovery would not be noticed.
+	private boolean isProbe(List<Candidate> eligible) {
+		return eligible.stream().anyMatch((c) -> c.capacity().speed() < 1) && this.random.nextDouble() < PROBE_SHARE;
+	}
+
+	private static ToLongFunction<Candidate> weightBySpeed(List<Candidate> candidates,
+			ToIntFunction<Candidate> capacity) {
+		boolean alike = candidates.stream().mapToDouble((c) -> c.capacity().speed()).distinct().count() <= 1;
+		return alike ? capacity::applyAsInt
+				: (c) -> Math.max(1, Math.round(SPEED_STEPS * c.capacity().speed() * capacity.applyAsInt(c)));
 	}
 
-	private Candidate drawByCapacity(List<Candidate> candidates, ToIntFunction<Candidate> capacity) {
-		long position = this.random.nextLong(sum(candidates, capacity));
+	private Candidate drawByWeight(List<Candidate> candidates, ToLongFunction<Candidate> weight) {
+		long position = this.random.nextLong(candidates.stream().mapToLong(weight).sum());
 		for (Candidate candidate : candidates) {
-			position -= capacity.applyAsInt(candidate);
+			position -= weight.applyAsLong(candidate);
 			if (position < 0) {
 				return candidate;
 			}
@@ -240,6 +264,10 @@
 		throw new IllegalStateException("no candidate has capacity");
 	}
 
+	private static double getIdleSpeed(Candidate candidate) {
+		return candidate.getFreeSlots() * candidate.capacity().speed();
+	}
+
 	private static Duration getExpectedWait(Candidate candidate) {
 		return Duration.ofMillis(Math.round(candidate.getQueueMillis() * WAIT_SAFETY_FACTOR));
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -233,6 +233,7 @@
 		this.relayServer = new RelayServer(this.loop, this.fleet.getDirectory()::find,
 				() -> !paths.isCutOff() && this.shutdown == null);
 		this.exchange.setRelaySupplier(this.relayServer::isAvailable);
+		this.exchange.setSpeeds(this.fleet.getSpeeds(), this.fleet.getDirectory()::find);
 		this.fleet.onCutOff(this.exchange::scheduleReport);
 		this.fleet.onLoadChanged(this.exchange::scheduleReport);
 		this.items = ItemScheduler.of(settings.host(), this.self.getIncarnation(), this.jobTable, this.peers,
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -17,6 +17,8 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
+import org.wigeonglade.gateway.fleet.RunnerProgress;
+import org.wigeonglade.gateway.fleet.WorkKind;
 import org.wigeonglade.gateway.runner.ConnectionUse;
 import org.wigeonglade.gateway.runner.Fleet;
 import org.wigeonglade.gateway.runner.RunnerCall;
@@ -173,7 +175,8 @@
 		RunnerRequest request = new RunnerRequest(this.item.id().value(), HttpMethod.POST, this.item.path(), headers,
 				this.item.body(), ticker.millis() + remaining.toMillis(), this.sequence.getLast(),
 				Optional.of(this.binding), true, this.freshConnection);
-		Receiver current = new Receiver(loop, ticker, runner);
+		Receiver current = new Receiver(loop, ticker, runner,
+				new RunnerProgress(fleet.getSpeeds(), WorkKind.ITEM_EVENT, false, ticker.millis()));
 		this.receiver = current;
 		RunnerCall started = RunnerCall.start(fleet, runner, request, current);
 		if (!current.finished) {
@@ -224,7 +227,10 @@
 
 		private ScheduledFuture<?> idleTimer;
 
-		private Receiver(EventLoop loop, Ticker ticker, RunnerEntry runner) {
+		private final RunnerProgress progress;
+
+		private Receiver(EventLoop loop, Ticker ticker, RunnerEntry runner, RunnerProgress progress) {
+			this.progress = progress;
 			this.loop = loop;
 			this.ticker = ticker;
 			this.runner = runner;
@@ -257,6 +263,8 @@
 			}
 			if (received.stream().anyMatch(StreamEvent::hasContent)) {
 				this.progressMillis = this.ticker.millis();
+				this.progress.eventsReceived(ItemRun.this.call.getRunner(), false,
+						(int) received.stream().filter(StreamEvent::hasContent).count(), this.progressMillis);
 			}
 			for (StreamEvent event : received) {
 				Optional<String> fault = ItemRun.this.sequence.add(event);
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
@@ -8,6 +8,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
+import org.wigeonglade.gateway.fleet.RunnerProgress;
+import org.wigeonglade.gateway.fleet.WorkKind;
 import org.wigeonglade.gateway.route.Route;
 import org.wigeonglade.gateway.route.RouteKind;
 import org.wigeonglade.gateway.runner.ConnectionUse;
@@ -88,6 +90,8 @@
 
 	private final long expectedWaitMillis;
 
+	private final RunnerProgress progress;
+
 	private final StreamParser parser = new StreamParser();
 
 	private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
@@ -118,6 +122,8 @@
 		this.startedMillis = context.ticker().millis();
 		this.lastProgressMillis = this.startedMillis;
 		this.expectedWaitMillis = expectedWaitMillis;
+		this.progress = new RunnerProgress(context.fleet().getSpeeds(), WorkKind.EVENT,
+				context.fleet().getLoadTracker().getLoad(runner.id()).getTotal() >= runner.slots(), this.startedMillis);
 	}
 
 	/**
@@ -213,6 +219,7 @@
 	@Override
 	public void end() {
 		if (this.head.notRun() || this.head.wrongRunner()) {
+			this.context.fleet().getSpeeds().recordRefusal(getRunner(), this.context.ticker().millis());
 			finish(new AttemptOutcome.Declined(this.head));
 		}
 		else if (!this.head.isSuccess()) {
@@ -222,6 +229,9 @@
 			finish(incomplete(RunnerFailure.Kind.BROKEN, "the stream ended within an event or before the first"));
 		}
 		else {
+			if (!this.streaming) {
+				this.progress.responseReceived(getRunner(), this.context.ticker().millis());
+			}
 			if (this.buffered.size() > 0) {
 				this.callerResponse.writeBytes(this.buffered.toByteArray(), this.head, this.headers, null);
 			}
@@ -247,6 +257,8 @@
 		}
 		if (events.stream().anyMatch(StreamEvent::hasContent)) {
 			this.lastProgressMillis = this.context.ticker().millis();
+			this.progress.eventsReceived(getRunner(), this.call.isReadingPaused(),
+					(int) events.stream().filter(StreamEvent::hasContent).count(), this.lastProgressMillis);
 			this.owner.eventsReceived(this);
 		}
 		Optional<String> sequenceError = this.callerResponse.writeEvents(events, this.head, this.headers, this.call);
@@ -344,6 +356,9 @@
 	}
 
 	private void abortSilent() {
+		this.progress.timedOut(getRunner(),
+				(this.route.getKind() == RouteKind.STREAM) ? WorkKind.FIRST_EVENT : WorkKind.RESPONSE,
+				this.context.ticker().millis());
 		abort(RunnerFailure.Kind.SILENT,
 				"no data received for " + (this.context.ticker().millis() - this.lastProgressMillis) + " ms");
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
@@ -8,8 +8,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -33,7 +35,9 @@
 import org.wigeonglade.gateway.fleet.LeavingRunners;
 import org.wigeonglade.gateway.fleet.LoadTracker;
 import org.wigeonglade.gateway.fleet.RequestLimits;
+import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.fleet.RunnerSpeeds;
 import org.wigeonglade.gateway.job.FailureCounter;
 import org.wigeonglade.gateway.job.ItemId;
 import org.wigeonglade.gateway.job.JobId;
@@ -113,6 +117,10 @@
 
 	private Supplier<List<OutputClaims.Claim>> outputClaims = List::of;
 
+	private RunnerSpeeds speeds = new RunnerSpeeds();
+
+	private Function<RunnerId, Optional<RunnerEntry>> registrations = (runner) -> Optional.empty();
+
 	/**
 	 * Creates an exchange that is not bound to a socket yet.
 	 * @param self this host, not null
@@ -160,6 +168,16 @@
 		this.outputClaims = claims;
 	}
 
+	/**
+	 * Sets the speeds of runners, which are exchanged with the other hosts.
+	 * @param runnerSpeeds the speeds, updated from datagrams, not null
+	 * @param registered finds the registration of a runner, not null
+	 */
+	public void setSpeeds(RunnerSpeeds runnerSpeeds, Function<RunnerId, Optional<RunnerEntry>> registered) {
+		this.speeds = runnerSpeeds;
+		this.registrations = registered;
+	}
+
 	/**
 	 * Sets whether this host connects others to runners.
 	 * @param isRelaying the supplier of the answer, not null
@@ -323,13 +341,15 @@
 	private void addLoads(Datagram.Builder builder) {
 		Map<RunnerId, LoadTracker.Load> loads = this.loadTracker.getLocalLoads();
 		Map<RunnerId, Integer> sent = this.requestLimits.getSent();
+		Map<RunnerId, Integer> reports = this.speeds.selectReports(loads.keySet(), this.ticker.millis());
 		Sets.union(loads.keySet(), sent.keySet()).forEach((runner) -> {
 			LoadTracker.Load load = loads.getOrDefault(runner, LoadTracker.Load.NONE);
 			builder.addLoads(RunnerLoad.newBuilder()
 				.setRunner(runner.value())
 				.setOnline(load.online())
 				.setBatch(load.batch())
-				.setSent(sent.getOrDefault(runner, 0)));
+				.setSent(sent.getOrDefault(runner, 0))
+				.setSpeed(reports.getOrDefault(runner, 0)));
 		});
 	}
 
@@ -388,6 +408,11 @@
 		if (this.loadTracker.applyReport(host,
 				new LoadTracker.Report(sender.getIncarnation(), datagram.getSequence(), now, loads))) {
 			chargeRemoteRequests(host + "." + sender.getIncarnation(), datagram, now);
+			datagram.getLoadsList()
+				.stream()
+				.filter((load) -> load.getSpeed() != 0)
+				.forEach((load) -> this.registrations.apply(RunnerId.of(load.getRunner()))
+					.ifPresent((runner) -> this.speeds.applyReport(host, runner, load.getSpeed(), now)));
 			this.listener.outputClaimed(host,
 					datagram.getOutputClaimsList()
 						.stream()
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -26,11 +26,13 @@
 import org.wigeonglade.gateway.fleet.ProcessIdentity;
 import org.wigeonglade.gateway.fleet.RequestLimit;
 import org.wigeonglade.gateway.fleet.RequestLimits;
+import org.wigeonglade.gateway.fleet.RunnerCapacity;
 import org.wigeonglade.gateway.fleet.RunnerDirectory;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerHealth;
 import org.wigeonglade.gateway.fleet.RunnerId;
 import org.wigeonglade.gateway.fleet.RunnerLifetime;
+import org.wigeonglade.gateway.fleet.RunnerSpeeds;
 import org.wigeonglade.gateway.fleet.SoftwareVersion;
 import org.wigeonglade.gateway.fleet.VersionHistory;
 import org.wigeonglade.gateway.log.GatewayEvent;
@@ -76,7 +78,7 @@
 
 	private final Map<ServiceName, HoldTimeEstimate> serviceHoldTimes = new HashMap<>();
 
-	private final Map<RunnerId, HoldTimeEstimate> runnerHoldTimes = new HashMap<>();
+	private final RunnerSpeeds speeds = new RunnerSpeeds();
 
 	private final RunnerConnectionPool pool;
 
@@ -389,6 +391,14 @@
 		return this.leaving.getDepartures();
 	}
 
+	/**
+	 * Returns the speeds of the runners.
+	 * @return the estimates, never null
+	 */
+	public RunnerSpeeds getSpeeds() {
+		return this.speeds;
+	}
+
 	/**
 	 * Records for how long a request occupied a slot.
 	 * @param runner the runner, not null
@@ -396,7 +406,6 @@
 	 */
 	public void recordHoldTime(RunnerEntry runner, Duration hold) {
 		serviceHoldTime(runner.service()).addSample(hold);
-		runnerHoldTime(runner).addSample(hold);
 	}
 
 	/**
@@ -427,9 +436,11 @@
 	}
 
 	private Candidate candidate(RunnerEntry entry, Predicate<FailureDomain> suspected) {
+		long now = this.ticker.millis();
+		RunnerCapacity capacity = this.speeds.getCapacity(entry, now);
 		return new Candidate(entry, this.loadTracker.getLoad(entry.id()), isAvoided(entry, suspected),
-				entry.domain().equals(this.domain), runnerHoldTime(entry).getMean(),
-				this.requestLimits.getAllowance(entry, this.ticker.millis()));
+				entry.domain().equals(this.domain), serviceHoldTime(entry.service()).getMean(capacity.speed()),
+				this.requestLimits.getAllowance(entry, now), capacity);
 	}
 
 	private boolean isAccepting(RunnerEntry entry) {
@@ -453,7 +464,7 @@
 			.isEmpty());
 		this.pool.closeExpired(this.directory);
 		this.pool.probe(this.directory);
-		this.runnerHoldTimes.keySet().removeIf((id) -> this.directory.find(id).isEmpty());
+		this.speeds.removeUnregistered(this.directory, now);
 	}
 
 	/**
@@ -488,13 +499,6 @@
 		return Math.max(MIN_CONNECTIONS, 2 * total / Math.max(1, this.liveHostCount.getAsInt()));
 	}
 
-	// The runners of a service differ in speed; a new runner starts from the mean of its
-	// service.
-	private HoldTimeEstimate runnerHoldTime(RunnerEntry runner) {
-		return this.runnerHoldTimes.computeIfAbsent(runner.id(),
-				(id) -> HoldTimeEstimate.copyOf(serviceHoldTime(runner.service())));
-	}
-
 	private HoldTimeEstimate serviceHoldTime(ServiceName service) {
 		return this.serviceHoldTimes.computeIfAbsent(service, (s) -> HoldTimeEstimate.initial());
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -54,6 +54,8 @@
 
 	private boolean ended;
 
+	private boolean readingPaused;
+
 	private RunnerCall(Fleet fleet, RunnerEntry runner, RunnerRequest request, Listener listener) {
 		this.fleet = fleet;
 		this.runner = runner;
@@ -139,11 +141,20 @@
 	 * @param reading false to pause
 	 */
 	public void setReading(boolean reading) {
+		this.readingPaused |= !reading;
 		if (!this.ended && this.connection != null) {
 			this.connection.setReading(reading);
 		}
 	}
 
+	/**
+	 * Returns whether reading the response was paused at any time.
+	 * @return true if the times of events are not those of the runner
+	 */
+	public boolean isReadingPaused() {
+		return this.readingPaused;
+	}
+
 	@Override
 	public boolean matches(HttpResponse response) {
 		RunnerResponseHead head = this.fleet.getProtocol().read(response);
