--- a/bench/src/main/java/org/wigeonglade/bench/model/ModelWork.java
+++ b/bench/src/main/java/org/wigeonglade/bench/model/ModelWork.java
@@ -10,6 +10,9 @@
  */
 final class ModelWork {
 
+	/** Work that takes less is a response that is not a stream. */
+	private static final double LONGEST_RESPONSE_MILLIS = 100;
+
 	private final int host;
 
 	private final boolean batch;
@@ -20,7 +23,19 @@
 
 	private double remainingMillis;
 
-	private double startedMillis = -1;
+	private double progressMillis;
+
+	private double speed = 1;
+
+	private double episodeFromMillis = Double.MAX_VALUE;
+
+	private int step;
+
+	private double uncountedMillis;
+
+	private final boolean response;
+
+	private double startedMillis;
 
 	private double visitedMillis;
 
@@ -34,6 +49,7 @@
 		this.arrivedMillis = arrivedMillis;
 		this.visitedMillis = arrivedMillis;
 		this.remainingMillis = holdMillis;
+		this.response = holdMillis < LONGEST_RESPONSE_MILLIS;
 	}
 
 	int getHost() {
@@ -48,10 +64,6 @@
 		return this.arrivedMillis;
 	}
 
-	double getRemainingMillis() {
-		return this.remainingMillis;
-	}
-
 	Set<RunnerId> getDeclinedBy() {
 		return this.declinedBy;
 	}
@@ -80,21 +92,63 @@
 		this.declinedBy.clear();
 	}
 
-	void start(double nowMillis) {
+	// Starts a run. A slow episode begins at the given time, if any.
+	void start(double nowMillis, double episodeFrom) {
 		this.startedMillis = nowMillis;
+		this.progressMillis = nowMillis;
+		this.episodeFromMillis = episodeFrom;
+		this.step++;
+	}
+
+	double getEpisodeFromMillis() {
+		return this.episodeFromMillis;
+	}
+
+	// Counts the work done since the last call and sets the speed from now on. Returns
+	// the
+	// work done, in the time that a runner of mean speed takes for it.
+	double proceed(double nowMillis, double nextSpeed) {
+		double done = this.speed * (nowMillis - this.progressMillis);
+		this.remainingMillis = Math.max(0, this.remainingMillis - done);
+		this.progressMillis = nowMillis;
+		this.speed = nextSpeed;
+		this.step++;
+		return done;
+	}
+
+	double getProgressMillis() {
+		return this.progressMillis;
+	}
+
+	// Returns the time to the end at the present speed.
+	double getTimeLeft() {
+		return this.remainingMillis / this.speed;
+	}
+
+	// Returns a number that changes with each call of proceed, start or stop.
+	int getStep() {
+		return this.step;
+	}
+
+	boolean isResponse() {
+		return this.response;
+	}
+
+	double getStartedMillis() {
+		return this.startedMillis;
 	}
 
-	// Returns the time since the start of the present run, negative while there is none.
-	double getElapsedMillis(double nowMillis) {
-		return (this.startedMillis >= 0) ? nowMillis - this.startedMillis : -1;
+	int takeEvents(double doneMillis, double eventMillis) {
+		this.uncountedMillis += doneMillis;
+		int events = (int) (this.uncountedMillis / eventMillis);
+		this.uncountedMillis -= events * eventMillis;
+		return events;
 	}
 
 	// Keeps the progress of an item that gives its slot back.
-	void stop(double nowMillis) {
-		if (this.startedMillis >= 0) {
-			this.remainingMillis = Math.max(1, this.remainingMillis - (nowMillis - this.startedMillis));
-			this.startedMillis = -1;
-		}
+	void stop() {
+		this.remainingMillis = Math.max(1, this.remainingMillis);
+		this.step++;
 	}
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -17,6 +17,8 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
+import org.wigeonglade.gateway.fleet.RunnerProgress;
+import org.wigeonglade.gateway.fleet.WorkKind;
 import org.wigeonglade.gateway.runner.ConnectionUse;
 import org.wigeonglade.gateway.runner.Fleet;
 import org.wigeonglade.gateway.runner.RunnerCall;
@@ -174,7 +176,8 @@
 		RunnerRequest request = new RunnerRequest(this.item.id().value(), HttpMethod.POST, this.item.path(), headers,
 				this.item.body(), ticker.millis() + remaining.toMillis(), this.sequence.getLast(),
 				Optional.of(this.binding), true, RequestIdentity.ofJob(this.job.getWorkspace()), this.freshConnection);
-		Receiver current = new Receiver(loop, ticker, runner);
+		Receiver current = new Receiver(loop, ticker, runner,
+				new RunnerProgress(fleet.getSpeeds(), WorkKind.ITEM_EVENT, false, ticker.millis()));
 		this.receiver = current;
 		RunnerCall started = RunnerCall.start(fleet, runner, request, current);
 		if (!current.finished) {
@@ -225,7 +228,10 @@
 
 		private ScheduledFuture<?> idleTimer;
 
-		private Receiver(EventLoop loop, Ticker ticker, RunnerEntry runner) {
+		private final RunnerProgress progress;
+
+		private Receiver(EventLoop loop, Ticker ticker, RunnerEntry runner, RunnerProgress progress) {
+			this.progress = progress;
 			this.loop = loop;
 			this.ticker = ticker;
 			this.runner = runner;
@@ -258,6 +264,8 @@
 			}
 			if (received.stream().anyMatch(StreamEvent::hasContent)) {
 				this.progressMillis = this.ticker.millis();
+				this.progress.eventsReceived(ItemRun.this.call.getRunner(), false,
+						(int) received.stream().filter(StreamEvent::hasContent).count(), this.progressMillis);
 			}
 			for (StreamEvent event : received) {
 				Optional<String> fault = ItemRun.this.sequence.add(event);
@@ -289,6 +297,9 @@
 						"the stream ended within an event or before the first"));
 				return;
 			}
+			if (this.head.notRun() && !this.head.wrongRunner() && !this.head.leaving()) {
+				this.progress.refused(this.runner, this.ticker.millis());
+			}
 			finish();
 			if (this.head.isSuccess()) {
 				ItemRun.this.listener.completed(ItemRun.this, this.runner);
