Send requests only to runners whose memory they fit into

A runner crashes if the requests that it runs and queues exceed its memory in tokens. Hosts did not know the sizes.

Each host counts the tokens that it has in progress at each runner of a service with engine.kv-capacity-tokens, reports them in RunnerLoad.tokens, and removes the runners on which a request does not fit before placement. Requests that fit nowhere are refused at once; items wait, and smaller ones pass them. A reserve covers lagging reports and hosts that are not heard.

Trials with reserves of 2 to 4 deviations, and with a rule that let any request use the reserve of an idle runner, overran runners.

--- a/gateway/src/main/java/org/wigeonglade/gateway/caller/CallerProtocol.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/caller/CallerProtocol.java
@@ -66,6 +66,13 @@
 	 */
 	List<String> promptParts(HttpHeaders headers);
 
+	/**
+	 * Returns the size of a request.
+	 * @param headers the headers, not null
+	 * @return the size, empty if the caller gave none or it cannot be decoded
+	 */
+	Optional<TokenUsage> tokenUsage(HttpHeaders headers);
+
 	/**
 	 * Decodes a submitted job.
 	 * @param id the id of the job, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/Placement.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/Placement.java
@@ -45,6 +45,12 @@
 		/** Every runner has had as many requests as its rate limit admits. */
 		RATE_LIMITED,
 
+		/** The tokens of the request fit into the free memory of no runner. */
+		MEMORY_FULL,
+
+		/** The tokens of the request exceed the whole memory of every runner. */
+		TOO_LARGE,
+
 		/** The expected wait at every runner exceeds the constraints of the request. */
 		OVERLOADED
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
@@ -116,6 +116,15 @@
 			.orElseGet(() -> queueOrRefuse(usable, constraints, estimateUnreportedRequests(usable)));
 	}
 
+	/**
+	 * Refuses an online request that currently fits into the memory of no runner.
+	 * @param constraints the timing constraints of the request, not null
+	 * @return the refusal, never null
+	 */
+	public Placement.Refuse refuseForMemory(RequestConstraints constraints) {
+		return new Placement.Refuse(Placement.Cause.MEMORY_FULL, retryAfter(MIN_OVERLOAD_RETRY, constraints));
+	}
+
 	/**
 	 * Decides how many batch items to preempt for a request that was sent to a runner and
 	 * has had no response for a while.
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -18,7 +19,10 @@
 import org.wigeonglade.core.error.FailureText;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.fleet.KvMemoryPolicy;
+import org.wigeonglade.gateway.fleet.KvMemoryTracker;
 import org.wigeonglade.gateway.fleet.PlacementPolicy;
 import org.wigeonglade.gateway.fleet.RunnerId;
 import org.wigeonglade.gateway.http.CallerExchange;
@@ -219,6 +223,11 @@
 				this::register);
 		this.exchange = new PeerStateExchange(this.self, this.loop, ticker, this.fleet.getLoadTracker(),
 				this.fleet.getRequestLimits(), this.peers, new PeerListener());
+		KvMemoryPolicy memory = new KvMemoryPolicy(new KvMemoryTracker(), this::findKvCapacity, this::reportLag,
+				() -> this.peers.getHostStatuses(ticker.millis()));
+		this.fleet.setMemoryPolicy(memory);
+		this.exchange.setMemoryTracker(memory.getTracker());
+		MemoryMetrics.registerTokens(this.registry, this.fleet);
 		this.crashReports = new CrashReportPublisher(this.self, this.exchange, this.writer, this.loop, ticker);
 		this.limits = new RequestLimitPublisher(this.fleet, this.exchange, this.writer, ticker);
 		this.configurationFollower = new StreamFollower(log, KeyedStream.CONFIGURATION, CONFIGURATION_POLL_TIMING,
@@ -502,6 +511,11 @@
 		return this.exchange.getReportLag();
 	}
 
+	private OptionalLong findKvCapacity(ServiceName service) {
+		RoutingTable table = this.fleet.getRoutingTable();
+		return (table != null) ? table.findKvCapacity(service) : OptionalLong.empty();
+	}
+
 	private CallerLimits callerLimits() {
 		RoutingTable table = this.fleet.getRoutingTable();
 		return (table != null) ? table.getLimits() : CallerLimits.DEFAULTS;
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -172,7 +172,7 @@
 		headers.set(HttpHeaderNames.HOST, this.job.getHostName());
 		RunnerRequest request = new RunnerRequest(this.item.id().value(), HttpMethod.POST, this.item.path(), headers,
 				this.item.body(), ticker.millis() + remaining.toMillis(), this.sequence.getLast(),
-				Optional.of(this.binding), true, this.freshConnection);
+				Optional.of(this.binding), true, this.freshConnection, this.item.tokens());
 		Receiver current = new Receiver(loop, ticker, runner);
 		this.receiver = current;
 		RunnerCall started = RunnerCall.start(fleet, runner, request, current);
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -212,17 +212,19 @@
 		}
 		List<WaitingItem> waiting = findWaitingItems();
 		Set<HostId> contenders = findContenders();
-		Set<ItemDemand> full = new HashSet<>();
+		FullDemands full = new FullDemands();
 		Map<ServiceName, List<Candidate>> accepting = new HashMap<>();
 		int remaining = waiting.size();
 		for (WaitingItem next : waiting) {
 			ServiceName service = next.route.chooseService(next.item.id().value());
 			ItemDemand demand = demandOf(next.key, service, accepting);
-			if (giveUpIfLimitReached(next) || (!full.contains(demand) && start(next, demand, contenders))) {
+			long tokens = this.fleet.getMemoryPolicy().getSize(service, next.item.tokens());
+			if (giveUpIfLimitReached(next, service)
+					|| (!full.contains(demand, tokens) && start(next, demand, contenders))) {
 				remaining--;
 			}
 			else {
-				full.add(demand);
+				full.add(demand, tokens);
 			}
 		}
 		this.waitingCount = remaining;
@@ -429,7 +431,9 @@
 		Route route = waiting.route;
 		long now = this.ticker.millis();
 		this.pausedUntil.values().removeIf((until) -> until <= now);
-		List<Candidate> candidates = this.fleet.candidates(demand.service(), this.pausedUntil.keySet());
+		List<Candidate> candidates = this.fleet.getMemoryPolicy()
+			.selectFitting(this.fleet.candidates(demand.service(), this.pausedUntil.keySet()), waiting.item.tokens(),
+					true);
 		Predicate<Candidate> slotAllocator = (candidate) -> tryAllocateSlot(candidate, contenders);
 		Optional<RunnerEntry> runner = this.policy.placeBatch(demand.selectFitting(candidates), slotAllocator);
 		if (runner.isEmpty() && demand.mayBeginAnew() && !this.stopping) {
@@ -467,10 +471,11 @@
 	}
 
 	// Returns whether the item must not run; it is given up once that is confirmed.
-	private boolean giveUpIfLimitReached(WaitingItem waiting) {
+	private boolean giveUpIfLimitReached(WaitingItem waiting, ServiceName service) {
 		Duration age = Duration.ofMillis(this.ticker.wallMillis() - waiting.job.getSubmittedAtMillis());
 		Optional<String> limit = ItemRetryPolicy.giveUpAtAge(age, waiting.route.getRetention())
-			.or(() -> ItemRetryPolicy.giveUpAfter(this.failures.getTotal(waiting.key), waiting.route.getMaxAttempts()));
+			.or(() -> ItemRetryPolicy.giveUpAfter(this.failures.getTotal(waiting.key), waiting.route.getMaxAttempts()))
+			.or(() -> this.fleet.getMemoryPolicy().findExcess(service, waiting.item.tokens()));
 		if (limit.isEmpty()) {
 			this.giveUps.clear(waiting.key);
 			return false;
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -18,6 +18,7 @@
 import org.wigeonglade.core.id.Fingerprint;
 import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.retry.Quarantine;
+import org.wigeonglade.gateway.caller.TokenUsage;
 import org.wigeonglade.gateway.fleet.Candidate;
 import org.wigeonglade.gateway.fleet.LoadTracker;
 import org.wigeonglade.gateway.fleet.Placement;
@@ -83,6 +84,8 @@
 
 	private final String resumedStream;
 
+	private final long tokens;
+
 	private final HttpHeaders headers;
 
 	private final RetryPolicy retryPolicy;
@@ -116,6 +119,7 @@
 		HttpHeaders received = exchange.getRequest().headers();
 		this.id = context.protocol().requestId(received).orElse("");
 		this.resumedStream = context.protocol().resumedStream(received).orElse(null);
+		this.tokens = context.protocol().tokenUsage(received).map(TokenUsage::getTotal).orElse(0L);
 		this.service = route.chooseService(this.id);
 		this.headers = new DefaultHttpHeaders().set(received);
 		HopByHopHeaders.strip(this.headers);
@@ -254,7 +258,12 @@
 			refuseResumption();
 			return;
 		}
-		switch (this.context.policy().place(candidates, constraints)) {
+		List<Candidate> fitting = this.context.fleet().getMemoryPolicy().selectFitting(candidates, this.tokens, false);
+		if (fitting.isEmpty() && !candidates.isEmpty()) {
+			refuseForMemory(candidates, constraints);
+			return;
+		}
+		switch (this.context.policy().place(fitting, constraints)) {
 			case Placement.Send send -> {
 				preemptAndLogPlacement(send);
 				send(send.runner(), send.expectedWait().toMillis());
@@ -269,7 +278,7 @@
 				this.exchange.getRequest().uri(), this.headers, this.exchange.getBody(), this.deadlineMillis,
 				this.response.getLastEventId(),
 				(this.route.getKind() == RouteKind.STREAM) ? Optional.of(this.binding) : Optional.empty(), false,
-				this.freshConnection);
+				this.freshConnection, this.tokens);
 		this.attempt = new Attempt(this.context, this.route, this.response, this, runner, expectedWaitMillis);
 		this.attempt.start(request);
 	}
@@ -284,6 +293,18 @@
 		logAndRefuse(refusal.cause(), candidates, retryMillis);
 	}
 
+	// The memory of runners does not grow, so the caller is not asked to retry if the
+	// request exceeds it.
+	private void refuseForMemory(List<Candidate> candidates, RequestConstraints constraints) {
+		Optional<String> excess = this.context.fleet().getMemoryPolicy().findExcess(this.service, this.tokens);
+		if (excess.isPresent() && this.retryPolicy.isNotRun()) {
+			logAndRefuse(Placement.Cause.TOO_LARGE, candidates, -1);
+		}
+		else {
+			refuse(this.context.policy().refuseForMemory(constraints), candidates);
+		}
+	}
+
 	// A version that has left does not return, so the caller is not asked to retry.
 	private void refuseResumption() {
 		Placement.Cause cause = (this.binding instanceof StreamBinding.Unknown) ? Placement.Cause.UNKNOWN_VERSION
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
@@ -13,9 +13,11 @@
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import com.google.common.collect.Lists;
 import com.google.common.collect.Sets;
+import com.google.common.primitives.Ints;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -30,6 +32,7 @@
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.fleet.KvMemoryTracker;
 import org.wigeonglade.gateway.fleet.LeavingRunners;
 import org.wigeonglade.gateway.fleet.LoadTracker;
 import org.wigeonglade.gateway.fleet.RequestLimits;
@@ -89,6 +92,8 @@
 
 	private final Listener listener;
 
+	private KvMemoryTracker memory = new KvMemoryTracker();
+
 	private final Map<HostId, Long> lastSent = new HashMap<>();
 
 	private Channel channel;
@@ -160,6 +165,14 @@
 		this.outputClaims = claims;
 	}
 
+	/**
+	 * Sets the tokens in progress, which are updated from datagrams.
+	 * @param tracker the tracker, not null
+	 */
+	public void setMemoryTracker(KvMemoryTracker tracker) {
+		this.memory = tracker;
+	}
+
 	/**
 	 * Sets whether this host connects others to runners.
 	 * @param isRelaying the supplier of the answer, not null
@@ -323,13 +336,15 @@
 	private void addLoads(Datagram.Builder builder) {
 		Map<RunnerId, LoadTracker.Load> loads = this.loadTracker.getLocalLoads();
 		Map<RunnerId, Integer> sent = this.requestLimits.getSent();
-		Sets.union(loads.keySet(), sent.keySet()).forEach((runner) -> {
+		Map<RunnerId, Long> tokens = this.memory.getLocal();
+		Sets.union(Sets.union(loads.keySet(), sent.keySet()), tokens.keySet()).forEach((runner) -> {
 			LoadTracker.Load load = loads.getOrDefault(runner, LoadTracker.Load.NONE);
 			builder.addLoads(RunnerLoad.newBuilder()
 				.setRunner(runner.value())
 				.setOnline(load.online())
 				.setBatch(load.batch())
-				.setSent(sent.getOrDefault(runner, 0)));
+				.setSent(sent.getOrDefault(runner, 0))
+				.setTokens(Ints.saturatedCast(tokens.getOrDefault(runner, 0L))));
 		});
 	}
 
@@ -388,6 +403,12 @@
 		if (this.loadTracker.applyReport(host,
 				new LoadTracker.Report(sender.getIncarnation(), datagram.getSequence(), now, loads))) {
 			chargeRemoteRequests(host + "." + sender.getIncarnation(), datagram, now);
+			this.memory.applyReport(host, sender.getIncarnation(), datagram.getSequence(),
+					datagram.getLoadsList()
+						.stream()
+						.filter((load) -> load.getTokens() > 0)
+						.collect(Collectors.toMap((l) -> RunnerId.of(l.getRunner()), RunnerLoad::getTokens, Math::max)),
+					now);
 			this.listener.outputClaimed(host,
 					datagram.getOutputClaimsList()
 						.stream()
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
@@ -10,6 +10,7 @@
 
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.gateway.fleet.KvMemoryPolicy;
 
 /**
  * The membership table and failure detector of the other hosts, updated from
@@ -30,6 +31,13 @@
 	 */
 	public static final long LIVENESS_TIMEOUT_MILLIS = 1_500;
 
+	/**
+	 * Time in milliseconds without a datagram after which what a host has in progress is
+	 * no longer known well: longer than a heartbeat interval. If it is taken for silent
+	 * because a datagram was lost, little memory of runners is kept for it in vain.
+	 */
+	private static final long REPORT_TIMEOUT_MILLIS = 300;
+
 	private final Map<HostId, Peer> peers = new HashMap<>();
 
 	private long version;
@@ -173,6 +181,21 @@
 		return unresponsive > 1 && otherDomainReachable;
 	}
 
+	/**
+	 * Returns which of the other hosts are heard. A host counts as not heard sooner than
+	 * it counts as lost: until then, the sides of a partition do not see what the other
+	 * side sends to a runner.
+	 * @param nowMillis the monotonic time in milliseconds
+	 * @return the hosts, never null
+	 */
+	public List<KvMemoryPolicy.HostStatus> getHostStatuses(long nowMillis) {
+		return this.peers.values()
+			.stream()
+			.map((peer) -> new KvMemoryPolicy.HostStatus(peer.getHost(),
+					peer.isAlive() && peer.getSilenceMillis(nowMillis) <= REPORT_TIMEOUT_MILLIS))
+			.toList();
+	}
+
 	/**
 	 * Returns the number of other hosts that are alive.
 	 * @return the number, without this host
--- a/gateway/src/main/java/org/wigeonglade/gateway/route/RoutingTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/route/RoutingTable.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.wigeonglade.core.id.ServiceName;
 
@@ -74,6 +75,16 @@
 		return Optional.ofNullable(this.services.get(name));
 	}
 
+	/**
+	 * Returns the memory of one runner of a service.
+	 * @param name the name of the service, not null
+	 * @return the memory in tokens, empty if it is not accounted for
+	 */
+	public OptionalLong findKvCapacity(ServiceName name) {
+		ServiceSpec service = this.services.get(name);
+		return (service != null) ? service.kvCapacityTokens() : OptionalLong.empty();
+	}
+
 	/**
 	 * Returns the number of routes.
 	 * @return the number
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -21,6 +21,7 @@
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.Candidate;
 import org.wigeonglade.gateway.fleet.HoldTimeEstimate;
+import org.wigeonglade.gateway.fleet.KvMemoryPolicy;
 import org.wigeonglade.gateway.fleet.LeavingRunners;
 import org.wigeonglade.gateway.fleet.LoadTracker;
 import org.wigeonglade.gateway.fleet.ProcessIdentity;
@@ -103,6 +104,8 @@
 
 	private RoutingTable table;
 
+	private KvMemoryPolicy memory = KvMemoryPolicy.none();
+
 	/**
 	 * Creates a fleet without runners.
 	 * @param pool the connections to runners, not null
@@ -127,6 +130,22 @@
 		this.liveHostCount = supplier;
 	}
 
+	/**
+	 * Sets the policy that accounts for the memory of runners.
+	 * @param policy the policy, not null
+	 */
+	public void setMemoryPolicy(KvMemoryPolicy policy) {
+		this.memory = policy;
+	}
+
+	/**
+	 * Returns the policy that accounts for the memory of runners.
+	 * @return the policy, never null
+	 */
+	public KvMemoryPolicy getMemoryPolicy() {
+		return this.memory;
+	}
+
 	/**
 	 * Sets the test for failure domains that seem to be partitioned from this host.
 	 * @param test true for a failure domain that is suspected to be partitioned, not null
@@ -446,6 +465,9 @@
 		observeVersions();
 		this.loadTracker.expire(now);
 		this.leaving.expire(now);
+		if (this.memory.getTracker().expire(now)) {
+			this.loadListener.run();
+		}
 		this.health.removeUnregistered(this.directory);
 		this.requestLimits.removeUnregistered(this.directory, this.ticker.wallMillis());
 		this.reportless.removeIf((process) -> this.directory.find(process.runner())
@@ -503,6 +525,15 @@
 		this.requestLimits.recordSent(runner, this.ticker.millis());
 	}
 
+	// Returns the tokens that the request counts as.
+	long chargeMemory(RunnerEntry runner, long statedTokens) {
+		return this.memory.charge(runner, statedTokens);
+	}
+
+	void releaseMemory(RunnerId runner, long tokens, boolean complete) {
+		this.memory.getTracker().remove(runner, tokens, complete, this.ticker.millis());
+	}
+
 	void adjustInProgress(RunnerId runner, boolean batch, int change) {
 		this.loadTracker.add(runner, batch ? 0 : change, batch ? change : 0);
 		this.loadListener.run();
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -52,6 +52,8 @@
 
 	private int errorBodyBytes;
 
+	private long chargedTokens;
+
 	private boolean ended;
 
 	private RunnerCall(Fleet fleet, RunnerEntry runner, RunnerRequest request, Listener listener) {
@@ -72,6 +74,7 @@
 	public static RunnerCall start(Fleet fleet, RunnerEntry runner, RunnerRequest request, Listener listener) {
 		RunnerCall call = new RunnerCall(fleet, runner, request, listener);
 		fleet.recordSent(runner);
+		call.chargedTokens = fleet.chargeMemory(runner, request.tokens());
 		fleet.adjustInProgress(runner.id(), request.batch(), 1);
 		call.acquireConnection();
 		return call;
@@ -199,7 +202,7 @@
 	@Override
 	public void end() {
 		if (!this.ended) {
-			finish();
+			finish(true);
 			this.fleet.getPool().release(this.runner.id(), this.connection, this.responseHead);
 			this.listener.end();
 		}
@@ -347,7 +350,12 @@
 	}
 
 	private void finish() {
+		finish(false);
+	}
+
+	private void finish(boolean complete) {
 		this.ended = true;
+		this.fleet.releaseMemory(this.runner.id(), this.chargedTokens, complete || !this.sent);
 		this.fleet.adjustInProgress(this.runner.id(), this.request.batch(), -1);
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
@@ -21,9 +21,10 @@
  * not a stream
  * @param batch whether it is a batch item rather than an online request
  * @param freshConnection whether it must be sent on a new connection
+ * @param tokens the stated size in tokens, 0 if it is not known
  */
 public record RunnerRequest(String id, HttpMethod method, String uri, HttpHeaders headers, byte[] body,
 		long deadlineMillis, OptionalLong resumeAfter, Optional<StreamBinding> binding, boolean batch,
-		boolean freshConnection) {
+		boolean freshConnection, long tokens) {
 
 }
