Bound what a host buffers for slow callers and uploads

Each connection was bounded by its write water mark, all of them together were not: 2,000 callers that read nothing hold up to 64 KiB each, of 32 MiB of direct memory. Nothing ended a response that nobody read, and a runner whose response was paused counted as silent and was avoided.

A budget of the process, from the limits of the JVM, bounds unread responses and uploads. Beyond it the caller that has taken nothing for longest loses its response; large uploads are refused with 503. A caller that takes no byte for 3 s loses its response, which frees the slot. A paused runner does not count as silent.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -25,6 +25,7 @@
 import org.wigeonglade.gateway.fleet.KvMemoryTracker;
 import org.wigeonglade.gateway.fleet.PlacementPolicy;
 import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.http.BufferBudget;
 import org.wigeonglade.gateway.http.CallerExchange;
 import org.wigeonglade.gateway.http.CallerServer;
 import org.wigeonglade.gateway.http.Connector;
@@ -261,6 +262,9 @@
 				new OnlineMetrics(this.registry));
 		this.callerServer = new CallerServer(this.group, ticker, this::callerLimits,
 				new CallRouter(this.jobs, online, this.configurationFollower, () -> this.shutdown)::handle);
+		BufferBudget budget = BufferBudget.ofProcess();
+		this.callerServer.setBudget(budget);
+		MemoryMetrics.registerBuffers(this.registry, budget);
 		this.readinessServer = new CallerServer(this.group, ticker, () -> CallerLimits.DEFAULTS, this::answerReadiness);
 		this.metricsServer = new CallerServer(this.group, ticker, () -> CallerLimits.DEFAULTS, this::answerMetrics);
 	}
@@ -456,6 +460,7 @@
 		this.peerMonitor.checkLiveness();
 		this.gatewayStreamAge.check();
 		this.exchange.sendHeartbeats();
+		this.callerServer.cutOffSlowReaders();
 		updateReadiness();
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -56,6 +57,10 @@
 
 	private boolean closing;
 
+	private final ReaderProgress progress = new ReaderProgress();
+
+	private long reservedUpload;
+
 	private long idleSinceMillis;
 
 	private ScheduledFuture<?> timer;
@@ -93,6 +98,53 @@
 		return this.idleSinceMillis;
 	}
 
+	ReaderProgress getProgress() {
+		return this.progress;
+	}
+
+	// Returns the bytes that wait for the caller.
+	long updateProgress() {
+		if (!this.channel.isOpen()) {
+			return 0;
+		}
+		ChannelOutboundBuffer buffer = this.channel.unsafe().outboundBuffer();
+		boolean empty = buffer == null || buffer.isEmpty();
+		this.server.getBudget()
+			.adjustResponses(this.progress.update(empty ? null : buffer.current(), empty ? 0 : buffer.currentProgress(),
+					(buffer != null) ? buffer.totalPendingWriteBytes() : 0, this.server.nowMillis()));
+		return this.progress.getPendingBytes();
+	}
+
+	// The bytes are released when the channel has closed, but do not count any more.
+	void cutOff() {
+		this.server.getBudget().countCutOff();
+		this.server.getBudget().adjustResponses(this.progress.update(null, 0, 0, this.server.nowMillis()));
+		this.channel.close();
+	}
+
+	// Called after each write of a part of a response.
+	void written() {
+		if (updateProgress() > 0 && this.server.getBudget().isExceeded()) {
+			this.server.cutOffSlowReaders();
+		}
+	}
+
+	private boolean tryReserveUpload(long bytes) {
+		if (bytes <= Math.max(BufferBudget.SMALL_UPLOAD_BYTES, this.reservedUpload)) {
+			return true;
+		}
+		boolean reserved = this.server.getBudget().tryReserveUpload(bytes - this.reservedUpload);
+		if (reserved) {
+			this.reservedUpload = bytes;
+		}
+		return reserved;
+	}
+
+	private void releaseUpload() {
+		this.server.getBudget().releaseUpload(this.reservedUpload);
+		this.reservedUpload = 0;
+	}
+
 	void close() {
 		this.channel.close();
 	}
@@ -105,6 +157,9 @@
 
 	void exchangeEnded(boolean closing) {
 		this.current = null;
+		if (this.head == null && this.pipelined.isEmpty()) {
+			releaseUpload();
+		}
 		if (closing) {
 			this.closing = true;
 			this.pipelined.clear();
@@ -130,6 +185,8 @@
 	public void channelInactive(ChannelHandlerContext context) {
 		stopTimer();
 		this.server.remove(this);
+		this.server.getBudget().adjustResponses(-this.progress.getPendingBytes());
+		releaseUpload();
 		CallerExchange interrupted = this.current;
 		this.current = null;
 		this.pipelined.clear();
@@ -140,6 +197,7 @@
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		updateProgress();
 		if (this.current != null && this.channel.isWritable()) {
 			this.current.notifyWritable();
 		}
@@ -183,6 +241,10 @@
 			refuse(413, "the body is too large");
 			return;
 		}
+		if (!tryReserveUpload(HttpUtil.getContentLength(request, 0L))) {
+			refuse(503, "the host has no memory for the body");
+			return;
+		}
 		if (HttpUtil.is100ContinueExpected(request)) {
 			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
 					Unpooled.EMPTY_BUFFER));
@@ -200,6 +262,10 @@
 				refuse(413, "the body is too large");
 				return;
 			}
+			if (!tryReserveUpload(this.body.size())) {
+				refuse(503, "the host has no memory for the body");
+				return;
+			}
 		}
 		if (content instanceof LastHttpContent) {
 			CallerExchange exchange = new CallerExchange(this, this.head, this.body.toByteArray(),
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerExchange.java
@@ -235,6 +235,7 @@
 			}
 		}
 		channel().writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(content)));
+		this.connection.written();
 	}
 
 	/**
@@ -286,6 +287,7 @@
 			written.addListener(ChannelFutureListener.CLOSE);
 		}
 		this.connection.exchangeEnded(close);
+		this.connection.written();
 	}
 
 	// A regular close marks the end of a body that has no other end, so a close before it
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerServer.java
@@ -1,6 +1,7 @@
 package org.wigeonglade.gateway.http;
 
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -15,7 +16,9 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.log.GatewayEvent;
 import org.wigeonglade.gateway.route.CallerLimits;
 
 /**
@@ -30,6 +33,14 @@
 	 */
 	private static final long MIN_IDLE_MILLIS = 250;
 
+	/**
+	 * Time in milliseconds without a byte taken after which a caller loses its response.
+	 * Runners abort a response that is not read for some seconds.
+	 */
+	private static final long READ_TIMEOUT_MILLIS = 3_000;
+
+	private static final EventLogger LOG = EventLogger.of(CallerServer.class);
+
 	/** Length of the queue of connections that are not accepted yet. */
 	private static final int BACKLOG = 1024;
 
@@ -43,6 +54,8 @@
 
 	private final Set<CallerConnection> connections = new HashSet<>();
 
+	private BufferBudget budget = new BufferBudget(Long.MAX_VALUE, Long.MAX_VALUE);
+
 	private Channel listener;
 
 	private boolean draining;
@@ -62,6 +75,42 @@
 		this.handler = handler;
 	}
 
+	/**
+	 * Sets the memory for buffered data, which other servers may share.
+	 * @param shared the budget, not null
+	 */
+	public void setBudget(BufferBudget shared) {
+		this.budget = shared;
+	}
+
+	/**
+	 * Closes the connections of callers that have not taken a byte of their response for
+	 * {@value #READ_TIMEOUT_MILLIS} ms, and those of the slowest ones while unread
+	 * responses take more memory than the budget allows.
+	 */
+	public void cutOffSlowReaders() {
+		long now = nowMillis();
+		List<CallerConnection> waiting = List.copyOf(this.connections)
+			.stream()
+			.filter((connection) -> connection.updateProgress() > 0)
+			.sorted(Comparator
+				.comparingLong((CallerConnection connection) -> connection.getProgress().getStalledMillis(now))
+				.thenComparingLong((connection) -> connection.getProgress().getPendingBytes())
+				.reversed())
+			.toList();
+		for (CallerConnection connection : waiting) {
+			boolean stalled = connection.getProgress().getStalledMillis(now) >= READ_TIMEOUT_MILLIS;
+			if (!stalled && !this.budget.isExceeded()) {
+				return;
+			}
+			LOG.log(GatewayEvent.SLOW_READER_CUT_OFF, connection.getChannel().remoteAddress(),
+					connection.getProgress().getStalledMillis(now), connection.getProgress().getPendingBytes(),
+					stalled ? "no byte was read in time" : "unread responses exceed the memory for them",
+					this.budget.getResponseBytes());
+			connection.cutOff();
+		}
+	}
+
 	/**
 	 * Starts listening.
 	 * @param address the local address, not null
@@ -154,6 +203,10 @@
 		return this.draining;
 	}
 
+	BufferBudget getBudget() {
+		return this.budget;
+	}
+
 	CallerLimits getLimits() {
 		return this.limits.get();
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -105,6 +105,10 @@
 	RESPONSE_SKIPPED(2517, Level.WARNING, "response to another request was skipped", "request_id", "skipped_id",
 			"runner", "connection", "exchange", "relayed", "status"),
 
+	/** The connection of a caller that reads too slowly was closed. */
+	SLOW_READER_CUT_OFF(2531, Level.WARNING, "connection of a caller that reads too slowly was closed", "caller",
+			"stalled_ms", "unread_bytes", "cause", "buffered_bytes"),
+
 	/** A runner sent bytes that are not the response to a request. */
 	RESPONSE_UNSOUND(2518, Level.WARNING, "connection to a runner was closed; received bytes are no sound response",
 			"request_id", "answered_id", "runner", "connection", "exchange", "relayed", "kind", "reason",
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/Attempt.java
@@ -308,6 +308,10 @@
 	}
 
 	private void checkTimeout() {
+		if (this.callerResponse.isBlocked()) {
+			// The runner is not silent: its response is not read.
+			this.lastProgressMillis = this.context.ticker().millis();
+		}
 		long remaining = this.lastProgressMillis + timeoutMillis() - this.context.ticker().millis();
 		if (remaining > 0) {
 			scheduleTimeout(remaining);
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/CallerResponse.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/CallerResponse.java
@@ -37,6 +37,15 @@
 		this.stream = stream;
 	}
 
+	/**
+	 * Returns whether reading from the runner is paused because the caller reads too
+	 * slowly.
+	 * @return true until the caller has taken enough of the response
+	 */
+	boolean isBlocked() {
+		return isCommitted() && !this.exchange.isWritable();
+	}
+
 	boolean isCommitted() {
 		return this.exchange.isHeadWritten();
 	}
