--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -18,9 +19,13 @@
 import org.wigeonglade.core.error.FailureText;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.fleet.KvMemoryPolicy;
+import org.wigeonglade.gateway.fleet.KvMemoryTracker;
 import org.wigeonglade.gateway.fleet.PlacementPolicy;
 import org.wigeonglade.gateway.fleet.RunnerId;
+import org.wigeonglade.gateway.http.BufferBudget;
 import org.wigeonglade.gateway.http.CallerExchange;
 import org.wigeonglade.gateway.http.CallerServer;
 import org.wigeonglade.gateway.http.Connector;
@@ -232,6 +237,11 @@
 		this.exchange.setUsageExchange(new UsageExchange(rateLimiter));
 		this.usage = new WorkspaceUsageLimiter(rateLimiter, this.exchange::scheduleReport, this.registry, ticker);
 		this.stateUpdater.onConfigurationApplied(this.usage::setLimits);
+		KvMemoryPolicy memory = new KvMemoryPolicy(new KvMemoryTracker(), this::findKvCapacity, this::reportLag,
+				() -> this.peers.getHostStatuses(ticker.millis()));
+		this.fleet.setMemoryPolicy(memory);
+		this.exchange.setMemoryTracker(memory.getTracker());
+		MemoryMetrics.registerTokens(this.registry, this.fleet);
 		this.crashReports = new CrashReportPublisher(this.self, this.exchange, this.writer, this.loop, ticker);
 		this.limits = new RequestLimitPublisher(this.fleet, this.exchange, this.writer, ticker);
 		this.configurationFollower = new StreamFollower(log, KeyedStream.CONFIGURATION, CONFIGURATION_POLL_TIMING,
@@ -268,6 +278,9 @@
 				this.configurationFollower, ConfigurationLease.of(settings.revocationDelay()), ticker);
 		this.callerServer = new CallerServer(this.group, ticker, this::callerLimits,
 				new CallRouter(this.jobs, online, this.configurationFollower, authorizer, () -> this.shutdown)::handle);
+		BufferBudget budget = BufferBudget.ofProcess();
+		this.callerServer.setBudget(budget);
+		MemoryMetrics.registerBuffers(this.registry, budget);
 		this.readinessServer = new CallerServer(this.group, ticker, () -> CallerLimits.DEFAULTS, this::answerReadiness);
 		this.metricsServer = new CallerServer(this.group, ticker, () -> CallerLimits.DEFAULTS, this::answerMetrics);
 	}
@@ -464,6 +477,7 @@
 		this.usage.maintain(this.peers, this.gatewayStreamFollower.isListed());
 		this.gatewayStreamAge.check();
 		this.exchange.sendHeartbeats();
+		this.callerServer.cutOffSlowReaders();
 		updateReadiness();
 	}
 
@@ -519,6 +533,11 @@
 		return this.exchange.getReportLag();
 	}
 
+	private OptionalLong findKvCapacity(ServiceName service) {
+		RoutingTable table = this.fleet.getRoutingTable();
+		return (table != null) ? table.findKvCapacity(service) : OptionalLong.empty();
+	}
+
 	private CallerLimits callerLimits() {
 		RoutingTable table = this.fleet.getRoutingTable();
 		return (table != null) ? table.getLimits() : CallerLimits.DEFAULTS;
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemRun.java
@@ -175,7 +175,8 @@
 		headers.set(HttpHeaderNames.HOST, this.job.getHostName());
 		RunnerRequest request = new RunnerRequest(this.item.id().value(), HttpMethod.POST, this.item.path(), headers,
 				this.item.body(), ticker.millis() + remaining.toMillis(), this.sequence.getLast(),
-				Optional.of(this.binding), true, RequestIdentity.ofJob(this.job.getWorkspace()), this.freshConnection);
+				Optional.of(this.binding), true, RequestIdentity.ofJob(this.job.getWorkspace()), this.freshConnection,
+				this.item.tokens());
 		Receiver current = new Receiver(loop, ticker, runner,
 				new RunnerProgress(fleet.getSpeeds(), WorkKind.ITEM_EVENT, false, ticker.millis()));
 		this.receiver = current;
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
@@ -6,18 +6,21 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import com.google.common.collect.Lists;
-import com.google.common.collect.Sets;
+import com.google.common.primitives.Ints;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -32,6 +35,7 @@
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.fleet.KvMemoryTracker;
 import org.wigeonglade.gateway.fleet.LeavingRunners;
 import org.wigeonglade.gateway.fleet.LoadTracker;
 import org.wigeonglade.gateway.fleet.RequestLimits;
@@ -93,6 +97,8 @@
 
 	private final Listener listener;
 
+	private KvMemoryTracker memory = new KvMemoryTracker();
+
 	private final Map<HostId, Long> lastSent = new HashMap<>();
 
 	private Channel channel;
@@ -188,6 +194,14 @@
 		this.registrations = registered;
 	}
 
+	/**
+	 * Sets the tokens in progress, which are updated from datagrams.
+	 * @param tracker the tracker, not null
+	 */
+	public void setMemoryTracker(KvMemoryTracker tracker) {
+		this.memory = tracker;
+	}
+
 	/**
 	 * Sets whether this host connects others to runners.
 	 * @param isRelaying the supplier of the answer, not null
@@ -359,14 +373,20 @@
 		Map<RunnerId, LoadTracker.Load> loads = this.loadTracker.getLocalLoads();
 		Map<RunnerId, Integer> sent = this.requestLimits.getSent();
 		Map<RunnerId, Integer> reports = this.speeds.selectReports(loads.keySet(), this.ticker.millis());
-		Sets.union(Sets.union(loads.keySet(), sent.keySet()), reports.keySet()).forEach((runner) -> {
+		Map<RunnerId, Long> tokens = this.memory.getLocal();
+		Set<RunnerId> reported = new HashSet<>(loads.keySet());
+		reported.addAll(sent.keySet());
+		reported.addAll(reports.keySet());
+		reported.addAll(tokens.keySet());
+		reported.forEach((runner) -> {
 			LoadTracker.Load load = loads.getOrDefault(runner, LoadTracker.Load.NONE);
 			builder.addLoads(RunnerLoad.newBuilder()
 				.setRunner(runner.value())
 				.setOnline(load.online())
 				.setBatch(load.batch())
 				.setSent(sent.getOrDefault(runner, 0))
-				.setSpeed(reports.getOrDefault(runner, 0)));
+				.setSpeed(reports.getOrDefault(runner, 0))
+				.setTokens(Ints.saturatedCast(tokens.getOrDefault(runner, 0L))));
 		});
 	}
 
@@ -433,6 +453,12 @@
 				.filter((load) -> load.getSpeed() != 0)
 				.forEach((load) -> this.registrations.apply(RunnerId.of(load.getRunner()))
 					.ifPresent((runner) -> this.speeds.applyReport(host, runner, load.getSpeed(), now)));
+			this.memory.applyReport(host, sender.getIncarnation(), datagram.getSequence(),
+					datagram.getLoadsList()
+						.stream()
+						.filter((load) -> load.getTokens() > 0)
+						.collect(Collectors.toMap((l) -> RunnerId.of(l.getRunner()), RunnerLoad::getTokens, Math::max)),
+					now);
 			this.listener.outputClaimed(host,
 					datagram.getOutputClaimsList()
 						.stream()
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerRequest.java
@@ -23,9 +23,10 @@
  * @param batch whether it is a batch item rather than an online request
  * @param identity on whose behalf it is made, not null
  * @param freshConnection whether it must be sent on a new connection
+ * @param tokens the stated size in tokens, 0 if it is not known
  */
 public record RunnerRequest(String id, HttpMethod method, String uri, HttpHeaders headers, byte[] body,
 		long deadlineMillis, OptionalLong resumeAfter, Optional<StreamBinding> binding, boolean batch,
-		RequestIdentity identity, boolean freshConnection) {
+		RequestIdentity identity, boolean freshConnection, long tokens) {
 
 }
