--- a/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageBucket.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageBucket.java
@@ -13,8 +13,8 @@
 	/**
 	 * Requests beyond the configured burst, so that random arrivals of a workspace below
 	 * its limit are not rejected: a workspace with 0.5/s and a burst of 0.8 would lose a
-	 * third of them. The permitted sum over all hosts leaves 20 requests,
-	 * most of which are for the delay of reports.
+	 * third of them. The permitted sum over all hosts leaves 20 requests, most of which
+	 * are for the delay of reports.
 	 */
 	static final double EXTRA_BURST = 6;
 
@@ -170,7 +170,8 @@
 	}
 
 	// Without the requests that others have probably admitted and not reported yet, and
-	// without what is withheld of silent hosts: their portions as of their last datagrams.
+	// without what is withheld of silent hosts: their portions as of their last
+	// datagrams.
 	private double getUsable(UsageGroup group) {
 		double usable = this.level - decayRecentCharges(group);
 		double withheld = group.getWithheldHosts();
