Decide by urgency and fair share who is rejected when capacity is short

PlacementPolicy rejects at random when no runner has room on time: it knows neither the urgency of a request nor its workspace. OverloadPolicy decides before the placement. Where there are neither workspaces nor several urgencies all requests compete as before. The model of the fleet gets workspaces, urgencies, sizes and disturbances.

--- a/bench/src/main/java/org/wigeonglade/bench/model/DispatchModel.java
+++ b/bench/src/main/java/org/wigeonglade/bench/model/DispatchModel.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -89,6 +90,10 @@
 
 	private final List<Double> firstMillis = new ArrayList<>();
 
+	private final ModelCallers callers;
+
+	private final ModelShares shares;
+
 	private long eventCount;
 
 	private double now;
@@ -121,6 +126,8 @@
 		this.policy = new PlacementPolicy(this.random, () -> Duration.ofMillis(options.farLagMillis()));
 		this.view = new ModelView(options.hosts(), options.domains(), options.runners());
 		this.pausedUntil = new double[options.runners()];
+		this.callers = new ModelCallers(options, this.policy, this.random);
+		this.shares = new ModelShares(options.contention());
 		for (int i = 0; i < options.runners(); i++) {
 			this.runners.add(new ModelRunner(options.slots()));
 			this.entries.add(new RunnerEntry(RunnerId.of(Integer.toString(i)), ServiceName.of("model"),
@@ -158,21 +165,28 @@
 		this.firstMillis.sort(null);
 		return new ModelReport(this.streams, this.late, this.secondVisit, this.refused, this.declined, this.items,
 				this.itemsInTime, this.preemptions, List.copyOf(this.firstMillis),
-				(double) this.idleSum / Math.max(1, this.samples), (double) this.batchSum / Math.max(1, this.samples));
+				(double) this.idleSum / Math.max(1, this.samples), (double) this.batchSum / Math.max(1, this.samples),
+				(this.options.contention().workspaces() > 0) ? this.shares.getFigures() : Map.of());
 	}
 
 	private void streamArrives() {
 		boolean burst = this.now % CYCLE_MILLIS >= CYCLE_MILLIS - BURST_MILLIS;
 		double quietFactor = (CYCLE_MILLIS - this.options.burstFactor() * BURST_MILLIS) / (CYCLE_MILLIS - BURST_MILLIS);
-		double rate = this.options.streamsPerSecond() * (burst ? this.options.burstFactor() : quietFactor);
+		double rate = this.options.streamsPerSecond() * (burst ? this.options.burstFactor() : quietFactor)
+				* this.callers.getRateFactor(this.now);
 		after(exponential(1_000 / rate), this::streamArrives);
 		this.streams++;
-		double hold = this.options.holdMillis() * (0.6 + 0.8 * this.random.nextDouble());
-		place(new ModelWork(this.random.nextInt(this.options.hosts()), false, this.now, hold));
+		double slotTime = this.random.nextDouble();
+		double hold = this.options.holdMillis() * (0.6 + 0.8 * slotTime);
+		ModelWork stream = new ModelWork(this.random.nextInt(this.options.hosts()), false, this.now, hold);
+		this.callers.classify(stream, slotTime, this.now, this.random);
+		this.shares.arrived(stream);
+		place(stream);
 	}
 
 	private void itemArrives() {
-		after(exponential(1_000 / this.options.itemsPerSecond()), this::itemArrives);
+		double rate = this.options.itemsPerSecond() * this.options.contention().getJobsFactor(this.now);
+		after(exponential(1_000 / rate), this::itemArrives);
 		double hold = this.options.itemMillis() * (0.6 + 0.8 * this.random.nextDouble());
 		ModelWork item = new ModelWork(this.random.nextInt(this.options.hosts()), true, this.now, hold);
 		if (this.now + DUE_MILLIS <= this.options.seconds() * 1_000.0) {
@@ -185,8 +199,9 @@
 		double age = this.now - work.getArrivedMillis();
 		RequestConstraints constraints = new RequestConstraints(
 				millis(TARGET_MILLIS - (this.now - work.getVisitedMillis())), millis(DEADLINE_MILLIS - age), true);
-		switch (this.policy.place(candidates(work), constraints)) {
+		switch (work.getAdmission().place(candidates(work), constraints, Math.round(this.now))) {
 			case Placement.Send send -> {
+				tellOthers(work);
 				int runner = Integer.parseInt(send.runner().id().value());
 				askToGiveWay(work, runner, send.preemptions());
 				send(work, runner);
@@ -196,6 +211,7 @@
 					double pause = Math.min(refusal.retryAfter().toMillis(), (DEADLINE_MILLIS - age) / 3);
 					after(pause, () -> {
 						work.comeBack(this.now);
+						this.shares.returned(work);
 						place(work);
 					});
 				}
@@ -206,6 +222,13 @@
 		}
 	}
 
+	private void tellOthers(ModelWork stream) {
+		if (this.options.contention().admission() == ModelContention.Admission.EXCHANGED
+				&& stream.getDeclinedBy().isEmpty()) {
+			after(this.options.farLagMillis(), () -> this.callers.tellOthers(stream, Math.round(this.now)));
+		}
+	}
+
 	private void send(ModelWork work, int runner) {
 		count(work, runner, 1);
 		after(WAY_MILLIS, () -> {
@@ -323,7 +346,8 @@
 
 	private List<Candidate> candidates(ModelWork work) {
 		List<Candidate> candidates = new ArrayList<>();
-		for (int runner = 0; runner < this.entries.size(); runner++) {
+		int gone = this.options.contention().getGoneRunners(this.entries.size(), this.now);
+		for (int runner = gone; runner < this.entries.size(); runner++) {
 			RunnerEntry entry = this.entries.get(runner);
 			boolean paused = work.isBatch() && this.pausedUntil[runner] > this.now;
 			if (!paused && !work.getDeclinedBy().contains(entry.id())) {
@@ -350,8 +374,10 @@
 		this.firstMillis.add(firstEvent - stream.getArrivedMillis());
 		if (firstEvent - stream.getVisitedMillis() > TARGET_MILLIS) {
 			this.late++;
+			return;
 		}
-		else if (stream.isSecondVisit()) {
+		this.shares.servedInTime(stream);
+		if (stream.isSecondVisit()) {
 			this.secondVisit++;
 		}
 	}
--- a/bench/src/main/java/org/wigeonglade/bench/model/ModelOptions.java
+++ b/bench/src/main/java/org/wigeonglade/bench/model/ModelOptions.java
@@ -19,10 +19,11 @@
  * @param holdMillis the mean time that a stream holds a slot
  * @param itemsPerSecond the mean arrivals of batch items
  * @param itemMillis the mean time that an item holds a slot
+ * @param contention the callers that compete, not null
  */
 public record ModelOptions(int hosts, int domains, int runners, int slots, int seconds, long seed, int nearLagMillis,
 		int farLagMillis, double streamsPerSecond, double burstFactor, int holdMillis, double itemsPerSecond,
-		int itemMillis) {
+		int itemMillis, ModelContention contention) {
 
 	/**
 	 * Checks the options.
@@ -87,6 +88,8 @@
 
 		private int itemMillis = 4_900;
 
+		private ModelContention contention = ModelContention.NONE;
+
 		/**
 		 * Sets the numbers of hosts and failure domains.
 		 * @param hostCount the hosts, at least 1
@@ -169,6 +172,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the callers that compete.
+		 * @param value the workspaces, their admission and the disturbances, not null
+		 * @return this builder
+		 */
+		public Builder contention(ModelContention value) {
+			this.contention = value;
+			return this;
+		}
+
 		/**
 		 * Builds the options.
 		 * @return the options, never null
@@ -177,7 +190,7 @@
 		public ModelOptions build() {
 			return new ModelOptions(this.hosts, this.domains, this.runners, this.slots, this.seconds, this.seed,
 					this.nearLagMillis, this.farLagMillis, this.streamsPerSecond, this.burstFactor, this.holdMillis,
-					this.itemsPerSecond, this.itemMillis);
+					this.itemsPerSecond, this.itemMillis, this.contention);
 		}
 
 	}
--- a/bench/src/main/java/org/wigeonglade/bench/model/ModelReport.java
+++ b/bench/src/main/java/org/wigeonglade/bench/model/ModelReport.java
@@ -20,9 +20,12 @@
  * @param idleWhileWaiting the mean of slots that were idle while streams waited in a
  * runner's queue
  * @param batchWhileWaiting the mean of slots held by items at those moments
+ * @param shares the shares served in time by workspace, urgency and size, by name; empty
+ * without workspaces; not null
  */
 public record ModelReport(int streams, int late, int secondVisit, int refused, int declined, int items, int itemsInTime,
-		int preemptions, List<Double> firstMillis, double idleWhileWaiting, double batchWhileWaiting) {
+		int preemptions, List<Double> firstMillis, double idleWhileWaiting, double batchWhileWaiting,
+		Map<String, Number> shares) {
 
 	/** Value of a stream that is late. */
 	private static final double LATE_VALUE = 0.15;
@@ -94,6 +97,7 @@
 		figures.put("preemptions", this.preemptions);
 		figures.put("idle_slots_while_waiting", this.idleWhileWaiting);
 		figures.put("batch_slots_while_waiting", this.batchWhileWaiting);
+		figures.putAll(this.shares);
 		return figures;
 	}
 
--- a/bench/src/main/java/org/wigeonglade/bench/model/ModelWork.java
+++ b/bench/src/main/java/org/wigeonglade/bench/model/ModelWork.java
@@ -3,6 +3,8 @@
 import java.util.HashSet;
 import java.util.Set;
 
+import org.wigeonglade.gateway.fleet.RequestAdmission;
+import org.wigeonglade.gateway.fleet.RequestClass;
 import org.wigeonglade.gateway.fleet.RunnerId;
 
 /**
@@ -28,6 +30,11 @@
 
 	private boolean secondVisit;
 
+	private RequestClass requestClass = RequestClass.DEFAULT;
+
+	// Null for items.
+	private RequestAdmission admission;
+
 	ModelWork(int host, boolean batch, double arrivedMillis, double holdMillis) {
 		this.host = host;
 		this.batch = batch;
@@ -36,6 +43,19 @@
 		this.remainingMillis = holdMillis;
 	}
 
+	RequestClass getRequestClass() {
+		return this.requestClass;
+	}
+
+	RequestAdmission getAdmission() {
+		return this.admission;
+	}
+
+	void classify(RequestClass value, RequestAdmission requestAdmission) {
+		this.requestClass = value;
+		this.admission = requestAdmission;
+	}
+
 	int getHost() {
 		return this.host;
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/caller/CallerProtocol.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/caller/CallerProtocol.java
@@ -66,6 +66,13 @@
 	 */
 	List<String> promptParts(HttpHeaders headers);
 
+	/**
+	 * Returns the tokens that the caller states for the request.
+	 * @param headers the headers, not null
+	 * @return the tokens, empty if they are absent, malformed or stated more than once
+	 */
+	Optional<TokenUsage> tokenUsage(HttpHeaders headers);
+
 	/**
 	 * Decodes a submitted job.
 	 * @param id the id of the job, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/Placement.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/Placement.java
@@ -46,7 +46,16 @@
 		RATE_LIMITED,
 
 		/** The expected wait at every runner exceeds the constraints of the request. */
-		OVERLOADED
+		OVERLOADED,
+
+		/** The remaining capacity is reserved for more urgent requests. */
+		LESS_URGENT,
+
+		/** Capacity is short and the workspace has had its fair share of it. */
+		OVER_FAIR_SHARE,
+
+		/** Capacity is short and the request cannot be complete by its deadline. */
+		DEADLINE_UNREACHABLE
 
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/PlacementPolicy.java
@@ -34,7 +34,7 @@
 	private static final double WAIT_SAFETY_FACTOR = 1.25;
 
 	/** The same factor if the reports of other hosts lag behind by a request or more. */
-	private static final double WAIT_SAFETY_FACTOR_WITH_LAG = 2;
+	static final double WAIT_SAFETY_FACTOR_WITH_LAG = 2;
 
 	/**
 	 * Time in milliseconds from sending a short prompt to an idle runner until its first
@@ -192,18 +192,18 @@
 			.sum();
 	}
 
-	private static int getFreeCapacity(Candidate candidate) {
+	static int getFreeCapacity(Candidate candidate) {
 		return Math.max(0, Math.min(candidate.allowance().online(), candidate.getFreeSlots()));
 	}
 
 	// A preempted item takes another request of a rate limit when it is resumed.
-	private static int getPreemptibleCapacity(Candidate candidate) {
+	static int getPreemptibleCapacity(Candidate candidate) {
 		return Math.max(0, Math.min(candidate.allowance().online() / 2, -candidate.getOnlineExcess()));
 	}
 
 	// The number of further requests that would meet the latency target at the
 	// runner.
-	private static int getOnTimeCapacity(Candidate candidate, RequestConstraints constraints, double safetyFactor) {
+	static int getOnTimeCapacity(Candidate candidate, RequestConstraints constraints, double safetyFactor) {
 		double maxWaitMillis = (constraints.untilTarget().toMillis() - FIRST_EVENT_LATENCY_MILLIS) / safetyFactor;
 		double slotIntervalMillis = Math.max(1, candidate.meanHoldTime().toMillis())
 				/ (double) candidate.entry().slots();
@@ -259,7 +259,7 @@
 		return (first.compareTo(second) >= 0) ? first : second;
 	}
 
-	private static List<Candidate> preferHealthy(List<Candidate> candidates) {
+	static List<Candidate> preferHealthy(List<Candidate> candidates) {
 		List<Candidate> healthy = candidates.stream().filter((c) -> !c.avoided()).toList();
 		return healthy.isEmpty() ? candidates : healthy;
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -19,6 +19,8 @@
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.fleet.DecayedWorkspaceRates;
+import org.wigeonglade.gateway.fleet.OverloadPolicy;
 import org.wigeonglade.gateway.fleet.PlacementPolicy;
 import org.wigeonglade.gateway.fleet.RunnerId;
 import org.wigeonglade.gateway.http.CallerExchange;
@@ -246,8 +248,9 @@
 				() -> this.peers.getPeers().size() + 1, this.gatewayStreamFollower::getAgeMillis, ticker);
 		this.jobs = new JobService(this.jobTable, this.gatewayStreamFollower, log, quota, adapters.getCallerProtocol(),
 				this.loop, ticker);
-		OnlineContext online = new OnlineContext(this.loop, ticker, this.fleet, policy, adapters.getCallerProtocol(),
-				this.crashReports, this.origins,
+		OverloadPolicy overload = new OverloadPolicy(random, new DecayedWorkspaceRates((workspace) -> 0));
+		OnlineContext online = new OnlineContext(this.loop, ticker, this.fleet, policy, overload,
+				adapters.getCallerProtocol(), this.crashReports, this.origins,
 				new SlotPreemptor(settings.host(), this.items, this.fleet.getLoadTracker(), this.exchange),
 				new OnlineMetrics(this.registry));
 		this.callerServer = new CallerServer(this.group, ticker, this::callerLimits,
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
@@ -9,6 +9,7 @@
 import org.wigeonglade.core.retry.Quarantine;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.caller.CallerProtocol;
+import org.wigeonglade.gateway.fleet.OverloadPolicy;
 import org.wigeonglade.gateway.fleet.PlacementPolicy;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.runner.Fleet;
@@ -21,14 +22,16 @@
  * @param ticker the clock, not null
  * @param fleet the runners, not null
  * @param policy chooses the runner of a request, not null
+ * @param overload decides who is rejected when capacity is short, not null
  * @param protocol reads and writes the headers of callers, not null
  * @param crashReporter finds out which requests crash runners, not null
  * @param origins keeps what began each stream, not null
  * @param preemptor preempts batch items, not null
  * @param metrics the metrics of online requests, not null
  */
-public record OnlineContext(EventLoop loop, Ticker ticker, Fleet fleet, PlacementPolicy policy, CallerProtocol protocol,
-		CrashReporter crashReporter, StreamOrigins origins, Preemptor preemptor, OnlineMetrics metrics) {
+public record OnlineContext(EventLoop loop, Ticker ticker, Fleet fleet, PlacementPolicy policy, OverloadPolicy overload,
+		CallerProtocol protocol, CrashReporter crashReporter, StreamOrigins origins, Preemptor preemptor,
+		OnlineMetrics metrics) {
 
 	/**
 	 * Preempts batch items.
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineMetrics.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineMetrics.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.wigeonglade.gateway.fleet.Placement;
 
 /**
  * Prometheus metrics of online requests.
@@ -13,6 +14,8 @@
 
 	private final Counter attempts;
 
+	private final Counter rejections;
+
 	private final Histogram timeToFirstByte;
 
 	/**
@@ -30,6 +33,11 @@
 			.help("Sends to runners by outcome")
 			.labelNames("outcome")
 			.register(registry);
+		this.rejections = Counter.builder()
+			.name("wigeonglade_rejections_total")
+			.help("Requests rejected before they ran, by cause")
+			.labelNames("cause")
+			.register(registry);
 		this.timeToFirstByte = Histogram.builder()
 			.name("wigeonglade_first_answer_seconds")
 			.help("Time from the arrival of a request to the first byte of its answer")
@@ -54,6 +62,14 @@
 		this.attempts.labelValues(outcome).inc();
 	}
 
+	/**
+	 * Counts a request that was rejected before it ran.
+	 * @param cause the cause, not null
+	 */
+	public void countRejection(Placement.Cause cause) {
+		this.rejections.labelValues(cause.name()).inc();
+	}
+
 	/**
 	 * Records the time from the arrival of a request to the first byte of its response.
 	 * @param millis the time in milliseconds, at least 0
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -18,9 +19,12 @@
 import org.wigeonglade.core.id.Fingerprint;
 import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.retry.Quarantine;
+import org.wigeonglade.gateway.caller.TokenUsage;
 import org.wigeonglade.gateway.fleet.Candidate;
 import org.wigeonglade.gateway.fleet.LoadTracker;
 import org.wigeonglade.gateway.fleet.Placement;
+import org.wigeonglade.gateway.fleet.RequestAdmission;
+import org.wigeonglade.gateway.fleet.RequestClass;
 import org.wigeonglade.gateway.fleet.RequestConstraints;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
@@ -85,6 +89,8 @@
 
 	private final HttpHeaders headers;
 
+	private final RequestAdmission admission;
+
 	private final RetryPolicy retryPolicy;
 
 	private final Set<RunnerId> triedRunners = new HashSet<>();
@@ -119,6 +125,9 @@
 		this.service = route.chooseService(this.id);
 		this.headers = new DefaultHttpHeaders().set(received);
 		HopByHopHeaders.strip(this.headers);
+		this.admission = new RequestAdmission(context.overload(), context.policy(),
+				RequestClass.of(route.getPriority(), Optional.empty(), OptionalInt.empty(),
+						context.protocol().tokenUsage(received).map(TokenUsage::getSize)));
 		this.retryPolicy = new RetryPolicy(route);
 		this.deadlineMillis = deadlineMillis;
 		this.targetTimeMillis = exchange.getArrivedMillis() + route.getLatencyTarget().toMillis();
@@ -254,7 +263,7 @@
 			refuseResumption();
 			return;
 		}
-		switch (this.context.policy().place(candidates, constraints)) {
+		switch (this.admission.place(candidates, constraints, now)) {
 			case Placement.Send send -> {
 				preemptAndLogPlacement(send);
 				send(send.runner(), send.expectedWait().toMillis());
@@ -303,6 +312,7 @@
 		LOG.log(GatewayEvent.REFUSED, this.id, this.route.getName(), cause, SERVICE_UNAVAILABLE, candidates.size(),
 				avoided, occupancy, slots, retryMillis, elapsedMillis(), configVersion());
 		this.context.metrics().countRequest("refused");
+		this.context.metrics().countRejection(cause);
 		respond(SERVICE_UNAVAILABLE, retryMillis);
 	}
 
