Let typical use decide the share of small workspaces, and time decisions

In the model a flood by one workspace raised the mean use, so small workspaces, which are compared with the mean, were taken to be above their share. They are compared with the use of those below their shares now. No workspace is admitted less than 0.3 times as often as its urgency. DecisionTiming measures admission and placement.

--- a/cli/src/main/java/org/wigeonglade/cli/ModelCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/ModelCommand.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Callable;
 
 import io.vertx.core.json.JsonObject;
+import org.wigeonglade.bench.model.DecisionTiming;
 import org.wigeonglade.bench.model.DispatchModel;
 import org.wigeonglade.bench.model.ModelContention;
 import org.wigeonglade.bench.model.ModelOptions;
@@ -93,8 +94,19 @@
 			description = "Disturbances every 29 s: ${COMPLETION-CANDIDATES}. Shares are counted in the 7 s after each.")
 	private Set<ModelContention.Disturbance> disturbances = EnumSet.noneOf(ModelContention.Disturbance.class);
 
+	@Option(names = "--time-decisions",
+			description = "Only measure the processor time of an admission and placement, by requests at each runner.")
+	private boolean timeDecisions;
+
 	@Override
 	public Integer call() {
+		if (this.timeDecisions) {
+			for (int online = this.slots / 2; online <= this.slots + 1; online++) {
+				double micros = DecisionTiming.measure(this.runners, online, Math.max(1, this.workspaces));
+				this.console.println(online + ": " + format(micros) + " us");
+			}
+			return ExitCode.SUCCESS;
+		}
 		ModelOptions options = ModelOptions.builder()
 			.hosts(this.hosts, this.domains)
 			.runners(this.runners, this.slots)
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/ActiveUrgencies.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/ActiveUrgencies.java
@@ -17,32 +17,58 @@
 	/** Bound of the urgencies that are told apart; less urgent ones count as the last. */
 	private static final int MAX_URGENCIES = 8;
 
-	private final TreeMap<Integer, Long> lastSeen = new TreeMap<>();
+	private final TreeMap<Integer, Demand> demands = new TreeMap<>();
 
 	private long expiredMillis = Long.MIN_VALUE / 2;
 
-	void record(int urgency, long nowMillis) {
-		this.lastSeen.put(urgency, nowMillis);
-		if (this.lastSeen.size() > MAX_URGENCIES) {
-			this.lastSeen.pollLastEntry();
+	// Records a request and returns the recent ones of its urgency.
+	Demand record(int urgency, long nowMillis) {
+		Demand demand = this.demands.computeIfAbsent(urgency, (key) -> new Demand());
+		demand.lastMillis = nowMillis;
+		if (this.demands.size() > MAX_URGENCIES) {
+			this.demands.pollLastEntry();
 		}
 		if (nowMillis - this.expiredMillis > EXPIRY_MILLIS) {
 			this.expiredMillis = nowMillis;
-			this.lastSeen.values().removeIf((seen) -> nowMillis - seen > EXPIRY_MILLIS);
+			this.demands.values().removeIf((other) -> nowMillis - other.lastMillis > EXPIRY_MILLIS);
 		}
+		return demand;
 	}
 
 	int getCount() {
-		return this.lastSeen.size();
+		return this.demands.size();
 	}
 
 	// Returns the number of more urgent ones, less than the count.
 	int getRank(int urgency) {
 		int rank = 0;
-		for (Map.Entry<Integer, Long> entry : this.lastSeen.entrySet()) {
+		for (Map.Entry<Integer, Demand> entry : this.demands.entrySet()) {
 			rank += (entry.getKey() < urgency) ? 1 : 0;
 		}
-		return Math.min(rank, this.lastSeen.size() - 1);
+		return Math.min(rank, this.demands.size() - 1);
+	}
+
+	/**
+	 * The recent requests of one urgency at this host while capacity was short.
+	 */
+	static final class Demand {
+
+		private final DecayedCount decided = new DecayedCount(WorkspaceRates.WINDOW_SECONDS);
+
+		private final DecayedCount admitted = new DecayedCount(WorkspaceRates.WINDOW_SECONDS);
+
+		private long lastMillis;
+
+		void recordDecision(boolean wasAdmitted, long nowMillis) {
+			this.decided.add(1, nowMillis);
+			this.admitted.add(wasAdmitted ? 1 : 0, nowMillis);
+		}
+
+		// Returns a share from 0 to 1, 1 without recent decisions.
+		double getAdmittedShare(long nowMillis) {
+			return (this.admitted.get(nowMillis) + 1) / (this.decided.get(nowMillis) + 1);
+		}
+
 	}
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/DecayedWorkspaceRates.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/DecayedWorkspaceRates.java
@@ -31,8 +31,11 @@
 	 */
 	private static final int MAX_WORKSPACES = 10_000;
 
-	/** Time for which the sum of entitlements is reused. */
-	private static final long SUM_REUSE_MILLIS = 250;
+	/** Time for which the sums over all workspaces are reused. */
+	private static final long SUM_REUSE_MILLIS = 100;
+
+	/** Use relative to the share beyond which a workspace is above its share. */
+	private static final double ABOVE_SHARE = 1.3;
 
 	private final ToDoubleFunction<WorkspaceId> limits;
 
@@ -43,6 +46,8 @@
 
 	private double entitlementSum;
 
+	private double typicalUse = 1;
+
 	private long sumMillis = Long.MIN_VALUE / 2;
 
 	/**
@@ -85,20 +90,44 @@
 
 	@Override
 	public double getEntitledShare(WorkspaceId workspace, long nowMillis) {
-		if (nowMillis - this.sumMillis >= SUM_REUSE_MILLIS) {
-			this.sumMillis = nowMillis;
-			this.entitlementSum = 0;
-			this.entries.forEach((id, entry) -> this.entitlementSum += getEntitlement(id, entry, nowMillis));
-		}
+		updateSums(nowMillis);
 		double entitlement = getEntitlement(workspace, this.entries.get(workspace), nowMillis);
 		return (entitlement > 0) ? Math.min(1, entitlement / Math.max(entitlement, this.entitlementSum)) : 0;
 	}
 
+	@Override
+	public double getTypicalUse(long nowMillis) {
+		updateSums(nowMillis);
+		return this.typicalUse;
+	}
+
 	@Override
 	public int getActiveWorkspaces() {
 		return this.entries.size();
 	}
 
+	private void updateSums(long nowMillis) {
+		if (nowMillis - this.sumMillis < SUM_REUSE_MILLIS) {
+			return;
+		}
+		this.sumMillis = nowMillis;
+		this.entitlementSum = 0;
+		this.entries.forEach((id, entry) -> this.entitlementSum += getEntitlement(id, entry, nowMillis));
+		double totalRequests = this.total.get(nowMillis);
+		double usedSum = 0;
+		double fairSum = 0;
+		for (Map.Entry<WorkspaceId, Entry> each : this.entries.entrySet()) {
+			double used = each.getValue().recent.get(nowMillis);
+			double fair = totalRequests * getEntitlement(each.getKey(), each.getValue(), nowMillis)
+					/ Math.max(Double.MIN_NORMAL, this.entitlementSum);
+			if (used + PRIOR_REQUESTS <= ABOVE_SHARE * (fair + PRIOR_REQUESTS)) {
+				usedSum += used;
+				fairSum += fair;
+			}
+		}
+		this.typicalUse = (fairSum > 0) ? Math.min(1, usedSum / fairSum) : 1;
+	}
+
 	private double getEntitlement(WorkspaceId workspace, Entry entry, long nowMillis) {
 		double limit = this.limits.applyAsDouble(workspace);
 		return (limit > 0 || entry == null) ? limit : entry.usual.get(nowMillis) / USUAL_SECONDS;
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/OverloadPolicy.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/OverloadPolicy.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 
 import org.wigeonglade.core.id.ServiceName;
+import org.wigeonglade.core.id.WorkspaceId;
 
 /**
  * The policy of admission under overload: decides whether an online request may compete
@@ -41,12 +42,6 @@
 	/** Upper bound of the margin as a share of the slots, for fast requests. */
 	private static final double MAX_MARGIN_SHARE = 1 / 4.0;
 
-	/**
-	 * Requests added to the use and to the share of a workspace before they are compared,
-	 * so that the chance arrivals of a small workspace do not decide.
-	 */
-	private static final double PRIOR_REQUESTS = 5;
-
 	/**
 	 * Position in a band, from 0 to 1, below which a workspace at its share gives way.
 	 */
@@ -59,10 +54,16 @@
 	private static final double EXPONENT = 3;
 
 	/**
-	 * Admission probability of any workspace relative to that of one at its share; above
-	 * a quarter, which is the least that a workspace is to be served.
+	 * Admission probability of any workspace relative to the share that was admitted
+	 * lately; above a quarter, which is the least that a workspace is to be served.
 	 */
-	private static final double MIN_RELATIVE_PROBABILITY = 0.35;
+	private static final double MIN_RELATIVE_PROBABILITY = 0.3;
+
+	/**
+	 * Use relative to the share that is assumed for this least probability as an upper
+	 * bound, so that it falls to 0 with the room.
+	 */
+	private static final double LEAST_RELATIVE_USE = 0.5;
 
 	/** Bound of the services with state of their own; configurations have a few. */
 	private static final int MAX_SERVICES = 256;
@@ -100,7 +101,7 @@
 			return Optional.empty();
 		}
 		ActiveUrgencies active = findUrgencies(candidates.get(0).entry().service());
-		active.record(request.urgency(), nowMillis);
+		ActiveUrgencies.Demand demand = active.record(request.urgency(), nowMillis);
 		if (active.getCount() == 1 && request.workspace().isEmpty()) {
 			return Optional.empty();
 		}
@@ -109,9 +110,23 @@
 		if (capacity.getRoom() >= margin) {
 			return Optional.empty();
 		}
-		return findCause(request, capacity, constraints, active, nowMillis)
-			.map((cause) -> new Placement.Refuse(cause, this.retry.draw(margin - capacity.getRoom(),
-					capacity.completionsPerMilli(), constraints.untilDeadline(), nowMillis)));
+		double position = capacity.getRoom() / margin * active.getCount() - active.getRank(request.urgency());
+		if (capacity.shortestCompletionMillis() > constraints.untilDeadline().toMillis()) {
+			return Optional.of(reject(Placement.Cause.DEADLINE_UNREACHABLE, capacity, constraints));
+		}
+		if (position <= 0 && active.getRank(request.urgency()) > 0) {
+			return Optional.of(reject(Placement.Cause.LESS_URGENT, capacity, constraints));
+		}
+		double relativeUse = request.workspace().map((workspace) -> getRelativeUse(workspace, nowMillis)).orElse(1.0);
+		double least = Math.min(MIN_RELATIVE_PROBABILITY * demand.getAdmittedShare(nowMillis),
+				getProbability(position, LEAST_RELATIVE_USE));
+		boolean admitted = this.random.nextDouble() < Math.max(least, getProbability(position, relativeUse));
+		demand.recordDecision(admitted, nowMillis);
+		if (admitted) {
+			return Optional.empty();
+		}
+		return Optional.of(reject((relativeUse > 1) ? Placement.Cause.OVER_FAIR_SHARE : Placement.Cause.OVERLOADED,
+				capacity, constraints));
 	}
 
 	/**
@@ -123,23 +138,10 @@
 		request.workspace().ifPresent((workspace) -> this.rates.record(workspace, 1, nowMillis));
 	}
 
-	private Optional<Placement.Cause> findCause(RequestClass request, ServiceCapacity capacity,
-			RequestConstraints constraints, ActiveUrgencies active, long nowMillis) {
-		if (capacity.shortestCompletionMillis() > constraints.untilDeadline().toMillis()) {
-			return Optional.of(Placement.Cause.DEADLINE_UNREACHABLE);
-		}
-		double position = capacity.getRoom() / getMargin(capacity) * active.getCount()
-				- active.getRank(request.urgency());
-		if (position <= 0 && active.getRank(request.urgency()) > 0) {
-			return Optional.of(Placement.Cause.LESS_URGENT);
-		}
-		double atShare = getProbability(position, 1);
-		double relativeUse = request.workspace().map((workspace) -> getRelativeUse(request, nowMillis)).orElse(1.0);
-		double probability = Math.max(getProbability(position, relativeUse), MIN_RELATIVE_PROBABILITY * atShare);
-		if (this.random.nextDouble() < probability) {
-			return Optional.empty();
-		}
-		return Optional.of((relativeUse > 1) ? Placement.Cause.OVER_FAIR_SHARE : Placement.Cause.OVERLOADED);
+	private Placement.Refuse reject(Placement.Cause cause, ServiceCapacity capacity, RequestConstraints constraints) {
+		double missingRoom = getMargin(capacity) - capacity.getRoom();
+		return new Placement.Refuse(cause,
+				this.retry.draw(missingRoom / capacity.completionsPerMilli(), constraints.untilDeadline()));
 	}
 
 	private static double getProbability(double position, double relativeUse) {
@@ -149,11 +151,12 @@
 
 	// The recent requests of the workspace relative to its entitled share of all recent
 	// requests; 1 for a workspace that has had its share.
-	private double getRelativeUse(RequestClass request, long nowMillis) {
-		double share = this.rates.getEntitledShare(request.workspace().get(), nowMillis);
+	private double getRelativeUse(WorkspaceId workspace, long nowMillis) {
+		double share = this.rates.getEntitledShare(workspace, nowMillis);
 		double fair = share * this.rates.getTotalRate(nowMillis) * WorkspaceRates.WINDOW_SECONDS;
-		double used = this.rates.getRate(request.workspace().get(), nowMillis) * WorkspaceRates.WINDOW_SECONDS;
-		return (used + PRIOR_REQUESTS) / (fair + PRIOR_REQUESTS);
+		double used = this.rates.getRate(workspace, nowMillis) * WorkspaceRates.WINDOW_SECONDS;
+		double prior = WorkspaceRates.PRIOR_REQUESTS;
+		return (used + prior * this.rates.getTypicalUse(nowMillis)) / (fair + prior);
 	}
 
 	private static double getMargin(ServiceCapacity capacity) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/OverloadRetry.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/OverloadRetry.java
@@ -9,14 +9,14 @@
  */
 final class OverloadRetry {
 
-	/** Shortest delay in milliseconds; most bursts are over by then. */
+	/** Usual shortest delay in milliseconds; most bursts are over by then. */
 	private static final double MIN_MILLIS = 800;
 
 	/** Shortest range in milliseconds that delays are spread over. */
 	private static final double MIN_SPREAD_MILLIS = 800;
 
-	/** Time constant of the count of rejections that have not returned yet. */
-	private static final double BACKLOG_SECONDS = 1;
+	/** Shortest delay of a caller with little time left. */
+	private static final double SHORTEST_MILLIS = 40;
 
 	/** Largest part of the time left that callers wait before they return. */
 	private static final double MAX_FRACTION = 1.0 / 3;
@@ -28,12 +28,11 @@
 	}
 
 	// The delay starts when the missing room has been completed.
-	Duration draw(double missingRoom, double completionsPerMilli, Duration untilDeadline, long nowMillis) {
-		double untilRoom = missingRoom / Math.max(1e-6, completionsPerMilli);
+	Duration draw(double untilRoom, Duration untilDeadline) {
 		double max = Math.max(0, untilDeadline.toMillis()) * MAX_FRACTION;
 		double upper = Math.min(max, Math.max(untilRoom, MIN_MILLIS) + MIN_SPREAD_MILLIS);
 		double lower = Math.min(Math.max(untilRoom, MIN_MILLIS), upper / 2);
-		return Duration.ofMillis((long) (lower + (upper - lower) * this.random.nextDouble()));
+		return Duration.ofMillis((long) Math.max(SHORTEST_MILLIS, lower + (upper - lower) * this.random.nextDouble()));
 	}
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/WorkspaceRates.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/WorkspaceRates.java
@@ -16,6 +16,12 @@
 	 */
 	double WINDOW_SECONDS = 2;
 
+	/**
+	 * Requests added to the use and to the share of a workspace before they are compared,
+	 * so that the chance arrivals of a small workspace do not decide.
+	 */
+	double PRIOR_REQUESTS = 5;
+
 	/**
 	 * Returns the recent rate of a workspace.
 	 * @param workspace the workspace, not null
@@ -40,6 +46,15 @@
 	 */
 	double getEntitledShare(WorkspaceId workspace, long nowMillis);
 
+	/**
+	 * Returns the recent use of the workspaces that are not above their entitled shares,
+	 * all together, relative to these shares: below 1 if another workspace sends more
+	 * than its share.
+	 * @param nowMillis the time
+	 * @return the use, 1 without recent requests
+	 */
+	double getTypicalUse(long nowMillis);
+
 	/**
 	 * Returns the number of workspaces with recent requests.
 	 * @return the number, at least 0
