--- a/bench/src/main/java/org/wigeonglade/bench/model/ModelShares.java
+++ b/bench/src/main/java/org/wigeonglade/bench/model/ModelShares.java
@@ -83,6 +83,7 @@
 				.mapToDouble(Double::doubleValue)
 				.average()
 				.orElseThrow();
+			figures.put("served_share_below_limit_urgency_" + urgency, sum.getShare());
 			figures.put("least_workspace_ratio_urgency_" + urgency, shares.get(0) / Math.max(1e-9, sum.getShare()));
 			figures.put("worst_tenth_behind_mean_urgency_" + urgency, sum.getShare() - worst);
 		}
