Merge admission under overload into the request path

OverloadPolicy decides before placement, by the priority of the workspace (else of the route), the rates of workspaces at this host and their limits.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -20,9 +21,12 @@
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.ServiceName;
+import org.wigeonglade.core.id.WorkspaceId;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.fleet.DecayedWorkspaceRates;
 import org.wigeonglade.gateway.fleet.KvMemoryPolicy;
 import org.wigeonglade.gateway.fleet.KvMemoryTracker;
+import org.wigeonglade.gateway.fleet.OverloadPolicy;
 import org.wigeonglade.gateway.fleet.PlacementPolicy;
 import org.wigeonglade.gateway.fleet.RunnerId;
 import org.wigeonglade.gateway.http.BufferBudget;
@@ -270,8 +274,9 @@
 				() -> this.peers.getPeers().size() + 1, this.gatewayStreamFollower::getAgeMillis, ticker);
 		this.jobs = new JobService(this.jobTable, this.gatewayStreamFollower, log, quota, adapters.getCallerProtocol(),
 				this.loop, ticker);
-		OnlineContext online = new OnlineContext(this.loop, ticker, this.fleet, policy, adapters.getCallerProtocol(),
-				this.crashReports, this.origins,
+		OverloadPolicy overload = new OverloadPolicy(random, new DecayedWorkspaceRates(this::findRateLimit));
+		OnlineContext online = new OnlineContext(this.loop, ticker, this.fleet, policy, overload,
+				adapters.getCallerProtocol(), this.crashReports, this.origins,
 				new SlotPreemptor(settings.host(), this.items, this.fleet.getLoadTracker(), this.exchange),
 				new OnlineMetrics(this.registry), this.usage);
 		CallerAuthorizer authorizer = new CallerAuthorizer(this.fleet, adapters.getCallerProtocol(),
@@ -529,6 +534,13 @@
 				&& this.gatewayStreamFollower.getAgeMillis() > MAX_JOB_STATE_AGE_MILLIS;
 	}
 
+	private double findRateLimit(WorkspaceId workspace) {
+		return Optional.ofNullable(this.fleet.getRoutingTable())
+			.flatMap((table) -> table.getWorkspaces().find(workspace))
+			.map((found) -> found.limit().requestsPerSecond())
+			.orElse(0.0);
+	}
+
 	private Duration reportLag() {
 		return this.exchange.getReportLag();
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineContext.java
@@ -10,6 +10,7 @@
 import org.wigeonglade.core.retry.Quarantine;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.caller.CallerProtocol;
+import org.wigeonglade.gateway.fleet.OverloadPolicy;
 import org.wigeonglade.gateway.fleet.PlacementPolicy;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.runner.Fleet;
@@ -23,6 +24,7 @@
  * @param ticker the clock, not null
  * @param fleet the runners, not null
  * @param policy chooses the runner of a request, not null
+ * @param overload decides who is rejected when capacity is short, not null
  * @param protocol reads and writes the headers of callers, not null
  * @param crashReporter finds out which requests crash runners, not null
  * @param origins keeps what began each stream, not null
@@ -30,9 +32,9 @@
  * @param metrics the metrics of online requests, not null
  * @param usage limits the requests of workspaces, not null
  */
-public record OnlineContext(EventLoop loop, Ticker ticker, Fleet fleet, PlacementPolicy policy, CallerProtocol protocol,
-		CrashReporter crashReporter, StreamOrigins origins, Preemptor preemptor, OnlineMetrics metrics,
-		UsageLimiter usage) {
+public record OnlineContext(EventLoop loop, Ticker ticker, Fleet fleet, PlacementPolicy policy, OverloadPolicy overload,
+		CallerProtocol protocol, CrashReporter crashReporter, StreamOrigins origins, Preemptor preemptor,
+		OnlineMetrics metrics, UsageLimiter usage) {
 
 	/**
 	 * Preempts batch items.
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -17,11 +18,14 @@
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.Fingerprint;
 import org.wigeonglade.core.id.ServiceName;
+import org.wigeonglade.core.id.WorkspaceId;
 import org.wigeonglade.core.retry.Quarantine;
 import org.wigeonglade.gateway.caller.TokenUsage;
 import org.wigeonglade.gateway.fleet.Candidate;
 import org.wigeonglade.gateway.fleet.LoadTracker;
 import org.wigeonglade.gateway.fleet.Placement;
+import org.wigeonglade.gateway.fleet.RequestAdmission;
+import org.wigeonglade.gateway.fleet.RequestClass;
 import org.wigeonglade.gateway.fleet.RequestConstraints;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerId;
@@ -37,6 +41,7 @@
 import org.wigeonglade.gateway.stream.StreamBinding;
 import org.wigeonglade.gateway.stream.StreamOrigin;
 import org.wigeonglade.gateway.workspace.RequestIdentity;
+import org.wigeonglade.gateway.workspace.Workspace;
 
 /**
  * State machine of one online request, from its arrival to its final response: places the
@@ -91,6 +96,8 @@
 
 	private final RequestIdentity identity;
 
+	private final RequestAdmission admission;
+
 	private final RetryPolicy retryPolicy;
 
 	private final Set<RunnerId> triedRunners = new HashSet<>();
@@ -128,6 +135,7 @@
 		this.service = route.chooseService(this.id);
 		this.headers = new DefaultHttpHeaders().set(received);
 		HopByHopHeaders.strip(this.headers);
+		this.admission = new RequestAdmission(context.overload(), context.policy(), classify(received));
 		this.retryPolicy = new RetryPolicy(route);
 		this.deadlineMillis = deadlineMillis;
 		this.targetTimeMillis = exchange.getArrivedMillis() + route.getLatencyTarget().toMillis();
@@ -137,6 +145,15 @@
 		this.suspects.add(fingerprintOf(exchange));
 	}
 
+	private RequestClass classify(HttpHeaders received) {
+		Optional<WorkspaceId> workspace = this.identity.workspace();
+		OptionalInt priority = workspace.flatMap(this.context.fleet().getRoutingTable().getWorkspaces()::find)
+			.map(Workspace::priority)
+			.orElse(OptionalInt.empty());
+		return RequestClass.of(this.route.getPriority(), workspace, priority,
+				this.context.protocol().tokenUsage(received).map(TokenUsage::getSize));
+	}
+
 	private static EventSequence sequenceOf(Route route, OptionalLong resumeAfter) {
 		return (route.isResumable() || resumeAfter.isPresent()) ? EventSequence.ofResumable(resumeAfter)
 				: EventSequence.ofSingleRun();
@@ -270,7 +287,7 @@
 			refuseForMemory(candidates, constraints);
 			return;
 		}
-		switch (this.context.policy().place(fitting, constraints)) {
+		switch (this.admission.place(fitting, constraints, now)) {
 			case Placement.Send send -> {
 				preemptAndLogPlacement(send);
 				send(send.runner(), send.expectedWait().toMillis());
@@ -331,6 +348,7 @@
 		LOG.log(GatewayEvent.REFUSED, this.id, this.route.getName(), cause, SERVICE_UNAVAILABLE, candidates.size(),
 				avoided, occupancy, slots, retryMillis, elapsedMillis(), configVersion());
 		this.context.metrics().countRequest("refused");
+		this.context.metrics().countRejection(cause);
 		respond(SERVICE_UNAVAILABLE, retryMillis);
 	}
 
