--- a/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageBucket.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/workspace/UsageBucket.java
@@ -12,9 +12,8 @@
 
 	/**
 	 * Requests beyond the configured burst, so that random arrivals of a workspace below
-	 * its limit are not rejected: a workspace with 0.5/s and a burst of 0.8 would lose a
-	 * third of them. The permitted sum over all hosts leaves 20 requests, most of which
-	 * are for the delay of reports.
+	 * its limit are not rejected, such as 0.5/s with a burst of 0.8. The permitted sum
+	 * over all hosts leaves 20 requests, most of which are for the delay of reports.
 	 */
 	static final double EXTRA_BURST = 6;
 
