Create the settings of the listing benchmark with the new component

Cause: GatewaySettings has got the bound on withdrawals, and the module bench did not compile. Change: the benchmark sets none.

--- a/bench/src/main/java/org/wigeonglade/bench/listing/ListingBench.java
+++ b/bench/src/main/java/org/wigeonglade/bench/listing/ListingBench.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -133,7 +134,7 @@
 			InetSocketAddress anyPort = new InetSocketAddress(ROUTE_HOST, 0);
 			GatewaySettings settings = new GatewaySettings(HostId.of("host-" + i), FailureDomain.of("domain-" + i % 3),
 					anyPort, anyPort, new InetSocketAddress(ROUTE_HOST, MachineOperatorStandIn.findPeerPort()), anyPort,
-					Duration.ofSeconds(8), Duration.ofMinutes(2));
+					Duration.ofSeconds(8), Duration.ofMinutes(2), Optional.empty());
 			GatewayHost host = new GatewayHost(settings,
 					new PlatformAdapters(new InetSocketAddress(ROUTE_HOST, link.port()), Ticker.system()),
 					Ticker.system(), new Random(i));
