Apply the findings of the review of the merged parts

Change: memory of runners is accounted for only where the settings name the contract, with a timeout of 700 ms, and without hosts silent for 10 s. First events and whole responses count at most three times the mean. Calls about jobs are handled as guarded as others. Without workspaces all requests are of one class.

--- a/bench/src/main/java/org/wigeonglade/bench/listing/ListingBench.java
+++ b/bench/src/main/java/org/wigeonglade/bench/listing/ListingBench.java
@@ -134,7 +134,7 @@
 			InetSocketAddress anyPort = new InetSocketAddress(ROUTE_HOST, 0);
 			GatewaySettings settings = new GatewaySettings(HostId.of("host-" + i), FailureDomain.of("domain-" + i % 3),
 					anyPort, anyPort, new InetSocketAddress(ROUTE_HOST, MachineOperatorStandIn.findPeerPort()), anyPort,
-					Duration.ofSeconds(8), Duration.ofMinutes(2), Optional.empty());
+					Duration.ofSeconds(8), Duration.ofMinutes(2), Optional.empty(), false);
 			GatewayHost host = new GatewayHost(settings,
 					new PlatformAdapters(new InetSocketAddress(ROUTE_HOST, link.port()), Ticker.system()),
 					Ticker.system(), new Random(i));
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/KvMemoryTracker.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/KvMemoryTracker.java
@@ -28,7 +28,7 @@
 	 * one arrives. Longer than the lifetime of other reports, because the requests of a
 	 * partitioned host go on: batch items take about 5 s.
 	 */
-	static final long REPORT_LIFETIME_MILLIS = 10_000;
+	public static final long REPORT_LIFETIME_MILLIS = 10_000;
 
 	private final Map<RunnerId, Long> local = new HashMap<>();
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerSpeeds.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerSpeeds.java
@@ -24,12 +24,6 @@
 	 */
 	private static final double UNIT_DECAY_MILLIS = 30_000;
 
-	/**
-	 * Longest time of one observation as a multiple of the mean: one request that hangs
-	 * tells little about the others.
-	 */
-	private static final double MAX_UNIT_FACTOR = 8;
-
 	/** Time without work in milliseconds that a refusal by a full runner counts as. */
 	private static final double REFUSAL_MILLIS = 100;
 
@@ -87,7 +81,7 @@
 		DecayingSum mean = this.unitTimes.computeIfAbsent(runner.service(), (s) -> new HashMap<>())
 			.computeIfAbsent(kind, (k) -> new DecayingSum(UNIT_DECAY_MILLIS));
 		double unitMillis = mean.getTime(nowMillis) / mean.getWork(nowMillis);
-		double counted = (unitMillis > 0) ? Math.min(timeMillis, MAX_UNIT_FACTOR * Math.max(1, units) * unitMillis)
+		double counted = (unitMillis > 0) ? Math.min(timeMillis, kind.getMaxFactor() * Math.max(1, units) * unitMillis)
 				: timeMillis;
 		if (units > 0) {
 			mean.add(units, counted, nowMillis);
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/WorkKind.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/WorkKind.java
@@ -7,15 +7,31 @@
 public enum WorkKind {
 
 	/** The first event of a stream that was not queued. */
-	FIRST_EVENT,
+	FIRST_EVENT(3),
 
 	/** A further event of a stream. */
-	EVENT,
+	EVENT(8),
 
 	/** An event of a batch item. */
-	ITEM_EVENT,
+	ITEM_EVENT(8),
 
 	/** A response that is not a stream. */
-	RESPONSE
+	RESPONSE(3);
+
+	private final double maxFactor;
+
+	WorkKind(double maxFactor) {
+		this.maxFactor = maxFactor;
+	}
+
+	/**
+	 * Returns the longest time of one observation that counts. A large request takes
+	 * several times as long as a small one until its first event or its response, at the
+	 * same speed of the runner; events differ less.
+	 * @return the time as a multiple of the mean of the service
+	 */
+	double getMaxFactor() {
+		return this.maxFactor;
+	}
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/CallRouter.java
@@ -75,15 +75,18 @@
 				route(call);
 			}
 			else {
-				this.authorizer.authorize(call, this.jobs.isKeyless(parsed), (identity) -> {
-					if (admit(call, JobService.getMaxTime(parsed)).isPresent()) {
-						this.jobs.handle(call, parsed, identity);
-					}
-				});
+				this.authorizer.authorize(call, this.jobs.isKeyless(parsed),
+						(identity) -> handleSafely(call, () -> handleJobCall(call, parsed, identity)));
 			}
 		});
 	}
 
+	private void handleJobCall(CallerExchange call, CallerOperation operation, RequestIdentity identity) {
+		if (admit(call, JobService.getMaxTime(operation)).isPresent()) {
+			this.jobs.handle(call, operation, identity);
+		}
+	}
+
 	// Returns the time by which a request must be answered. Refuses one that may not be
 	// complete before the process ends; another host serves it. Limits count from the
 	// arrival of the request, also while it waits behind others or for a configuration.
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -547,7 +547,8 @@
 
 	private OptionalLong findKvCapacity(ServiceName service) {
 		RoutingTable table = this.fleet.getRoutingTable();
-		return (table != null) ? table.findKvCapacity(service) : OptionalLong.empty();
+		return (table != null && this.settings.runnerMemoryLimited()) ? table.findKvCapacity(service)
+				: OptionalLong.empty();
 	}
 
 	private CallerLimits callerLimits() {
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewaySettings.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewaySettings.java
@@ -22,9 +22,12 @@
  * @param revocationDelay the time after which the withdrawal of an API key must be in
  * force on every host, also one that is cut off from the store; empty if such a host may
  * serve with the last configuration that it has read; not null
+ * @param runnerMemoryLimited whether a runner fails if the requests that it holds exceed
+ * its memory, so that hosts have to account for it
  */
 public record GatewaySettings(HostId host, FailureDomain domain, InetSocketAddress callerAddress,
 		InetSocketAddress readinessAddress, InetSocketAddress peerAddress, InetSocketAddress metricsAddress,
-		Duration gracePeriod, Duration resultRetention, Optional<Duration> revocationDelay) {
+		Duration gracePeriod, Duration resultRetention, Optional<Duration> revocationDelay,
+		boolean runnerMemoryLimited) {
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobSubmitter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobSubmitter.java
@@ -17,6 +17,7 @@
 import org.wigeonglade.gateway.store.KeyedLog;
 import org.wigeonglade.gateway.store.KeyedStream;
 import org.wigeonglade.gateway.store.StreamFollower;
+import org.wigeonglade.gateway.workspace.RequestIdentity;
 
 /**
  * Makes submitted jobs durable and responds to their submitters. An append with unknown
@@ -209,7 +210,7 @@
 	// Of two jobs with the same id, the one that is first in the stream is kept.
 	private boolean isOfAnotherWorkspace(SubmittedJob job) {
 		return this.jobTable.find(job.id())
-			.filter((known) -> known.isComplete() && !known.getWorkspace().equals(job.workspace()))
+			.filter((known) -> known.isComplete() && !known.isAccessibleTo(RequestIdentity.ofJob(job.workspace())))
 			.isPresent();
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -145,7 +145,11 @@
 		this.suspects.add(fingerprintOf(exchange));
 	}
 
+	// Without workspaces all requests compete, as their routes have one owner.
 	private RequestClass classify(HttpHeaders received) {
+		if (this.identity instanceof RequestIdentity.Unmanaged) {
+			return RequestClass.DEFAULT;
+		}
 		Optional<WorkspaceId> workspace = this.identity.workspace();
 		OptionalInt priority = workspace.flatMap(this.context.fleet().getRoutingTable().getWorkspaces()::find)
 			.map(Workspace::priority)
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
@@ -11,6 +11,7 @@
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.gateway.fleet.KvMemoryPolicy;
+import org.wigeonglade.gateway.fleet.KvMemoryTracker;
 
 /**
  * The membership table and failure detector of the other hosts, updated from
@@ -32,11 +33,11 @@
 	public static final long LIVENESS_TIMEOUT_MILLIS = 1_500;
 
 	/**
-	 * Time in milliseconds without a datagram after which what a host has in progress is
-	 * no longer known well: longer than a heartbeat interval. If it is taken for silent
-	 * because a datagram was lost, little memory of runners is kept for it in vain.
+	 * Time in milliseconds without a datagram after which the reports of a host count as
+	 * missing. Heartbeats are checked each 250 ms and skipped shortly after another
+	 * datagram, so a sound host is silent for up to 500 ms.
 	 */
-	private static final long REPORT_TIMEOUT_MILLIS = 300;
+	private static final long REPORT_TIMEOUT_MILLIS = 700;
 
 	private final Map<HostId, Peer> peers = new HashMap<>();
 
@@ -186,11 +187,13 @@
 	 * it counts as lost: until then, the sides of a partition do not see what the other
 	 * side sends to a runner.
 	 * @param nowMillis the monotonic time in milliseconds
-	 * @return the hosts, never null
+	 * @return the hosts, without those that have been silent for longer than their
+	 * requests last; never null
 	 */
 	public List<KvMemoryPolicy.HostStatus> getHostStatuses(long nowMillis) {
 		return this.peers.values()
 			.stream()
+			.filter((peer) -> peer.getSilenceMillis(nowMillis) <= KvMemoryTracker.REPORT_LIFETIME_MILLIS)
 			.map((peer) -> new KvMemoryPolicy.HostStatus(peer.getHost(),
 					peer.isAlive() && peer.getSilenceMillis(nowMillis) <= REPORT_TIMEOUT_MILLIS))
 			.toList();
