Bring competing callers into the model with learned speeds

Workspaces and sizes are drawn from the random source of arrivals, so that they do not depend on placement; the admission policy draws from that of decisions.

--- a/bench/src/main/java/org/wigeonglade/bench/model/DispatchModel.java
+++ b/bench/src/main/java/org/wigeonglade/bench/model/DispatchModel.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
@@ -42,12 +41,11 @@
 	/** Length of a burst in milliseconds. */
 	static final double BURST_MILLIS = 2_400;
 
-	private static final double TARGET_MILLIS = 303;
+	/** Time to the first event within which a stream is in time. */
+	static final double TARGET_MILLIS = 303;
 
 	private static final double DEADLINE_MILLIS = 5_057;
 
-	private static final double DUE_MILLIS = 18_000;
-
 	/** Time from the start of a run to its first event at a runner of mean speed. */
 	private static final double FIRST_EVENT_MILLIS = 20;
 
@@ -98,40 +96,14 @@
 
 	private final ModelObservations observations;
 
-	private final int[] sent;
-
-	private final int[] sentToSlowed;
-
-	private double work;
+	private final ModelCallers callers;
 
-	private final List<Double> firstMillis = new ArrayList<>();
+	private final ModelStatistics statistics;
 
 	private long eventCount;
 
 	private double now;
 
-	private int streams;
-
-	private int late;
-
-	private int secondVisit;
-
-	private int refused;
-
-	private int declined;
-
-	private int items;
-
-	private int itemsInTime;
-
-	private int preemptions;
-
-	private int samples;
-
-	private long idleSum;
-
-	private long batchSum;
-
 	private DispatchModel(ModelOptions options) {
 		this.options = options;
 		this.random = new Random(options.seed());
@@ -139,8 +111,8 @@
 		this.policy = new PlacementPolicy(this.random, () -> Duration.ofMillis(options.farLagMillis()));
 		this.view = new ModelView(options.hosts(), options.domains(), options.runners());
 		this.pausedUntil = new double[options.runners()];
-		this.sent = new int[10 * options.seconds() + 1];
-		this.sentToSlowed = new int[10 * options.seconds() + 1];
+		this.callers = new ModelCallers(options, this.policy, this.random);
+		this.statistics = new ModelStatistics(options);
 		for (int i = 0; i < options.runners(); i++) {
 			this.runners.add(new ModelRunner(options.slots(), options.queue()));
 			this.entries.add(new RunnerEntry(RunnerId.of(Integer.toString(i)), ServiceName.of("model"),
@@ -183,31 +155,29 @@
 			this.now = next.atMillis();
 			next.action().run();
 		}
-		this.firstMillis.sort(null);
-		return new ModelReport(this.streams, this.late, this.secondVisit, this.refused, this.declined, this.items,
-				this.itemsInTime, this.preemptions, List.copyOf(this.firstMillis),
-				(double) this.idleSum / Math.max(1, this.samples), (double) this.batchSum / Math.max(1, this.samples),
-				this.work / 1_000, Arrays.stream(this.sent).boxed().toList(),
-				Arrays.stream(this.sentToSlowed).boxed().toList());
+		return this.statistics.getReport();
 	}
 
 	private void streamArrives() {
 		boolean burst = this.now % CYCLE_MILLIS >= CYCLE_MILLIS - BURST_MILLIS;
 		double quietFactor = (CYCLE_MILLIS - this.options.burstFactor() * BURST_MILLIS) / (CYCLE_MILLIS - BURST_MILLIS);
-		double rate = this.options.streamsPerSecond() * (burst ? this.options.burstFactor() : quietFactor);
+		double rate = this.options.streamsPerSecond() * (burst ? this.options.burstFactor() : quietFactor)
+				* this.callers.getRateFactor(this.now);
 		after(exponential(1_000 / rate), this::streamArrives);
-		this.streams++;
-		double hold = this.options.holdMillis() * (0.6 + 0.8 * this.arrivals.nextDouble());
-		place(new ModelWork(this.arrivals.nextInt(this.options.hosts()), false, this.now, hold));
+		double slotTime = this.arrivals.nextDouble();
+		double hold = this.options.holdMillis() * (0.6 + 0.8 * slotTime);
+		ModelWork stream = new ModelWork(this.arrivals.nextInt(this.options.hosts()), false, this.now, hold);
+		this.callers.classify(stream, slotTime, this.now, this.arrivals);
+		this.statistics.streamArrived(stream);
+		place(stream);
 	}
 
 	private void itemArrives() {
-		after(exponential(1_000 / this.options.itemsPerSecond()), this::itemArrives);
+		double rate = this.options.itemsPerSecond() * this.options.contention().getJobsFactor(this.now);
+		after(exponential(1_000 / rate), this::itemArrives);
 		double hold = this.options.itemMillis() * (0.6 + 0.8 * this.arrivals.nextDouble());
 		ModelWork item = new ModelWork(this.arrivals.nextInt(this.options.hosts()), true, this.now, hold);
-		if (this.now + DUE_MILLIS <= this.options.seconds() * 1_000.0) {
-			this.items++;
-		}
+		this.statistics.itemArrived(item);
 		this.waitingItems.get(item.getHost()).add(item);
 	}
 
@@ -215,8 +185,9 @@
 		double age = this.now - work.getArrivedMillis();
 		RequestConstraints constraints = new RequestConstraints(
 				millis(TARGET_MILLIS - (this.now - work.getVisitedMillis())), millis(DEADLINE_MILLIS - age), true);
-		switch (this.policy.place(candidates(work), constraints)) {
+		switch (work.getAdmission().place(candidates(work), constraints, Math.round(this.now))) {
 			case Placement.Send send -> {
+				tellOthers(work);
 				int runner = Integer.parseInt(send.runner().id().value());
 				askToGiveWay(work, runner, send.preemptions());
 				send(work, runner);
@@ -226,21 +197,28 @@
 					double pause = Math.min(refusal.retryAfter().toMillis(), (DEADLINE_MILLIS - age) / 3);
 					after(pause, () -> {
 						work.comeBack(this.now);
+						this.statistics.returned(work);
 						place(work);
 					});
 				}
 				else {
-					this.refused++;
+					this.statistics.refused();
 				}
 			}
 		}
 	}
 
+	private void tellOthers(ModelWork stream) {
+		if (this.options.contention().admission() == ModelContention.Admission.EXCHANGED
+				&& stream.getDeclinedBy().isEmpty()) {
+			after(this.options.farLagMillis(), () -> this.callers.tellOthers(stream, Math.round(this.now)));
+		}
+	}
+
 	private void send(ModelWork work, int runner) {
 		count(work, runner, 1);
 		if (!work.isBatch()) {
-			this.sent[(int) (this.now / 100)]++;
-			this.sentToSlowed[(int) (this.now / 100)] += this.options.fleet().isSlowed(runner) ? 1 : 0;
+			this.statistics.sent(runner, this.now);
 		}
 		after(WAY_MILLIS, () -> {
 			if (this.runners.get(runner).arrive(work)) {
@@ -266,7 +244,7 @@
 	}
 
 	private void declined(ModelWork work, int runner) {
-		this.declined++;
+		this.statistics.declined();
 		this.observations.refused(work.getHost(), runner, this.now);
 		if (work.isBatch()) {
 			this.waitingItems.get(work.getHost()).addFirst(work);
@@ -274,7 +252,7 @@
 		}
 		work.getDeclinedBy().add(this.entries.get(runner).id());
 		if (work.getDeclinedBy().size() >= MOST_DECLINED) {
-			this.refused++;
+			this.statistics.refused();
 		}
 		else {
 			place(work);
@@ -289,7 +267,7 @@
 			next.start(this.now, slow ? this.now : -Double.MAX_VALUE);
 			proceed(next, runner);
 			if (!next.isBatch()) {
-				recordFirst(next, runner);
+				this.statistics.started(next, this.now + FIRST_EVENT_MILLIS / fleet.speedOf(runner, this.now));
 			}
 			next = this.runners.get(runner).startNext();
 		}
@@ -301,7 +279,7 @@
 		boolean slow = this.now < work.getEpisodeFromMillis() + fleet.episodeMillis();
 		double elapsed = this.now - work.getProgressMillis();
 		double done = work.proceed(this.now, fleet.speedOf(runner, this.now) * (slow ? fleet.episodeFactor() : 1));
-		this.work += done;
+		this.statistics.worked(done);
 		if (elapsed > 0 && !work.isResponse() && fleet.knowledge() == ModelSpeeds.Knowledge.LEARNED) {
 			this.observations.observe(work, runner, done, elapsed, this.now);
 		}
@@ -346,9 +324,8 @@
 		}
 		work.stop();
 		count(work, runner, -1);
-		if (work.isBatch() && work.getArrivedMillis() + DUE_MILLIS <= this.options.seconds() * 1_000.0
-				&& this.now - work.getArrivedMillis() <= DUE_MILLIS) {
-			this.itemsInTime++;
+		if (work.isBatch()) {
+			this.statistics.itemEnded(work, this.now);
 		}
 		startNext(runner);
 	}
@@ -365,7 +342,7 @@
 		if (item == null) {
 			return;
 		}
-		this.preemptions++;
+		this.statistics.preempted();
 		if (this.runners.get(runner).getRunning().contains(item)) {
 			proceed(item, runner);
 		}
@@ -406,7 +383,8 @@
 
 	private List<Candidate> candidates(ModelWork work) {
 		List<Candidate> candidates = new ArrayList<>();
-		for (int runner = 0; runner < this.entries.size(); runner++) {
+		int gone = this.options.contention().getGoneRunners(this.entries.size(), this.now);
+		for (int runner = gone; runner < this.entries.size(); runner++) {
 			RunnerEntry entry = this.entries.get(runner);
 			boolean paused = work.isBatch() && this.pausedUntil[runner] > this.now;
 			if (!paused && !work.getDeclinedBy().contains(entry.id())) {
@@ -434,24 +412,9 @@
 		after(this.options.farLagMillis(), () -> this.view.tellFar(host, runner, work.isBatch(), change));
 	}
 
-	private void recordFirst(ModelWork stream, int runner) {
-		double firstEvent = this.now + FIRST_EVENT_MILLIS / this.options.fleet().speedOf(runner, this.now);
-		this.firstMillis.add(firstEvent - stream.getArrivedMillis());
-		if (firstEvent - stream.getVisitedMillis() > TARGET_MILLIS) {
-			this.late++;
-		}
-		else if (stream.isSecondVisit()) {
-			this.secondVisit++;
-		}
-	}
-
 	private void sample() {
 		after(SAMPLE_MILLIS, this::sample);
-		if (this.runners.stream().anyMatch(ModelRunner::isStreamWaiting)) {
-			this.samples++;
-			this.idleSum += this.runners.stream().mapToInt(ModelRunner::getIdleSlots).sum();
-			this.batchSum += this.runners.stream().mapToInt(ModelRunner::getBatchSlots).sum();
-		}
+		this.statistics.sample(this.runners);
 	}
 
 	private FailureDomain domain(int index) {
--- a/bench/src/main/java/org/wigeonglade/bench/model/ModelOptions.java
+++ b/bench/src/main/java/org/wigeonglade/bench/model/ModelOptions.java
@@ -21,10 +21,11 @@
  * @param itemsPerSecond the mean arrivals of batch items
  * @param itemMillis the mean time that an item holds a slot
  * @param fleet how the runners differ and what placement knows of it, not null
+ * @param contention the callers that compete, not null
  */
 public record ModelOptions(int hosts, int domains, int runners, int slots, int queue, int seconds, long seed,
 		int nearLagMillis, int farLagMillis, double streamsPerSecond, double burstFactor, int holdMillis,
-		double itemsPerSecond, int itemMillis, ModelSpeeds fleet) {
+		double itemsPerSecond, int itemMillis, ModelSpeeds fleet, ModelContention contention) {
 
 	/**
 	 * Checks the options.
@@ -94,6 +95,8 @@
 
 		private ModelSpeeds fleet = ModelSpeeds.ALIKE;
 
+		private ModelContention contention = ModelContention.NONE;
+
 		/**
 		 * Sets the numbers of hosts and failure domains.
 		 * @param hostCount the hosts, at least 1
@@ -196,6 +199,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the callers that compete.
+		 * @param value the workspaces, their admission and the disturbances, not null
+		 * @return this builder
+		 */
+		public Builder contention(ModelContention value) {
+			this.contention = value;
+			return this;
+		}
+
 		/**
 		 * Builds the options.
 		 * @return the options, never null
@@ -204,7 +217,7 @@
 		public ModelOptions build() {
 			return new ModelOptions(this.hosts, this.domains, this.runners, this.slots, this.queue, this.seconds,
 					this.seed, this.nearLagMillis, this.farLagMillis, this.streamsPerSecond, this.burstFactor,
-					this.holdMillis, this.itemsPerSecond, this.itemMillis, this.fleet);
+					this.holdMillis, this.itemsPerSecond, this.itemMillis, this.fleet, this.contention);
 		}
 
 	}
--- a/bench/src/main/java/org/wigeonglade/bench/model/ModelReport.java
+++ b/bench/src/main/java/org/wigeonglade/bench/model/ModelReport.java
@@ -23,10 +23,12 @@
  * @param workSeconds the work that was done, in seconds of a runner of mean speed
  * @param sent the streams sent in each 100 ms
  * @param sentToSlowed those of them that were sent to runners which are slow for a time
+ * @param shares the shares served in time by workspace, urgency and size, by name; empty
+ * without workspaces; not null
  */
 public record ModelReport(int streams, int late, int secondVisit, int refused, int declined, int items, int itemsInTime,
 		int preemptions, List<Double> firstMillis, double idleWhileWaiting, double batchWhileWaiting,
-		double workSeconds, List<Integer> sent, List<Integer> sentToSlowed) {
+		double workSeconds, List<Integer> sent, List<Integer> sentToSlowed, Map<String, Number> shares) {
 
 	/** Value of a stream that is late. */
 	private static final double LATE_VALUE = 0.15;
@@ -115,6 +117,7 @@
 		figures.put("idle_slots_while_waiting", this.idleWhileWaiting);
 		figures.put("batch_slots_while_waiting", this.batchWhileWaiting);
 		figures.put("work_s", this.workSeconds);
+		figures.putAll(this.shares);
 		return figures;
 	}
 
--- a/bench/src/main/java/org/wigeonglade/bench/model/ModelWork.java
+++ b/bench/src/main/java/org/wigeonglade/bench/model/ModelWork.java
@@ -3,6 +3,8 @@
 import java.util.HashSet;
 import java.util.Set;
 
+import org.wigeonglade.gateway.fleet.RequestAdmission;
+import org.wigeonglade.gateway.fleet.RequestClass;
 import org.wigeonglade.gateway.fleet.RunnerId;
 
 /**
@@ -43,6 +45,11 @@
 
 	private boolean secondVisit;
 
+	private RequestClass requestClass = RequestClass.DEFAULT;
+
+	// Null for items.
+	private RequestAdmission admission;
+
 	ModelWork(int host, boolean batch, double arrivedMillis, double holdMillis) {
 		this.host = host;
 		this.batch = batch;
@@ -52,6 +59,19 @@
 		this.response = holdMillis < LONGEST_RESPONSE_MILLIS;
 	}
 
+	RequestClass getRequestClass() {
+		return this.requestClass;
+	}
+
+	RequestAdmission getAdmission() {
+		return this.admission;
+	}
+
+	void classify(RequestClass value, RequestAdmission requestAdmission) {
+		this.requestClass = value;
+		this.admission = requestAdmission;
+	}
+
 	int getHost() {
 		return this.host;
 	}
--- a/bench/src/test/java/org/wigeonglade/bench/model/DispatchModelTests.java
+++ b/bench/src/test/java/org/wigeonglade/bench/model/DispatchModelTests.java
@@ -1,5 +1,7 @@
 package org.wigeonglade.bench.model;
 
+import java.util.Set;
+
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -51,6 +53,33 @@
 		return new Object[][] { { 1.1, 0.5 }, { 1.6, 0.5 }, { 2.0, 0.5 } };
 	}
 
+	// Guards against a shortage that falls on the more urgent callers, or that serves
+	// fewer in time than a placement that tells no callers apart.
+	@Test
+	public void lessUrgentCallersGiveWayInAFlood() {
+		ModelReport before = DispatchModel.run(flood(ModelContention.Admission.NONE));
+		ModelReport after = DispatchModel.run(flood(ModelContention.Admission.EXCHANGED));
+		Assert.assertTrue(share(after, "served_share") > share(before, "served_share"), after.toString());
+		Assert.assertTrue(share(after, "served_share_urgency_0") > share(after, "served_share_urgency_1"));
+		Assert.assertTrue(share(after, "served_share_urgency_1") > share(after, "served_share_urgency_2"));
+		Assert.assertTrue(share(after, "served_share_largest") >= share(after, "served_share") / 2, after.toString());
+	}
+
+	private static ModelOptions flood(ModelContention.Admission admission) {
+		return ModelOptions.builder()
+			.hosts(61, 3)
+			.runners(62, 8)
+			.lag(21, 21)
+			.streams(244, 1.87, 800)
+			.items(26.7, 4_700)
+			.contention(new ModelContention(73, 3, admission, Set.of(ModelContention.Disturbance.FLOOD)))
+			.build();
+	}
+
+	private static double share(ModelReport report, String name) {
+		return report.shares().get(name).doubleValue();
+	}
+
 	@Test
 	public void sameOptionsGiveTheSameReport() {
 		ModelOptions options = ModelOptions.builder().seconds(5).build();
--- a/cli/src/main/java/org/wigeonglade/cli/ModelCommand.java
+++ b/cli/src/main/java/org/wigeonglade/cli/ModelCommand.java
@@ -1,10 +1,14 @@
 package org.wigeonglade.cli;
 
+import java.util.EnumSet;
 import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.Callable;
 
 import io.vertx.core.json.JsonObject;
+import org.wigeonglade.bench.model.DecisionTiming;
 import org.wigeonglade.bench.model.DispatchModel;
+import org.wigeonglade.bench.model.ModelContention;
 import org.wigeonglade.bench.model.ModelOptions;
 import org.wigeonglade.bench.model.ModelReport;
 import picocli.CommandLine.Command;
@@ -74,8 +78,35 @@
 			description = "Mean time that an item holds a slot (default: ${DEFAULT-VALUE} ms).")
 	private int itemHold;
 
+	@Option(names = "--workspaces", paramLabel = "N", defaultValue = "0",
+			description = "Workspaces that compete (default: ${DEFAULT-VALUE}).")
+	private int workspaces;
+
+	@Option(names = "--urgencies", paramLabel = "N", defaultValue = "1",
+			description = "Priorities that the workspaces have in turn (default: ${DEFAULT-VALUE}).")
+	private int urgencies;
+
+	@Option(names = "--admission", paramLabel = "MODE", defaultValue = "NONE",
+			description = "Admission under overload: ${COMPLETION-CANDIDATES} (default: ${DEFAULT-VALUE}).")
+	private ModelContention.Admission admission;
+
+	@Option(names = "--disturb", paramLabel = "KIND", split = ",",
+			description = "Disturbances every 29 s: ${COMPLETION-CANDIDATES}. Shares are counted in the 7 s after each.")
+	private Set<ModelContention.Disturbance> disturbances = EnumSet.noneOf(ModelContention.Disturbance.class);
+
+	@Option(names = "--time-decisions",
+			description = "Only measure the processor time of an admission and placement, by requests at each runner.")
+	private boolean timeDecisions;
+
 	@Override
 	public Integer call() {
+		if (this.timeDecisions) {
+			for (int online = this.slots / 2; online <= this.slots + 1; online++) {
+				double micros = DecisionTiming.measure(this.runners, online, Math.max(1, this.workspaces));
+				this.console.println(online + ": " + format(micros) + " us");
+			}
+			return ExitCode.SUCCESS;
+		}
 		ModelOptions options = ModelOptions.builder()
 			.hosts(this.hosts, this.domains)
 			.runners(this.runners, this.slots)
@@ -84,6 +115,7 @@
 			.lag(this.nearLag, this.farLag)
 			.streams(this.streams, this.burst, this.streamHold)
 			.items(this.items, this.itemHold)
+			.contention(new ModelContention(this.workspaces, this.urgencies, this.admission, this.disturbances))
 			.build();
 		ModelReport report = DispatchModel.run(options);
 		if (this.console.isJson()) {
