Test the flood of a workspace also with learned speeds

The test of a flood ran on runners of one speed only. It now also runs with speeds 0.6, 1.0 and 1.6 that placement learns, and checks that both runs of a comparison have as many arrivals.

--- a/bench/src/test/java/org/wigeonglade/bench/model/DispatchModelTests.java
+++ b/bench/src/test/java/org/wigeonglade/bench/model/DispatchModelTests.java
@@ -54,24 +54,34 @@
 	}
 
 	// Guards against a shortage that falls on the more urgent callers, or that serves
-	// fewer in time than a placement that tells no callers apart.
-	@Test
-	public void lessUrgentCallersGiveWayInAFlood() {
-		ModelReport before = DispatchModel.run(flood(ModelContention.Admission.NONE));
-		ModelReport after = DispatchModel.run(flood(ModelContention.Admission.EXCHANGED));
+	// fewer in time than a placement that tells no callers apart, also where placement
+	// learns the speeds of runners that differ; and against arrivals that depend on
+	// placement, so that the runs compare different loads.
+	@Test(dataProvider = "speeds")
+	public void lessUrgentCallersGiveWayInAFlood(ModelSpeeds speeds) {
+		ModelReport before = DispatchModel.run(flood(speeds, ModelContention.Admission.NONE));
+		ModelReport after = DispatchModel.run(flood(speeds, ModelContention.Admission.EXCHANGED));
+		Assert.assertEquals(after.streams(), before.streams());
 		Assert.assertTrue(share(after, "served_share") > share(before, "served_share"), after.toString());
 		Assert.assertTrue(share(after, "served_share_urgency_0") > share(after, "served_share_urgency_1"));
 		Assert.assertTrue(share(after, "served_share_urgency_1") > share(after, "served_share_urgency_2"));
 		Assert.assertTrue(share(after, "served_share_largest") >= share(after, "served_share") / 2, after.toString());
 	}
 
-	private static ModelOptions flood(ModelContention.Admission admission) {
+	@DataProvider
+	public Object[][] speeds() {
+		return new Object[][] { { ModelSpeeds.ALIKE },
+				{ ModelSpeeds.of(ModelSpeeds.Knowledge.LEARNED, 0.6, 1.0, 1.6) } };
+	}
+
+	private static ModelOptions flood(ModelSpeeds speeds, ModelContention.Admission admission) {
 		return ModelOptions.builder()
 			.hosts(61, 3)
 			.runners(62, 8)
 			.lag(21, 21)
 			.streams(244, 1.87, 800)
 			.items(26.7, 4_700)
+			.speeds(speeds)
 			.contention(new ModelContention(73, 3, admission, Set.of(ModelContention.Disturbance.FLOOD)))
 			.build();
 	}
