Confirm the job of a workspace once it is read from the stream

Cause: of two workspaces that submit jobs with the same id at the same time, both got 202, since the owner of the id was compared with jobs that this host had read already; the second job was lost.

Change: a job of a workspace is confirmed when the stream shows whose it is, which a long poll does a few milliseconds after the append. Jobs without a workspace are confirmed as before.

--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobSubmitter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobSubmitter.java
@@ -1,9 +1,9 @@
 package org.wigeonglade.gateway.job;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import com.google.common.collect.LinkedHashMultimap;
+import com.google.common.collect.SetMultimap;
 import io.netty.channel.EventLoop;
 import org.wigeonglade.core.error.ErrorCode;
 import org.wigeonglade.core.error.FailureText;
@@ -61,7 +61,7 @@
 
 	private final Ticker ticker;
 
-	private final Map<JobId, Submission> unconfirmed = new HashMap<>();
+	private final SetMultimap<JobId, Submission> unconfirmed = LinkedHashMultimap.create();
 
 	JobSubmitter(JobTable jobTable, StreamFollower follower, RouteQuotaTracker quota, KeyedLog log,
 			CallerProtocol protocol, EventLoop loop, Ticker ticker) {
@@ -104,10 +104,7 @@
 	void jobChanged(Job job) {
 		if (job.isComplete()) {
 			this.quota.removePending(job.getId());
-		}
-		Submission submission = this.unconfirmed.get(job.getId());
-		if (submission != null && job.isComplete()) {
-			accept(submission, null);
+			this.unconfirmed.removeAll(job.getId()).forEach((submission) -> accept(submission, null));
 		}
 	}
 
@@ -197,6 +194,10 @@
 	// completed.
 	private void accept(Submission submission, Long offset) {
 		SubmittedJob job = submission.job;
+		if (!isOwnerKnown(job)) {
+			this.unconfirmed.put(job.id(), submission);
+			return;
+		}
 		this.unconfirmed.remove(job.id(), submission);
 		if (isOfAnotherWorkspace(job)) {
 			JobService.respondUnusableId(submission.exchange);
@@ -207,6 +208,13 @@
 		}
 	}
 
+	// Two workspaces may submit jobs with the same id at the same time. Which one is
+	// first
+	// is known once the job is read from the stream.
+	private boolean isOwnerKnown(SubmittedJob job) {
+		return job.workspace().isEmpty() || this.jobTable.find(job.id()).filter(Job::isComplete).isPresent();
+	}
+
 	// Of two jobs with the same id, the one that is first in the stream is kept.
 	private boolean isOfAnotherWorkspace(SubmittedJob job) {
 		return this.jobTable.find(job.id())
