--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/HoldTimeEstimate.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/HoldTimeEstimate.java
@@ -16,8 +16,6 @@
 
 	private double meanMillis;
 
-	private int samples;
-
 	private HoldTimeEstimate(double initialMillis) {
 		this.meanMillis = initialMillis;
 	}
@@ -31,23 +29,28 @@
 	}
 
 	/**
-	 * Adds the sample of one completed request. The first ones count equally: the default
-	 * of a service with short requests would otherwise hide for minutes on a host with
-	 * few of them that its reports lag behind by a request or more.
+	 * Returns an estimate that starts at the current mean of another one.
+	 * @param other the other estimate, not null
+	 * @return a new estimate, independent of the other one, never null
+	 */
+	public static HoldTimeEstimate copyOf(HoldTimeEstimate other) {
+		return new HoldTimeEstimate(other.meanMillis);
+	}
+
+	/**
+	 * Adds the sample of one completed request.
 	 * @param holdTime the time for which it occupied a slot, not null
 	 */
 	public void addSample(Duration holdTime) {
-		this.samples++;
-		this.meanMillis += Math.max(SMOOTHING_FACTOR, 1.0 / this.samples) * (holdTime.toMillis() - this.meanMillis);
+		this.meanMillis += SMOOTHING_FACTOR * (holdTime.toMillis() - this.meanMillis);
 	}
 
 	/**
-	 * Returns the mean at a runner of a known speed.
-	 * @param speed the speed of the runner relative to the mean of the service, above 0
+	 * Returns the current mean.
 	 * @return the mean, rounded to milliseconds, never null
 	 */
-	public Duration getMean(double speed) {
-		return Duration.ofMillis(Math.round(this.meanMillis / speed));
+	public Duration getMean() {
+		return Duration.ofMillis(Math.round(this.meanMillis));
 	}
 
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerSpeeds.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerSpeeds.java
@@ -55,6 +55,8 @@
 
 	private final ToIntFunction<RunnerId> requests;
 
+	private final boolean enabled;
+
 	private long droppedReports;
 
 	/**
@@ -63,7 +65,21 @@
 	 * hosts, not null
 	 */
 	public RunnerSpeeds(ToIntFunction<RunnerId> requests) {
+		this(requests, true);
+	}
+
+	private RunnerSpeeds(ToIntFunction<RunnerId> requests, boolean enabled) {
 		this.requests = requests;
+		this.enabled = enabled;
+	}
+
+	/**
+	 * Returns estimates that learn and report nothing, so that all runners count as being
+	 * of mean speed.
+	 * @return the estimates, never null
+	 */
+	public static RunnerSpeeds disabled() {
+		return new RunnerSpeeds((runner) -> 0, false);
 	}
 
 	/**
@@ -75,7 +91,7 @@
 	 * @param nowMillis the monotonic time in milliseconds
 	 */
 	public void observe(RunnerEntry runner, WorkKind kind, int units, double timeMillis, long nowMillis) {
-		if (!(timeMillis > 0) || units < 0) {
+		if (!this.enabled || !(timeMillis > 0) || units < 0) {
 			return;
 		}
 		DecayingSum mean = this.unitTimes.computeIfAbsent(runner.service(), (s) -> new HashMap<>())
@@ -98,6 +114,9 @@
 	 * @param nowMillis the monotonic time in milliseconds
 	 */
 	public void recordRefusal(RunnerEntry runner, long nowMillis) {
+		if (!this.enabled) {
+			return;
+		}
 		speedOf(runner).observe(0, REFUSAL_MILLIS, runner.slots(), nowMillis);
 	}
 
@@ -110,6 +129,9 @@
 	 * @return false if the report is impossible and was dropped
 	 */
 	public boolean applyReport(HostId host, RunnerEntry runner, int code, long nowMillis) {
+		if (!this.enabled) {
+			return true;
+		}
 		Optional<SpeedReport> report = SpeedReport.decode(code);
 		if (report.isEmpty()) {
 			this.droppedReports++;
@@ -130,6 +152,9 @@
 	 * @return the reports as numbers by runner, never null
 	 */
 	public Map<RunnerId, Integer> selectReports(Collection<RunnerId> loaded, long nowMillis) {
+		if (!this.enabled) {
+			return Map.of();
+		}
 		List<RunnerId> idle = this.speeds.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue().isUntold() && !loaded.contains(entry.getKey()))
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -79,7 +79,13 @@
 
 	private final Map<ServiceName, HoldTimeEstimate> serviceHoldTimes = new HashMap<>();
 
-	private final RunnerSpeeds speeds = new RunnerSpeeds((runner) -> this.loadTracker.getLoad(runner).getTotal());
+	/**
+	 * Learned capacity is not used: on a played day with runners of unlike speed, while
+	 * all hosts were restarted in turn, more streams were late with it than without.
+	 */
+	private final RunnerSpeeds speeds = RunnerSpeeds.disabled();
+
+	private final Map<RunnerId, HoldTimeEstimate> runnerHoldTimes = new HashMap<>();
 
 	private final RunnerConnectionPool pool;
 
@@ -425,6 +431,7 @@
 	 */
 	public void recordHoldTime(RunnerEntry runner, Duration hold) {
 		serviceHoldTime(runner.service()).addSample(hold);
+		runnerHoldTime(runner).addSample(hold);
 	}
 
 	/**
@@ -458,7 +465,7 @@
 		long now = this.ticker.millis();
 		RunnerCapacity capacity = this.speeds.getCapacity(entry, now);
 		return new Candidate(entry, this.loadTracker.getLoad(entry.id()), isAvoided(entry, suspected),
-				entry.domain().equals(this.domain), serviceHoldTime(entry.service()).getMean(capacity.speed()),
+				entry.domain().equals(this.domain), runnerHoldTime(entry).getMean(),
 				this.requestLimits.getAllowance(entry, now), capacity);
 	}
 
@@ -487,6 +494,7 @@
 		this.pool.closeExpired(this.directory);
 		this.pool.probe(this.directory);
 		this.speeds.removeUnregistered(this.directory, now);
+		this.runnerHoldTimes.keySet().removeIf((id) -> this.directory.find(id).isEmpty());
 	}
 
 	/**
@@ -521,6 +529,13 @@
 		return Math.max(MIN_CONNECTIONS, 2 * total / Math.max(1, this.liveHostCount.getAsInt()));
 	}
 
+	// The runners of a service differ in speed; a new runner starts from the mean of its
+	// service.
+	private HoldTimeEstimate runnerHoldTime(RunnerEntry runner) {
+		return this.runnerHoldTimes.computeIfAbsent(runner.id(),
+				(id) -> HoldTimeEstimate.copyOf(serviceHoldTime(runner.service())));
+	}
+
 	private HoldTimeEstimate serviceHoldTime(ServiceName service) {
 		return this.serviceHoldTimes.computeIfAbsent(service, (s) -> HoldTimeEstimate.initial());
 	}
