Read the size of a request once and decide on keys in one place

Cause: the read of the whole change found that a request of a workspace had its Token-Usage decoded twice, and that CallerAuthorizer held two copies of the same switch that differ only in what follows an uncertain decision.

Change: OnlineRequest decodes the size once; CallerAuthorizer passes what follows. Behaviour is unchanged.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/CallerAuthorizer.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/CallerAuthorizer.java
@@ -69,23 +69,22 @@
 	 * called if the request was denied or has ended; not null
 	 */
 	void authorize(CallerExchange call, boolean keyless, Consumer<RequestIdentity> onGranted) {
-		switch (decide(call, keyless)) {
-			case Access.Granted granted -> onGranted.accept(granted.identity());
-			case Access.Denied denied -> deny(call);
-			case Access.Uncertain uncertain when this.configuration.isReachable() -> this.configuration
-				.whenCaughtUp(MAX_WAIT, () -> decideOnNewest(call, keyless, onGranted), () -> refuse(call));
-			case Access.Uncertain uncertain -> refuse(call);
-		}
+		Runnable refuse = () -> refuse(call);
+		Runnable decideOnNewest = () -> {
+			if (!call.isEnded()) {
+				handle(call, keyless, onGranted, refuse);
+			}
+		};
+		handle(call, keyless, onGranted, this.configuration.isReachable()
+				? () -> this.configuration.whenCaughtUp(MAX_WAIT, decideOnNewest, refuse) : refuse);
 	}
 
-	private void decideOnNewest(CallerExchange call, boolean keyless, Consumer<RequestIdentity> onGranted) {
-		if (call.isEnded()) {
-			return;
-		}
+	private void handle(CallerExchange call, boolean keyless, Consumer<RequestIdentity> onGranted,
+			Runnable onUncertain) {
 		switch (decide(call, keyless)) {
 			case Access.Granted granted -> onGranted.accept(granted.identity());
 			case Access.Denied denied -> deny(call);
-			case Access.Uncertain uncertain -> refuse(call);
+			case Access.Uncertain uncertain -> onUncertain.run();
 		}
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineRequest.java
@@ -131,11 +131,12 @@
 		HttpHeaders received = exchange.getRequest().headers();
 		this.id = context.protocol().requestId(received).orElse("");
 		this.resumedStream = context.protocol().resumedStream(received).orElse(null);
-		this.tokens = context.protocol().tokenUsage(received).map(TokenUsage::getTotal).orElse(0L);
+		Optional<TokenUsage> size = context.protocol().tokenUsage(received);
+		this.tokens = size.map(TokenUsage::getTotal).orElse(0L);
 		this.service = route.chooseService(this.id);
 		this.headers = new DefaultHttpHeaders().set(received);
 		HopByHopHeaders.strip(this.headers);
-		this.admission = new RequestAdmission(context.overload(), context.policy(), classify(received));
+		this.admission = new RequestAdmission(context.overload(), context.policy(), classify(size));
 		this.retryPolicy = new RetryPolicy(route);
 		this.deadlineMillis = deadlineMillis;
 		this.targetTimeMillis = exchange.getArrivedMillis() + route.getLatencyTarget().toMillis();
@@ -146,7 +147,7 @@
 	}
 
 	// Without workspaces all requests compete, as their routes have one owner.
-	private RequestClass classify(HttpHeaders received) {
+	private RequestClass classify(Optional<TokenUsage> size) {
 		if (this.identity instanceof RequestIdentity.Unmanaged) {
 			return RequestClass.DEFAULT;
 		}
@@ -154,8 +155,7 @@
 		OptionalInt priority = workspace.flatMap(this.context.fleet().getRoutingTable().getWorkspaces()::find)
 			.map(Workspace::priority)
 			.orElse(OptionalInt.empty());
-		return RequestClass.of(this.route.getPriority(), workspace, priority,
-				this.context.protocol().tokenUsage(received).map(TokenUsage::getSize));
+		return RequestClass.of(this.route.getPriority(), workspace, priority, size.map(TokenUsage::getSize));
 	}
 
 	private static EventSequence sequenceOf(Route route, OptionalLong resumeAfter) {
