--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -125,6 +125,8 @@
 
 	private final OutputClaims peerClaims = new OutputClaims();
 
+	private final AvoidedSlotMonitor avoidedSlots = new AvoidedSlotMonitor();
+
 	private final Map<JobId, Set<ItemId>> heldItems = new HashMap<>();
 
 	private List<OutputClaims.Claim> claims = List.of();
@@ -228,6 +230,7 @@
 			}
 		}
 		this.waitingCount = remaining;
+		this.avoidedSlots.endStep(remaining, now);
 	}
 
 	/**
@@ -441,6 +444,7 @@
 			runner.ifPresent((r) -> discardOutput(waiting.key));
 		}
 		if (runner.isEmpty()) {
+			this.avoidedSlots.recordWaiting(demand.service(), demand.selectFitting(candidates));
 			return false;
 		}
 		ItemRun run = this.runs.computeIfAbsent(waiting.key, (k) -> new ItemRun(waiting.job, waiting.item, this));
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -231,6 +231,13 @@
 	ITEM_OUTPUT_DISCARDED(4516, Level.INFO, "output of an item is discarded; it begins anew at another version", "job",
 			"item", "binding", "last_event"),
 
+	/** Items wait although avoided runners have idle slots. */
+	ITEMS_HELD_BACK(4517, Level.WARNING, "items wait although slots are idle; their runners are avoided", "service",
+			"waiting", "runners"),
+
+	/** Items no longer wait beside idle slots of avoided runners. */
+	ITEMS_NOT_HELD_BACK(4518, Level.INFO, "items no longer wait beside idle slots of avoided runners", "service"),
+
 	/** The store acknowledged a group of records. */
 	RECORDS_APPENDED(4509, Level.DEBUG, "records appended", "count", "offset", "append_ms"),
 
