Use the runners of a failure domain whose hosts are gone

Cause: all runners of a failure domain are avoided while its hosts are silent, for as long as their registrations last (120 s of silence). Hosts that were removed or lost power are as silent as partitioned ones. Online requests take an avoided runner if there is no other one, batch items never do.

The avoidance is for domains that are partitioned: their runners must not cost each request a connection timeout. It stays as it was for as long as no connection to the domain can be opened. While a domain is suspected, one of its runners is tried with each round of maintenance (250 ms). A connection that was opened after the hosts fell silent ends the suspicion, until a runner of the domain cannot be reached or does not respond. Failed probes do not count as loss of the links of this host, which would relay all connections. The same holds for hosts that fail together without a stop, and for hosts whose own connections are relayed.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -226,6 +226,7 @@
 		paths.setRelaySelector(
 				(excluded) -> RelaySelection.select(this.peers.getPeers(), settings.domain(), excluded, random));
 		paths.onRelayFailure(this.peers::recordRelayFailure);
+		this.peers.setReachability(paths.getDomainReachability());
 		this.fleet = new Fleet(new RunnerConnectionPool(paths, ticker), adapters.getRunnerProtocol(), settings.domain(),
 				ticker);
 		this.fleet.setLiveHostCount(() -> this.peers.getLiveCount() + 1);
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/PeerMonitor.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/PeerMonitor.java
@@ -85,7 +85,8 @@
 			.forEach((domain) -> LOG.log(GatewayEvent.DOMAIN_UNREACHABLE, domain));
 		this.suspectedDomains.stream()
 			.filter((domain) -> !suspected.contains(domain))
-			.forEach((domain) -> LOG.log(GatewayEvent.DOMAIN_REACHABLE, domain));
+			.forEach((domain) -> LOG.log(GatewayEvent.DOMAIN_REACHABLE, domain,
+					this.peers.isDomainSilent(domain, now) ? "a runner" : "a host"));
 		this.suspectedDomains = suspected;
 	}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -165,8 +165,8 @@
 	/** No host of a failure domain is reachable. */
 	DOMAIN_UNREACHABLE(3510, Level.WARNING, "failure domain appears unreachable; its runners are avoided", "domain"),
 
-	/** A host of an unreachable failure domain is reachable again. */
-	DOMAIN_REACHABLE(3511, Level.INFO, "failure domain is reachable again", "domain"),
+	/** A host or a runner of an unreachable failure domain is reachable. */
+	DOMAIN_REACHABLE(3511, Level.INFO, "failure domain is reachable again", "domain", "reached"),
 
 	/** A runner announced that it is leaving. */
 	RUNNER_LEAVING(3512, Level.INFO, "runner is leaving and gets no further requests", "runner", "started_ms",
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.gateway.fleet.DomainReachability;
 import org.wigeonglade.gateway.fleet.KvMemoryPolicy;
 import org.wigeonglade.gateway.fleet.KvMemoryTracker;
 
@@ -41,8 +43,19 @@
 
 	private final Map<HostId, Peer> peers = new HashMap<>();
 
+	private DomainReachability reachability = new DomainReachability();
+
 	private long version;
 
+	/**
+	 * Sets the record of connections to runners, which shows that a failure domain is not
+	 * partitioned although its hosts are silent.
+	 * @param record the connections of this host, not null
+	 */
+	public void setReachability(DomainReachability record) {
+		this.reachability = record;
+	}
+
 	/**
 	 * Adds a host, or replaces an earlier incarnation of it. A host is not alive until
 	 * its first datagram.
@@ -156,16 +169,35 @@
 	}
 
 	/**
-	 * Returns whether a failure domain is suspected to be partitioned from this host: all
-	 * of its hosts that have been alive are unresponsive, and there are at least two,
-	 * while a host of another domain is responsive. If no domain is responsive, this host
-	 * is more likely to be partitioned itself.
+	 * Returns whether a failure domain is suspected to be partitioned from this host: its
+	 * hosts are {@link #isDomainSilent silent}, and no connection to one of its runners
+	 * has been opened since. Hosts that were removed or failed together are silent as
+	 * well.
 	 * @param domain the domain, not null
 	 * @param nowMillis the monotonic time in milliseconds
 	 * @return true if the runners of the domain should be avoided
 	 */
 	public boolean isDomainSuspected(FailureDomain domain, long nowMillis) {
+		OptionalLong silentSince = findSilenceStart(domain, nowMillis);
+		return silentSince.isPresent() && !this.reachability.isReachedSince(domain, silentSince.getAsLong());
+	}
+
+	/**
+	 * Returns whether the hosts of a failure domain are silent: all of them that have
+	 * been alive are unresponsive, and there are at least two, while a host of another
+	 * domain is responsive. If no domain is responsive, this host is more likely to be
+	 * partitioned itself.
+	 * @param domain the domain, not null
+	 * @param nowMillis the monotonic time in milliseconds
+	 * @return true if they are
+	 */
+	public boolean isDomainSilent(FailureDomain domain, long nowMillis) {
+		return findSilenceStart(domain, nowMillis).isPresent();
+	}
+
+	private OptionalLong findSilenceStart(FailureDomain domain, long nowMillis) {
 		int unresponsive = 0;
+		long lastReceivedMillis = Long.MIN_VALUE;
 		boolean otherDomainReachable = false;
 		for (Peer peer : this.peers.values()) {
 			boolean responsive = peer.alive && peer.getSilenceMillis(nowMillis) <= DOMAIN_SILENCE_TIMEOUT_MILLIS;
@@ -173,13 +205,15 @@
 				otherDomainReachable |= responsive;
 			}
 			else if (responsive) {
-				return false;
+				return OptionalLong.empty();
 			}
 			else if (peer.everAlive) {
 				unresponsive++;
+				lastReceivedMillis = Math.max(lastReceivedMillis, peer.lastReceivedMillis);
 			}
 		}
-		return unresponsive > 1 && otherDomainReachable;
+		return (unresponsive > 1 && otherDomainReachable)
+				? OptionalLong.of(lastReceivedMillis + DOMAIN_SILENCE_TIMEOUT_MILLIS) : OptionalLong.empty();
 	}
 
 	/**
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -89,6 +89,8 @@
 
 	private final RunnerConnectionPool pool;
 
+	private final RunnerProber prober;
+
 	private final RunnerProtocol protocol;
 
 	private final FailureDomain domain;
@@ -123,6 +125,7 @@
 	 */
 	public Fleet(RunnerConnectionPool pool, RunnerProtocol protocol, FailureDomain domain, Ticker ticker) {
 		this.pool = pool;
+		this.prober = new RunnerProber(pool, this.directory);
 		this.protocol = protocol;
 		this.domain = domain;
 		this.ticker = ticker;
@@ -492,7 +495,7 @@
 			.filter((entry) -> entry.getLifetime().equals(process))
 			.isEmpty());
 		this.pool.closeExpired(this.directory);
-		this.pool.probe(this.directory);
+		this.prober.probe(this.domainSuspected);
 		this.speeds.removeUnregistered(this.directory, now);
 		this.runnerHoldTimes.keySet().removeIf((id) -> this.directory.find(id).isEmpty());
 	}
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerConnectionPool.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerConnectionPool.java
@@ -127,12 +127,18 @@
 		closeExpired(this.idleRelayed, directory);
 	}
 
-	/**
-	 * Tries to open a direct connection while this host is cut off, and keeps it.
-	 * @param directory the registered runners, not null
-	 */
-	public void probe(RunnerDirectory directory) {
-		this.paths.probe(directory.getEntries(), new RunnerPaths.Listener() {
+	// Tries to open a direct connection and keeps it.
+	void probeDirectly(RunnerEntry runner) {
+		this.paths.probeDirectly(runner, keepConnection());
+	}
+
+	// Tries to open a connection in the way that requests use now, and keeps it.
+	void probe(RunnerEntry runner) {
+		this.paths.probe(runner, keepConnection());
+	}
+
+	private RunnerPaths.Listener keepConnection() {
+		return new RunnerPaths.Listener() {
 			@Override
 			public void connected(RunnerEntry runner, ClientConnection connection) {
 				idleConnections(runner.id(), connection.isRelayed()).keep(connection,
@@ -143,7 +149,7 @@
 			public void failed(RunnerFailure failure) {
 				// The next probe tries another runner.
 			}
-		});
+		};
 	}
 
 	private void closeExpired(Map<RunnerId, IdleConnections> idle, RunnerDirectory directory) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPaths.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerPaths.java
@@ -1,10 +1,7 @@
 package org.wigeonglade.gateway.runner;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -15,6 +12,7 @@
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.time.Ticker;
+import org.wigeonglade.gateway.fleet.DomainReachability;
 import org.wigeonglade.gateway.fleet.RunnerEntry;
 import org.wigeonglade.gateway.fleet.RunnerReachability;
 import org.wigeonglade.gateway.http.ClientConnection;
@@ -50,6 +48,8 @@
 
 	private final RunnerReachability reachability = new RunnerReachability();
 
+	private final DomainReachability domainReachability = new DomainReachability();
+
 	private Function<Set<HostId>, Optional<PeerTable.Peer>> relaySelector = (excluded) -> Optional.empty();
 
 	private Consumer<HostId> relayFailureListener = (host) -> {
@@ -60,8 +60,6 @@
 	private Runnable cutOffListener = () -> {
 	};
 
-	private int probes;
-
 	/**
 	 * Creates paths that are not known to be interrupted.
 	 * @param connector opens direct connections, not null
@@ -103,6 +101,14 @@
 		return this.reachability.isCutOff();
 	}
 
+	/**
+	 * Returns which failure domains this host opens connections to.
+	 * @return the record, never null
+	 */
+	public DomainReachability getDomainReachability() {
+		return this.domainReachability;
+	}
+
 	void setRegisteredCount(IntSupplier supplier) {
 		this.registeredCount = supplier;
 	}
@@ -126,12 +132,19 @@
 		}
 	}
 
-	// Tries one runner after the other until this host reaches them again.
-	void probe(Collection<RunnerEntry> runners, Listener listener) {
-		if (isCutOff() && !runners.isEmpty()) {
-			List<RunnerEntry> entries = new ArrayList<>(runners);
-			RunnerEntry runner = entries.get(Math.floorMod(this.probes++, entries.size()));
-			connectDirectly(runner, listener);
+	// Opens a direct connection to a runner that may be out of reach. A failure is
+	// expected and not held against the links of this host.
+	void probeDirectly(RunnerEntry runner, Listener listener) {
+		openDirectly(runner, listener);
+	}
+
+	// Does the same by way of another host if connections are relayed.
+	void probe(RunnerEntry runner, Listener listener) {
+		if (isRelayed()) {
+			connectByRelay(runner, new HashSet<>(), listener);
+		}
+		else {
+			openDirectly(runner, listener);
 		}
 	}
 
@@ -148,6 +161,7 @@
 
 	// Records that a runner has not responded in time on a direct connection.
 	void recordSilence(RunnerEntry runner) {
+		this.domainReachability.recordFailure(runner.domain());
 		recordFailure(runner, RunnerFailure.Kind.SILENT);
 	}
 
@@ -171,6 +185,21 @@
 	}
 
 	private void connectDirectly(RunnerEntry runner, Listener listener) {
+		openDirectly(runner, new Listener() {
+			@Override
+			public void connected(RunnerEntry connected, ClientConnection connection) {
+				listener.connected(connected, connection);
+			}
+
+			@Override
+			public void failed(RunnerFailure failure) {
+				recordFailure(runner, RunnerFailure.Kind.UNREACHABLE);
+				listener.failed(failure);
+			}
+		});
+	}
+
+	private void openDirectly(RunnerEntry runner, Listener listener) {
 		this.connector.connect(runner.address(), CONNECT_TIMEOUT, new Connector.Listener() {
 			@Override
 			public void connected(ClientConnection connection) {
@@ -181,7 +210,7 @@
 
 			@Override
 			public void failed(Throwable cause) {
-				recordFailure(runner, RunnerFailure.Kind.UNREACHABLE);
+				RunnerPaths.this.domainReachability.recordFailure(runner.domain());
 				listener.failed(new RunnerFailure(RunnerFailure.Kind.UNREACHABLE, FailureText.of(cause)));
 			}
 		});
@@ -201,12 +230,14 @@
 			public void connected(ClientConnection connection) {
 				// A host that shuts down interrupts what it still relays at its end.
 				connection.setReuseCondition(relay.get()::isRelaying);
+				recordDomainReached(runner);
 				monitorFaults(runner, connection);
 				listener.connected(runner, connection);
 			}
 
 			@Override
 			public void runnerUnreachable(String reason) {
+				RunnerPaths.this.domainReachability.recordFailure(runner.domain());
 				listener.failed(new RunnerFailure(RunnerFailure.Kind.UNREACHABLE, reason + " from " + host));
 			}
 
@@ -224,7 +255,12 @@
 		connection.onFault((fault) -> this.responseMonitor.recordFault(runner.id(), connection, fault));
 	}
 
+	private void recordDomainReached(RunnerEntry runner) {
+		this.domainReachability.recordConnected(runner.domain(), this.ticker.millis());
+	}
+
 	private void recordConnected(RunnerEntry runner) {
+		recordDomainReached(runner);
 		if (this.reachability.recordConnected()) {
 			LOG.log(GatewayEvent.HOST_REACHES_RUNNERS, runner.id());
 		}
--- a/gateway/src/test/java/org/wigeonglade/gateway/peer/PeerTableTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/peer/PeerTableTests.java
@@ -4,9 +4,11 @@
 
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
+import org.wigeonglade.gateway.fleet.DomainReachability;
 
 /**
  * Guards against items assigned to a host that is unresponsive, shutting down, or
@@ -73,6 +75,33 @@
 				"a host that receives no datagrams is partitioned itself");
 	}
 
+	// Guards against runners that are avoided because the hosts of their domain are gone.
+	@Test(dataProvider = "connections")
+	public void domainWithoutHostsIsSuspectedUntilOneOfItsRunnersIsReached(long connectedMillis, boolean failed,
+			boolean suspected) {
+		FailureDomain emptied = FailureDomain.of("emptied");
+		DomainReachability reachability = new DomainReachability();
+		this.table.setReachability(reachability);
+		for (String name : new String[] { "c1", "c2" }) {
+			this.table.register(HostId.of(name), new InetSocketAddress("127.0.0.1", 1), emptied, 1, 0);
+			this.table.recordDatagram(HostId.of(name), 1, true, true, 1_000);
+		}
+		this.table.recordDatagram(HOST, 10, false, true, 1_900);
+		reachability.recordConnected(emptied, connectedMillis);
+		if (failed) {
+			reachability.recordFailure(emptied);
+		}
+		Assert.assertTrue(this.table.isDomainSilent(emptied, 2_000));
+		Assert.assertEquals(this.table.isDomainSuspected(emptied, 2_000), suspected);
+	}
+
+	@DataProvider
+	public Object[][] connections() {
+		long silentSince = 1_000 + PeerTable.DOMAIN_SILENCE_TIMEOUT_MILLIS;
+		return new Object[][] { { silentSince, false, false }, { silentSince - 1, false, true },
+				{ silentSince, true, true } };
+	}
+
 	private void register(long incarnation) {
 		this.table.register(HOST, new InetSocketAddress("127.0.0.1", 1), FailureDomain.of("a"), incarnation, 0);
 	}
