Log what a quarantine refuses although it was served before

The log told which part is quarantined, but not whether the host knows that it had been served, on which the length of the quarantine depends.

--- a/core/src/main/java/org/wigeonglade/core/retry/CrashEvidence.java
+++ b/core/src/main/java/org/wigeonglade/core/retry/CrashEvidence.java
@@ -157,6 +157,15 @@
 		return this.quarantines;
 	}
 
+	/**
+	 * Returns which fingerprints are known to have been served.
+	 * @param fingerprints the fingerprints, not null
+	 * @return those that were served, never null
+	 */
+	public Set<Fingerprint> findProven(Collection<Fingerprint> fingerprints) {
+		return fingerprints.stream().filter(this::isProven).collect(Collectors.toUnmodifiableSet());
+	}
+
 	/**
 	 * Returns all reports.
 	 * @return an immutable copy in the order of their arrival, never null
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/CrashReportPublisher.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/CrashReportPublisher.java
@@ -218,7 +218,7 @@
 		quarantines.stream()
 			.filter((quarantine) -> !this.loggedQuarantines.contains(quarantine))
 			.forEach((quarantine) -> LOG.log(GatewayEvent.QUARANTINE_BEGAN, quarantine.fingerprints(),
-					quarantine.crashes()));
+					quarantine.crashes(), this.evidence.findProven(quarantine.fingerprints())));
 		this.loggedQuarantines.stream()
 			.filter((quarantine) -> !quarantines.contains(quarantine))
 			.forEach((quarantine) -> LOG.log(GatewayEvent.QUARANTINE_ENDED, quarantine.fingerprints()));
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -106,7 +106,7 @@
 
 	/** Crashes of runners are attributed to a request or a part of prompts. */
 	QUARANTINE_BEGAN(2513, Level.WARNING, "quarantine began; crashes of runners are attributed to these fingerprints",
-			"fingerprints", "runners"),
+			"fingerprints", "runners", "served_before"),
 
 	/** Crashes of runners are no longer attributed to a fingerprint. */
 	QUARANTINE_ENDED(2514, Level.INFO, "quarantine ended", "fingerprints"),
