Keep what was served before a crash with the crash report

Cause: crash reports are stored for an hour, but that a part had been served, for which its quarantine ends after 15 s, was known in memory alone. After the restart the reports counted in full, and as each request with the part was refused, none could clear it.

The quarantine contains a part that crashes runners, also over restarts. A report now tells which suspects had been served before, so that a host which reads it comes to the verdict of the hosts before it. That alone would have shortened the quarantine of a served part that turns deadly from an hour to 15 s after a restart, with three more crashes after each. One crash after the release now quarantines it again, for twice as long each time, until something with it is served; this rests on the stored reports as well. Parts that were never served are held as before. The other front door makes its reports in the same way.

--- a/core/src/main/java/org/wigeonglade/core/retry/CrashEvidence.java
+++ b/core/src/main/java/org/wigeonglade/core/retry/CrashEvidence.java
@@ -36,11 +36,12 @@
 	static final long RETENTION_MILLIS = 3_600_000;
 
 	/**
-	 * Time in milliseconds after which a crash is no longer held against a suspect that
+	 * Time in milliseconds after which crashes are no longer held against a suspect that
 	 * had been served before. Until it is confirmed, a crash is not held against it at
 	 * all, since connections may also be lost without a crash. While all upstreams fail
 	 * for another reason, such a suspect may stand in many requests and cannot be cleared
-	 * by a served one.
+	 * by a served one. The time doubles each time upstreams crash again with the suspect
+	 * and nothing with it has been served.
 	 */
 	static final long PROVEN_RETENTION_MILLIS = 15_000;
 
@@ -61,8 +62,23 @@
 		}
 	};
 
+	private Set<Fingerprint> reportedProven = Set.of();
+
 	private Set<Quarantine> quarantines = Set.of();
 
+	/**
+	 * Creates a report of the crash of an upstream, which tells what is known to have
+	 * been served before. Hosts that start later cannot know it otherwise.
+	 * @param upstream the upstream, not null
+	 * @param suspects the fingerprints of a request that was in progress and of its
+	 * parts, not null
+	 * @param nowMillis the present time in milliseconds since the epoch
+	 * @return the report, which is not added; never null
+	 */
+	public CrashReport createReport(UpstreamIncarnation upstream, Collection<Fingerprint> suspects, long nowMillis) {
+		return CrashReport.ofSuspects(upstream, nowMillis, suspects).withProven(findProven(suspects));
+	}
+
 	/**
 	 * Adds a report.
 	 * @param report the report, not null
@@ -203,14 +219,17 @@
 	// Greedy set cover: the suspects that explain the most crashes take them from the
 	// others.
 	private void update(long nowMillis) {
+		this.reportedProven = this.reports.values()
+			.stream()
+			.flatMap((report) -> report.proven().stream())
+			.collect(Collectors.toUnmodifiableSet());
 		Map<Fingerprint, Set<UpstreamIncarnation>> unexplained = new HashMap<>();
-		for (CrashReport report : this.reports.values()) {
-			for (Fingerprint suspect : report.suspects()) {
-				if (isHeldAgainst(report, suspect, nowMillis)) {
-					unexplained.computeIfAbsent(suspect, (s) -> new HashSet<>()).add(report.upstream());
-				}
+		findCrashes().forEach((suspect, crashes) -> {
+			if (!isProven(suspect) || !isReleased(crashes, nowMillis)) {
+				unexplained.put(suspect,
+						crashes.stream().map(CrashReport::upstream).collect(Collectors.toCollection(HashSet::new)));
 			}
-		}
+		});
 		Set<Quarantine> verdicts = new HashSet<>();
 		Optional<Fingerprint> best = findBest(unexplained);
 		while (best.isPresent()) {
@@ -226,16 +245,32 @@
 		this.quarantines = Set.copyOf(verdicts);
 	}
 
-	private boolean isHeldAgainst(CrashReport report, Fingerprint suspect, long nowMillis) {
-		if (report.survived() || report.cleared().contains(suspect)) {
-			return false;
+	private Map<Fingerprint, List<CrashReport>> findCrashes() {
+		Map<Fingerprint, List<CrashReport>> crashes = new HashMap<>();
+		for (CrashReport report : this.reports.values()) {
+			for (Fingerprint suspect : report.suspects()) {
+				boolean cleared = report.survived() || report.cleared().contains(suspect);
+				if (!cleared && (report.confirmed() || !isProven(suspect))) {
+					crashes.computeIfAbsent(suspect, (s) -> new ArrayList<>()).add(report);
+				}
+			}
+		}
+		return crashes;
+	}
+
+	private static boolean isReleased(List<CrashReport> crashes, long nowMillis) {
+		long[] times = crashes.stream().mapToLong(CrashReport::reportedMillis).sorted().toArray();
+		long retention = PROVEN_RETENTION_MILLIS;
+		for (int i = 1; i < times.length; i++) {
+			if (times[i] - times[i - 1] > PROVEN_RETENTION_MILLIS) {
+				retention = Math.min(2 * retention, RETENTION_MILLIS);
+			}
 		}
-		return !isProven(suspect)
-				|| (report.confirmed() && nowMillis - report.reportedMillis() <= PROVEN_RETENTION_MILLIS);
+		return nowMillis - times[times.length - 1] > retention;
 	}
 
 	private boolean isProven(Fingerprint fingerprint) {
-		return this.served.containsKey(fingerprint);
+		return this.served.containsKey(fingerprint) || this.reportedProven.contains(fingerprint);
 	}
 
 	private Optional<Fingerprint> findBest(Map<Fingerprint, Set<UpstreamIncarnation>> unexplained) {
--- a/core/src/main/java/org/wigeonglade/core/retry/CrashReport.java
+++ b/core/src/main/java/org/wigeonglade/core/retry/CrashReport.java
@@ -22,9 +22,10 @@
  * @param confirmed whether the upstream was unreachable afterwards
  * @param survived whether the upstream served requests afterwards, so that it did not
  * crash: only its connections were lost
+ * @param proven the suspects that had been served before, not null
  */
 public record CrashReport(UpstreamIncarnation upstream, long reportedMillis, Set<Fingerprint> suspects,
-		Set<Fingerprint> cleared, boolean confirmed, boolean survived) {
+		Set<Fingerprint> cleared, boolean confirmed, boolean survived, Set<Fingerprint> proven) {
 
 	/**
 	 * Creates the report with unmodifiable copies of the sets.
@@ -32,6 +33,7 @@
 	public CrashReport {
 		suspects = Set.copyOf(suspects);
 		cleared = Set.copyOf(cleared);
+		proven = Set.copyOf(proven);
 	}
 
 	/**
@@ -43,7 +45,7 @@
 	 */
 	public static CrashReport ofSuspects(UpstreamIncarnation upstream, long nowMillis,
 			Collection<Fingerprint> suspects) {
-		return new CrashReport(upstream, nowMillis, Set.copyOf(suspects), Set.of(), false, false);
+		return new CrashReport(upstream, nowMillis, Set.copyOf(suspects), Set.of(), false, false, Set.of());
 	}
 
 	/**
@@ -54,7 +56,7 @@
 	 * @return the report, never null
 	 */
 	public static CrashReport ofCleared(UpstreamIncarnation upstream, long nowMillis, Collection<Fingerprint> cleared) {
-		return new CrashReport(upstream, nowMillis, Set.of(), Set.copyOf(cleared), false, false);
+		return new CrashReport(upstream, nowMillis, Set.of(), Set.copyOf(cleared), false, false, Set.of());
 	}
 
 	/**
@@ -67,7 +69,7 @@
 	public static CrashReport of(CrashNotice notice) {
 		return new CrashReport(UpstreamIncarnation.of(notice.getUpstream()), notice.getReportedAtMs(),
 				fingerprints(notice.getSuspectsList()), fingerprints(notice.getClearedList()), notice.getConfirmed(),
-				notice.getSurvived());
+				notice.getSurvived(), fingerprints(notice.getProvenList()));
 	}
 
 	/**
@@ -82,6 +84,7 @@
 			.setSurvived(this.survived);
 		this.suspects.forEach((fingerprint) -> notice.addSuspects(fingerprint.value()));
 		this.cleared.forEach((fingerprint) -> notice.addCleared(fingerprint.value()));
+		this.proven.forEach((fingerprint) -> notice.addProven(fingerprint.value()));
 		return notice.build();
 	}
 
@@ -90,7 +93,8 @@
 	 * @return the report, never null
 	 */
 	public CrashReport withConfirmed() {
-		return new CrashReport(this.upstream, this.reportedMillis, this.suspects, this.cleared, true, this.survived);
+		return new CrashReport(this.upstream, this.reportedMillis, this.suspects, this.cleared, true, this.survived,
+				this.proven);
 	}
 
 	/**
@@ -98,7 +102,18 @@
 	 * @return the report, never null
 	 */
 	public CrashReport withSurvived() {
-		return new CrashReport(this.upstream, this.reportedMillis, this.suspects, this.cleared, this.confirmed, true);
+		return new CrashReport(this.upstream, this.reportedMillis, this.suspects, this.cleared, this.confirmed, true,
+				this.proven);
+	}
+
+	/**
+	 * Returns this report with suspects that had been served before the crash.
+	 * @param served the suspects, not null
+	 * @return the report, never null
+	 */
+	public CrashReport withProven(Collection<Fingerprint> served) {
+		return new CrashReport(this.upstream, this.reportedMillis, this.suspects, this.cleared, this.confirmed,
+				this.survived, Set.copyOf(served));
 	}
 
 	/**
@@ -109,7 +124,7 @@
 	public CrashReport plus(CrashReport other) {
 		return new CrashReport(this.upstream, Math.min(this.reportedMillis, other.reportedMillis),
 				union(this.suspects, other.suspects), union(this.cleared, other.cleared),
-				this.confirmed || other.confirmed, this.survived || other.survived);
+				this.confirmed || other.confirmed, this.survived || other.survived, union(this.proven, other.proven));
 	}
 
 	private static Set<Fingerprint> fingerprints(List<String> values) {
--- a/core/src/test/java/org/wigeonglade/core/retry/CrashEvidenceTests.java
+++ b/core/src/test/java/org/wigeonglade/core/retry/CrashEvidenceTests.java
@@ -171,6 +171,60 @@
 		Assert.assertTrue(evidence.findQuarantine(request(COMMON)).isEmpty());
 	}
 
+	// Guards against a part of most requests that stays refused after a restart of all
+	// hosts, because only the suspicion outlives them.
+	@Test(dataProvider = "knowledge")
+	public void provenPartIsServedAgainSoonAfterARestartOfAllHosts(boolean firstReportTells) {
+		CrashEvidence before = new CrashEvidence();
+		CrashEvidence unknowing = new CrashEvidence();
+		before.recordServed(List.of(part(COMMON)), 0);
+		for (int crash = 0; crash < 6; crash++) {
+			CrashEvidence reporter = (firstReportTells == (crash == 0)) ? before : unknowing;
+			before.add(reporter.createReport(upstream(crash), request(COMMON), 1_000), 1_000);
+			before.recordUnreachable(upstream(crash), 1_000);
+		}
+		long end = 1_000 + CrashEvidence.PROVEN_RETENTION_MILLIS;
+		CrashEvidence restarted = restart(before, end);
+		Assert.assertFalse(restarted.findQuarantine(request(COMMON)).isEmpty());
+		restarted.expire(end + 1);
+		Assert.assertTrue(restarted.findQuarantine(request(COMMON)).isEmpty());
+	}
+
+	@DataProvider
+	public Object[][] knowledge() {
+		return new Object[][] { { true }, { false } };
+	}
+
+	// Guards against a part that was served before and crashes upstreams without end.
+	@Test(dataProvider = "restarts")
+	public void provenPartThatCrashesUpstreamsAgainIsQuarantinedLongerEachTime(boolean restarted) {
+		CrashEvidence evidence = new CrashEvidence();
+		evidence.recordServed(List.of(part(COMMON)), 0);
+		long now = 1_000;
+		for (int crash = 0; crash < CrashEvidence.QUARANTINE_CRASHES; crash++) {
+			crash(evidence, crash, now);
+		}
+		long retention = CrashEvidence.PROVEN_RETENTION_MILLIS;
+		for (int crash = 10; crash < 14; crash++) {
+			evidence = restarted ? restart(evidence, now) : evidence;
+			evidence.expire(now + retention);
+			Assert.assertFalse(evidence.findQuarantine(request(COMMON)).isEmpty(), "after crash " + crash);
+			now += retention + 1;
+			evidence.expire(now);
+			Assert.assertTrue(evidence.findQuarantine(request(COMMON)).isEmpty(), "after crash " + crash);
+			crash(evidence, crash, now);
+			Assert.assertFalse(evidence.findQuarantine(request(COMMON)).isEmpty(), "at crash " + crash);
+			retention *= 2;
+		}
+		evidence.recordServed(List.of(part(COMMON)), now);
+		Assert.assertTrue(evidence.findQuarantine(request(COMMON)).isEmpty());
+	}
+
+	@DataProvider
+	public Object[][] restarts() {
+		return new Object[][] { { false }, { true } };
+	}
+
 	@Test
 	public void lostConnectionsAreNotHeldAgainstProvenPart() {
 		CrashEvidence evidence = new CrashEvidence();
@@ -215,6 +269,18 @@
 		Assert.assertEquals(evidence.getReports().size(), CrashEvidence.MAX_CRASHES);
 	}
 
+	private void crash(CrashEvidence evidence, int crash, long nowMillis) {
+		evidence.add(evidence.createReport(upstream(crash), request(COMMON), nowMillis), nowMillis);
+		evidence.recordUnreachable(upstream(crash), nowMillis);
+	}
+
+	// Returns what a host knows that reads the stored reports.
+	private static CrashEvidence restart(CrashEvidence evidence, long nowMillis) {
+		CrashEvidence restarted = new CrashEvidence();
+		evidence.getReports().forEach((report) -> restarted.add(CrashReport.of(report.toNotice()), nowMillis));
+		return restarted;
+	}
+
 	private List<Fingerprint> request(String... sharedParts) {
 		List<Fingerprint> contents = new ArrayList<>();
 		for (String part : sharedParts) {
--- a/entry/src/main/java/org/wigeonglade/entry/online/PoisonRequestGuard.java
+++ b/entry/src/main/java/org/wigeonglade/entry/online/PoisonRequestGuard.java
@@ -169,7 +169,7 @@
 		long now = this.ticker.wallMillis();
 		List<Fingerprint> suspects = stream.getRequest().getSuspects();
 		CrashReport report = stream.hasOutput() ? CrashReport.ofCleared(upstream, now, suspects)
-				: CrashReport.ofSuspects(upstream, now, suspects);
+				: this.evidence.createReport(upstream, suspects, now);
 		if (this.evidence.add(report, now)) {
 			tellCrash(report);
 		}
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/CrashReportPublisher.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/CrashReportPublisher.java
@@ -90,7 +90,7 @@
 		UpstreamIncarnation upstream = incarnationOf(runner);
 		long now = this.ticker.wallMillis();
 		publish(progressed ? CrashReport.ofCleared(upstream, now, suspects)
-				: CrashReport.ofSuspects(upstream, now, suspects));
+				: this.evidence.createReport(upstream, suspects, now));
 	}
 
 	@Override
