Release served parts sooner after a crash of all upstreams

What callers saw: after a crash of all runners, requests that share a part with most others were refused for 15 s, also while the runners were idle again.

Cause: a crash is held against a served suspect for 15 s, so that a served part that turns deadly crashes three upstreams in each such time and not more. Since a further crash quarantines it again at once, the first time need not cover that.

It is 5 s now, and four times as long after each crash that follows: 5, 20, 80 s. A served part that turns deadly is tried less often than before (at 15, 30, 45 s with three crashes each), one that is sound is back with the upstreams. Suspects that were never served are held as before.

--- a/core/src/main/java/org/wigeonglade/core/retry/CrashEvidence.java
+++ b/core/src/main/java/org/wigeonglade/core/retry/CrashEvidence.java
@@ -40,10 +40,16 @@
 	 * had been served before. Until it is confirmed, a crash is not held against it at
 	 * all, since connections may also be lost without a crash. While all upstreams fail
 	 * for another reason, such a suspect may stand in many requests and cannot be cleared
-	 * by a served one. The time doubles each time upstreams crash again with the suspect
-	 * and nothing with it has been served.
+	 * by a served one. Upstreams are back within seconds, and what is refused until the
+	 * end of this time is lost for its callers.
 	 */
-	static final long PROVEN_RETENTION_MILLIS = 15_000;
+	static final long PROVEN_RETENTION_MILLIS = 5_000;
+
+	/**
+	 * Factor on that time after each crash that follows its end, until something with the
+	 * suspect is served.
+	 */
+	static final int PROVEN_RETENTION_GROWTH = 4;
 
 	/** Number of crashes that are remembered; the oldest ones are dropped. */
 	static final int MAX_CRASHES = 512;
@@ -263,7 +269,7 @@
 		long retention = PROVEN_RETENTION_MILLIS;
 		for (int i = 1; i < times.length; i++) {
 			if (times[i] - times[i - 1] > PROVEN_RETENTION_MILLIS) {
-				retention = Math.min(2 * retention, RETENTION_MILLIS);
+				retention = Math.min(PROVEN_RETENTION_GROWTH * retention, RETENTION_MILLIS);
 			}
 		}
 		return nowMillis - times[times.length - 1] > retention;
