--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerDirectory.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerDirectory.java
@@ -1,9 +1,11 @@
 package org.wigeonglade.gateway.fleet;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -84,20 +86,21 @@
 	 * are always removed immediately.
 	 * @param id the runner, not null
 	 * @param nowMillis the monotonic time in milliseconds
-	 * @return true if the entry was removed immediately
+	 * @return what was done, never null
 	 */
-	public boolean remove(RunnerId id, long nowMillis) {
+	public Removal remove(RunnerId id, long nowMillis) {
 		RunnerEntry entry = this.entries.get(id);
 		if (entry == null) {
-			return false;
+			return new Removal.Unknown();
 		}
 		if (nowMillis < this.graceEndMillis && !entry.draining() && !this.renewed.contains(id)) {
-			this.pendingRemovals.putIfAbsent(id, this.graceEndMillis);
-			return false;
+			boolean added = this.pendingRemovals.putIfAbsent(id, this.graceEndMillis) == null;
+			return added ? new Removal.Deferred(this.graceEndMillis - nowMillis) : new Removal.Unknown();
 		}
 		this.pendingRemovals.remove(id);
 		this.renewed.remove(id);
-		return this.entries.remove(id) != null;
+		this.entries.remove(id);
+		return new Removal.Removed();
 	}
 
 	/**
@@ -135,17 +138,17 @@
 	/**
 	 * Removes the entries whose scheduled removal is due, if the store is available.
 	 * @param nowMillis the monotonic time in milliseconds
-	 * @return true if an entry was removed
+	 * @return the runners that were removed, never null
 	 */
-	public boolean expire(long nowMillis) {
-		boolean removed = false;
+	public List<RunnerId> expire(long nowMillis) {
+		List<RunnerId> removed = new ArrayList<>();
 		for (Iterator<Map.Entry<RunnerId, Long>> i = this.pendingRemovals.entrySet().iterator(); i.hasNext();) {
 			Map.Entry<RunnerId, Long> next = i.next();
 			if (this.storeAvailable && next.getValue() <= nowMillis) {
 				this.entries.remove(next.getKey());
 				this.renewed.remove(next.getKey());
 				i.remove();
-				removed = true;
+				removed.add(next.getKey());
 			}
 		}
 		return removed;
@@ -168,4 +171,34 @@
 		return this.entries.values();
 	}
 
+	/**
+	 * What became of an entry that was to be removed.
+	 */
+	public sealed interface Removal {
+
+		/**
+		 * The entry was removed.
+		 */
+		record Removed() implements Removal {
+
+		}
+
+		/**
+		 * The removal was scheduled.
+		 *
+		 * @param millis the time until it is due, in milliseconds
+		 */
+		record Deferred(long millis) implements Removal {
+
+		}
+
+		/**
+		 * There is no such entry, or its removal was scheduled before.
+		 */
+		record Unknown() implements Removal {
+
+		}
+
+	}
+
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/StreamStateUpdater.java
@@ -175,8 +175,13 @@
 		}
 
 		private void remove(RunnerId id, String cause) {
-			if (directory().remove(id, StreamStateUpdater.this.ticker.millis())) {
-				LOG.log(GatewayEvent.RUNNER_REMOVED, id, cause);
+			switch (directory().remove(id, StreamStateUpdater.this.ticker.millis())) {
+				case RunnerDirectory.Removal.Removed removed -> LOG.log(GatewayEvent.RUNNER_REMOVED, id, cause);
+				case RunnerDirectory.Removal.Deferred deferred ->
+					LOG.log(GatewayEvent.RUNNER_REMOVAL_DEFERRED, id, cause, deferred.millis());
+				case RunnerDirectory.Removal.Unknown unknown -> {
+					// Nothing has changed.
+				}
 			}
 		}
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -200,6 +200,11 @@
 	RUNNER_RESTARTED(3520, Level.INFO, "runner has started again; its new registration is not known yet", "runner",
 			"registered_start_ms", "started_ms"),
 
+	/** A runner is kept although its registration was removed. */
+	RUNNER_REMOVAL_DEFERRED(3521, Level.INFO,
+			"removal of a runner is deferred; its registration may have expired during an outage of the store",
+			"runner", "cause", "for_ms"),
+
 	/** A job was accepted. */
 	JOB_ACCEPTED(4501, Level.INFO, "job accepted", "job", "items", "offset", "append_ms"),
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -482,7 +482,8 @@
 	 */
 	public void maintain() {
 		long now = this.ticker.millis();
-		this.directory.expire(now);
+		this.directory.expire(now)
+			.forEach((runner) -> LOG.log(GatewayEvent.RUNNER_REMOVED, runner, "not registered again"));
 		observeVersions();
 		this.loadTracker.expire(now);
 		this.leaving.expire(now);
