Remove runners that left while one host was cut off

Cause: a host takes any failed call for an outage of the store, and defers the removal of runners for 2.5 s after its return, since registrations may have expired meanwhile. The store had served the other hosts, so none had.

Datagrams now tell whether their sender has read the registrations without an outage for as long as expired ones take to return. A host that hears so after its own return ends its grace period. If the store was away for all hosts, none says so, and removals are deferred as before.

--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerDirectory.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/RunnerDirectory.java
@@ -15,8 +15,9 @@
  * store is unavailable. So that an outage does not empty the directory, the removal of a
  * runner that has not registered since the store is available again is deferred until
  * {@link #REREGISTRATION_GRACE_MILLIS} after that moment; live runners register again
- * within that time. All other removals are those of runners that leave or have crashed.
- * Not thread-safe.
+ * within that time. The grace period ends sooner if another host could read the store all
+ * the while. All other removals are those of runners that leave or have crashed. Not
+ * thread-safe.
  */
 public final class RunnerDirectory {
 
@@ -27,6 +28,18 @@
 	 */
 	public static final long REREGISTRATION_GRACE_MILLIS = 2_500;
 
+	/**
+	 * Maximum time in milliseconds between two responses of the store without an outage;
+	 * registrations do not expire within it.
+	 */
+	static final long MAX_RESPONSE_GAP_MILLIS = 1_500;
+
+	/**
+	 * Time in milliseconds after an outage until the statements of other hosts count:
+	 * until then, datagrams may be processed that were received during the outage.
+	 */
+	static final long STATEMENT_DELAY_MILLIS = 250;
+
 	private final Map<RunnerId, RunnerEntry> entries = new HashMap<>();
 
 	private final Map<RunnerId, Long> pendingRemovals = new HashMap<>();
@@ -35,6 +48,10 @@
 
 	private long graceEndMillis = Long.MIN_VALUE;
 
+	private long lastResponseMillis = Long.MIN_VALUE / 2;
+
+	private long steadySinceMillis = Long.MAX_VALUE / 2;
+
 	private boolean storeAvailable;
 
 	private boolean outageSeen;
@@ -124,9 +141,42 @@
 			this.graceEndMillis = nowMillis + REREGISTRATION_GRACE_MILLIS;
 			this.renewed.clear();
 		}
+		if (!this.storeAvailable || nowMillis - this.lastResponseMillis > MAX_RESPONSE_GAP_MILLIS) {
+			this.steadySinceMillis = nowMillis;
+		}
+		this.lastResponseMillis = nowMillis;
 		this.storeAvailable = true;
 	}
 
+	/**
+	 * Returns whether the store has responded without an outage for at least
+	 * {@link #REREGISTRATION_GRACE_MILLIS}, so that a registration that is missing has
+	 * not expired because of the store.
+	 * @param nowMillis the monotonic time in milliseconds
+	 * @return true if it has
+	 */
+	public boolean isSteady(long nowMillis) {
+		return this.storeAvailable && nowMillis - this.lastResponseMillis <= MAX_RESPONSE_GAP_MILLIS
+				&& nowMillis - this.steadySinceMillis >= REREGISTRATION_GRACE_MILLIS;
+	}
+
+	/**
+	 * Records that the directory of another host is {@link #isSteady steady}. An outage
+	 * that this host has seen was its own then, so that the grace period ends.
+	 * @param nowMillis the monotonic time in milliseconds
+	 * @return the runners whose removal had been scheduled, never null
+	 */
+	public List<RunnerId> recordSteadyHost(long nowMillis) {
+		long graceStartMillis = this.graceEndMillis - REREGISTRATION_GRACE_MILLIS;
+		if (!this.storeAvailable || nowMillis >= this.graceEndMillis
+				|| nowMillis < graceStartMillis + STATEMENT_DELAY_MILLIS) {
+			return List.of();
+		}
+		this.graceEndMillis = nowMillis;
+		this.pendingRemovals.replaceAll((id, due) -> nowMillis);
+		return expire(nowMillis);
+	}
+
 	/**
 	 * Returns whether the store responded to the last call.
 	 * @return false before the first response and during an outage
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -261,6 +261,7 @@
 		this.relayServer = new RelayServer(this.loop, this.fleet.getDirectory()::find,
 				() -> !paths.isCutOff() && this.shutdown == null);
 		this.exchange.setRelaySupplier(this.relayServer::isAvailable);
+		this.exchange.setRegistrationsSteady(() -> this.fleet.getDirectory().isSteady(ticker.millis()));
 		this.exchange.setSpeeds(this.fleet.getSpeeds(), this.fleet.getDirectory()::find);
 		this.fleet.onCutOff(this.exchange::scheduleReport);
 		this.fleet.onLoadChanged(this.exchange::scheduleReport);
@@ -622,6 +623,11 @@
 			GatewayHost.this.limits.sendAll(host);
 		}
 
+		@Override
+		public void registrationsSteady(HostId host) {
+			GatewayHost.this.fleet.recordSteadyHost(host);
+		}
+
 		@Override
 		public void limitReported(RunnerLimit limit, HostId source) {
 			GatewayHost.this.limits.apply(limit, source.value());
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -205,6 +205,11 @@
 			"removal of a runner is deferred; its registration may have expired during an outage of the store",
 			"runner", "cause", "for_ms"),
 
+	/** Another host has read the registrations during an outage of this host. */
+	RUNNERS_REMOVED_AFTER_OUTAGE(3522, Level.INFO,
+			"outage of the store concerned this host; runners whose removal was deferred are removed", "steady_host",
+			"runners"),
+
 	/** A job was accepted. */
 	JOB_ACCEPTED(4501, Level.INFO, "job accepted", "job", "items", "offset", "append_ms"),
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
@@ -115,6 +115,8 @@
 
 	private BooleanSupplier relays = () -> false;
 
+	private BooleanSupplier registrationsSteady = () -> false;
+
 	private IntSupplier waitingItems = () -> 0;
 
 	private Supplier<Collection<LeavingRunners.Departure>> leavingRunners = List::of;
@@ -210,6 +212,14 @@
 		this.relays = isRelaying;
 	}
 
+	/**
+	 * Sets whether this host has read the registrations of runners without an outage.
+	 * @param isSteady the supplier of the answer, not null
+	 */
+	public void setRegistrationsSteady(BooleanSupplier isSteady) {
+		this.registrationsSteady = isSteady;
+	}
+
 	/**
 	 * Binds the socket.
 	 * @param address the local address, not null
@@ -349,7 +359,8 @@
 			.setLeaving(this.leaving.getAsBoolean())
 			.setJobsCurrent(this.jobStateCurrent.getAsBoolean())
 			.setWaitingItems(this.waitingItems.getAsInt())
-			.setRelays(this.relays.getAsBoolean());
+			.setRelays(this.relays.getAsBoolean())
+			.setRegistrationsSteady(this.registrationsSteady.getAsBoolean());
 		this.leavingRunners.get()
 			.forEach((departure) -> builder.addLeavingRunners(LeavingRunner.newBuilder()
 				.setRunner(departure.runner().value())
@@ -439,6 +450,9 @@
 			peer.setWaitingItems(datagram.getWaitingItems());
 			peer.setRelays(datagram.getRelays());
 		});
+		if (datagram.getRegistrationsSteady()) {
+			this.listener.registrationsSteady(host);
+		}
 		this.usage.ifPresent((exchange) -> exchange.recordHeard(datagram, now));
 		Map<RunnerId, LoadTracker.Load> loads = new HashMap<>();
 		datagram.getLoadsList()
@@ -510,6 +524,13 @@
 		 */
 		void hostAlive(HostId host);
 
+		/**
+		 * Called when another host reports that it has read the registrations of runners
+		 * without an outage.
+		 * @param host the host, not null
+		 */
+		void registrationsSteady(HostId host);
+
 		/**
 		 * Called for each limit of a runner that another host reports.
 		 * @param limit the limit, not null
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -17,6 +17,7 @@
 
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.FailureDomain;
+import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.id.ServiceName;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.Candidate;
@@ -220,6 +221,17 @@
 		return this.directory.put(entry);
 	}
 
+	/**
+	 * Records that another host has read the registrations without an outage.
+	 * @param host the other host, not null
+	 */
+	public void recordSteadyHost(HostId host) {
+		List<RunnerId> removed = this.directory.recordSteadyHost(this.ticker.millis());
+		if (!removed.isEmpty()) {
+			LOG.log(GatewayEvent.RUNNERS_REMOVED_AFTER_OUTAGE, host, removed);
+		}
+	}
+
 	/**
 	 * Sets how registrations are read on demand.
 	 * @param reader reads them, not null
--- a/gateway/src/test/java/org/wigeonglade/gateway/fleet/RunnerDirectoryTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/fleet/RunnerDirectoryTests.java
@@ -1,9 +1,11 @@
 package org.wigeonglade.gateway.fleet;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.ServiceName;
@@ -115,6 +117,61 @@
 		Assert.assertTrue(this.directory.remove(RUNNER, 20_000) instanceof RunnerDirectory.Removal.Deferred);
 	}
 
+	// The outage was one of this host alone.
+	@Test
+	public void removalIsAppliedOnceAnotherHostHasHadNoOutage() {
+		this.directory.storeUnreachable();
+		this.directory.storeReachable(10_000);
+		this.directory.remove(RUNNER, 10_010);
+		Assert.assertEquals(this.directory.recordSteadyHost(10_300), List.of(RUNNER));
+		Assert.assertTrue(this.directory.find(RUNNER).isEmpty());
+	}
+
+	@Test
+	public void removalIsNotDeferredOnceAnotherHostHasHadNoOutage() {
+		this.directory.storeUnreachable();
+		this.directory.storeReachable(10_000);
+		this.directory.recordSteadyHost(10_300);
+		Assert.assertEquals(this.directory.remove(RUNNER, 10_400), new RunnerDirectory.Removal.Removed());
+	}
+
+	// A datagram from before the outage may be processed late, and one that arrives while
+	// the store is unavailable tells nothing of the time after it.
+	@Test
+	public void earlyStatementsOfOtherHostsDoNotEndTheGracePeriod() {
+		this.directory.storeUnreachable();
+		this.directory.recordSteadyHost(9_900);
+		this.directory.storeReachable(10_000);
+		this.directory.recordSteadyHost(10_100);
+		Assert.assertTrue(this.directory.remove(RUNNER, 10_110) instanceof RunnerDirectory.Removal.Deferred);
+	}
+
+	@DataProvider
+	public Object[][] responses() {
+		return new Object[][] { { "without a gap", true, new long[] { 1_000, 2_000, 2_600 } },
+				{ "too short a time", false, new long[] { 1_000, 2_000 } },
+				{ "with a gap", false, new long[] { 1_000, 2_600 } }, { "long ago", false, new long[0] } };
+	}
+
+	@Test(dataProvider = "responses")
+	public void hostIsNotSteadySoonAfterAnOutage(String responses, boolean steady, long[] responseMillis) {
+		for (long millis : responseMillis) {
+			this.directory.storeReachable(millis);
+		}
+		long last = (responseMillis.length > 0) ? responseMillis[responseMillis.length - 1] : 3_000;
+		Assert.assertEquals(this.directory.isSteady(last), steady, responses);
+	}
+
+	@Test
+	public void hostIsNotSteadyAfterAFailedCall() {
+		this.directory.storeReachable(1_400);
+		this.directory.storeReachable(2_700);
+		Assert.assertTrue(this.directory.isSteady(2_700));
+		this.directory.storeUnreachable();
+		this.directory.storeReachable(2_800);
+		Assert.assertFalse(this.directory.isSteady(2_800));
+	}
+
 	private static RunnerEntry entry(boolean draining) {
 		return new RunnerEntry(RUNNER, ServiceName.of("llm"), new InetSocketAddress("127.0.0.1", 1),
 				FailureDomain.of("a"), SoftwareVersion.of("v1"), 8, draining, 0);
