Keep the owners of items when the members of the fleet change

Each host hashed each item of each open job with each other host whenever any host joined, left or fell behind the stream: 71 hashes for each of some thousand items, at each of hundreds of changes after a loss of power of a fleet of 71. The cost of one host grew with the square of the fleet, that of the fleet with its cube.

ItemOwnershipTests.ownersFollowEachChangeOfMembers compares 100 random changes with a new computation.

--- a/core/src/main/java/org/wigeonglade/core/member/Rendezvous.java
+++ b/core/src/main/java/org/wigeonglade/core/member/Rendezvous.java
@@ -1,5 +1,7 @@
 package org.wigeonglade.core.member;
 
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Comparator;
@@ -71,14 +73,22 @@
 		return rank(key, members, name).stream().limit(size).toList();
 	}
 
-	private static long score(String key, String name) {
-		return Hashing.murmur3_128()
-			.newHasher()
+	/**
+	 * Returns the weight of a member for a key. The member with the highest weight ranks
+	 * first; of members with the same weight, the one with the lowest name.
+	 * @param key the key, not null
+	 * @param name the stable name of the member, not null
+	 * @return the weight
+	 */
+	public static long score(String key, String name) {
+		byte[] keyBytes = key.getBytes(StandardCharsets.UTF_8);
+		byte[] nameBytes = name.getBytes(StandardCharsets.UTF_8);
+		ByteBuffer input = ByteBuffer.allocate(Integer.BYTES + keyBytes.length + nameBytes.length)
+			.order(ByteOrder.LITTLE_ENDIAN)
 			.putInt(key.length())
-			.putString(key, StandardCharsets.UTF_8)
-			.putString(name, StandardCharsets.UTF_8)
-			.hash()
-			.asLong();
+			.put(keyBytes)
+			.put(nameBytes);
+		return Hashing.murmur3_128().hashBytes(input.array()).asLong();
 	}
 
 	private record Scored<T>(T member, String name, long score) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -213,7 +214,7 @@
 			return;
 		}
 		List<WaitingItem> waiting = findWaitingItems();
-		Set<HostId> contenders = findContenders();
+		Set<HostId> contenders = waiting.isEmpty() ? Set.of() : findContenders();
 		FullDemands full = new FullDemands();
 		Map<ServiceName, List<Candidate>> accepting = new HashMap<>();
 		int remaining = waiting.size();
@@ -534,7 +535,7 @@
 				cause = "another host has more of its output";
 			}
 			if (cause == null) {
-				return isDiscardable(entry.getValue(), now) && !this.ownership.isOwner(key.job(), key.item());
+				return isDiscardable(entry.getValue(), now) && !this.ownership.isOwner(job.get(), key.item());
 			}
 			if (entry.getValue().isRunning()) {
 				cancel(entry.getValue(), cause);
@@ -600,9 +601,8 @@
 	}
 
 	private boolean isAssigned(ItemKey key) {
-		return !this.stopping && this.jobTable.find(key.job())
-			.filter((job) -> this.ownership.getOwnedItems(job).contains(key.item()))
-			.isPresent();
+		return !this.stopping
+				&& this.jobTable.find(key.job()).filter((job) -> this.ownership.isOwner(job, key.item())).isPresent();
 	}
 
 	// An output without progress is left to the owner of the item, which may begin the
@@ -635,8 +635,8 @@
 		return this.peers.find(host).filter(PeerTable.Peer::isAlive).isPresent();
 	}
 
-	private List<ItemId> findAssignedAndHeldItems(Job job) {
-		List<ItemId> assigned = this.stopping ? List.of() : this.ownership.getOwnedItems(job);
+	private Collection<ItemId> findAssignedAndHeldItems(Job job) {
+		Set<ItemId> assigned = this.stopping ? Set.of() : this.ownership.getOwnedItems(job);
 		Set<ItemId> held = this.heldItems.getOrDefault(job.getId(), Set.of());
 		return held.isEmpty() ? assigned : Stream.concat(assigned.stream(), held.stream()).toList();
 	}
@@ -649,7 +649,7 @@
 			if (!job.isComplete() || job.isDone()) {
 				continue;
 			}
-			List<ItemId> items = findAssignedAndHeldItems(job);
+			Collection<ItemId> items = findAssignedAndHeldItems(job);
 			Optional<Route> route = items.isEmpty() ? Optional.empty() : routeOf(job);
 			for (ItemId id : items) {
 				ItemKey key = new ItemKey(job.getId(), id);
--- a/gateway/src/test/java/org/wigeonglade/gateway/job/ItemOwnershipTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/job/ItemOwnershipTests.java
@@ -2,12 +2,16 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.gateway.peer.PeerTable;
+import org.wigeonglade.schema.generated.gateway.JobItem;
+import org.wigeonglade.schema.generated.gateway.JobPart;
 
 /**
  * Guards against items that all hosts run during an outage of the store, and against
@@ -47,6 +51,31 @@
 		Assert.assertEquals(countOwned(ownership), 300);
 	}
 
+	// A change that is applied to the known owners gives the same ones as a new
+	// computation.
+	@Test
+	public void ownersFollowEachChangeOfMembers() {
+		Job job = new Job(JobId.of("job"));
+		JobPart.Builder part = JobPart.newBuilder().setJobId("job").setParts(1).setTotalItems(200);
+		IntStream.range(0, 200).forEach((i) -> part.addItems(JobItem.newBuilder().setId("item" + i)));
+		job.addPart("p/job/0", part.build());
+		PeerTable peers = table("a", List.of(true, true, true));
+		ItemOwnership followed = new ItemOwnership(HostId.of("a"), peers);
+		followed.setSelfCaughtUp(true);
+		Random random = new Random(1);
+		for (int i = 0; i < 100; i++) {
+			HostId host = HostId.of(HOSTS.get(1 + random.nextInt(2)));
+			peers.recordDatagram(host, 1, false, random.nextBoolean(), 0);
+			boolean caughtUp = random.nextInt(5) > 0;
+			followed.setSelfCaughtUp(caughtUp);
+			if (random.nextInt(3) > 0) {
+				ItemOwnership computed = new ItemOwnership(HostId.of("a"), peers);
+				computed.setSelfCaughtUp(caughtUp);
+				Assert.assertEquals(followed.getOwnedItems(job), computed.getOwnedItems(job), "after change " + i);
+			}
+		}
+	}
+
 	private static int countOwnedByAll(List<Boolean> current) {
 		int owners = 0;
 		for (int i = 0; i < HOSTS.size(); i++) {
