Wait for changes of registrations instead of reading at an interval

Each host read the registrations of runners each 350 ms, also when nothing had changed: three of its five calls of the store a second at rest.

Reads now wait up to 0.9 s for a record, so a host at rest makes one of these calls a second, and learns at once of a runner that leaves. After a failed call, reads of all streams do not wait until the store has answered, so that the end of an outage is noticed as soon as before.

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -86,10 +86,10 @@
 			Duration.ofMillis(1_000));
 
 	/**
-	 * Each runner writes about once a second, so reads are limited to an interval instead
-	 * of waiting for records. A leaving runner must be detected within two seconds.
+	 * Heartbeats of runners add no records, so reads are long polls. The wait is shorter
+	 * than the gap between two responses that counts as an outage.
 	 */
-	private static final PollTiming RUNNER_POLL_TIMING = new PollTiming(Duration.ofMillis(350), Duration.ZERO);
+	private static final PollTiming RUNNER_POLL_TIMING = new PollTiming(Duration.ofMillis(50), Duration.ofMillis(900));
 
 	/**
 	 * Results must be readable on every host within a second. The age of an idle stream
--- a/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/store/StreamFollower.java
@@ -301,7 +301,8 @@
 		ClockReading start = ClockReading.of(this.ticker);
 		List<Runnable> callbacks = this.readCallbacks;
 		this.readCallbacks = new ArrayList<>();
-		Duration wait = callbacks.isEmpty() ? this.timing.maxWait() : Duration.ZERO;
+		// The end of an outage is noticed sooner by reads that do not wait.
+		Duration wait = (callbacks.isEmpty() && this.reachable) ? this.timing.maxWait() : Duration.ZERO;
 		this.log.read(this.stream, this.next, wait)
 			.subscribe()
 			.with((slice) -> continueOnLoop(() -> readCompleted(slice, start, callbacks), callbacks), (failure) -> {
