--- a/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineMetrics.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/online/OnlineMetrics.java
@@ -24,21 +24,25 @@
 	 */
 	public OnlineMetrics(PrometheusRegistry registry) {
 		this.requests = Counter.builder()
+			.withoutExemplars()
 			.name("wigeonglade_requests_total")
 			.help("Requests by outcome")
 			.labelNames("outcome")
 			.register(registry);
 		this.attempts = Counter.builder()
+			.withoutExemplars()
 			.name("wigeonglade_attempts_total")
 			.help("Sends to runners by outcome")
 			.labelNames("outcome")
 			.register(registry);
 		this.rejections = Counter.builder()
+			.withoutExemplars()
 			.name("wigeonglade_rejections_total")
 			.help("Requests rejected before they ran, by cause")
 			.labelNames("cause")
 			.register(registry);
 		this.timeToFirstByte = Histogram.builder()
+			.withoutExemplars()
 			.name("wigeonglade_first_answer_seconds")
 			.help("Time from the arrival of a request to the first byte of its answer")
 			.classicOnly()
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/ResponseMonitor.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/ResponseMonitor.java
@@ -27,10 +27,12 @@
 	 */
 	public ResponseMonitor(PrometheusRegistry registry) {
 		this.skipped = Counter.builder()
+			.withoutExemplars()
 			.name("wigeonglade_skipped_responses_total")
 			.help("Responses of runners that were skipped because they belong to another request")
 			.register(registry);
 		this.unsound = Counter.builder()
+			.withoutExemplars()
 			.name("wigeonglade_unsound_responses_total")
 			.help("Connections to runners that were closed because received bytes were no sound response")
 			.labelNames("kind")
