Tell groups of hosts of changes of load by way of one of them

Each host sent each change of load to all others, and a heartbeat to each of them four times a second: 195 datagrams a second in and out for each of 40 hosts at rest, 321 with 3 requests a second and host. The datagrams of a host grew with the fleet, those of the fleet with its square.

In a fleet of more than 17 hosts, a host now chooses a relaying host of its failure domain and names it in its datagrams. Others send changes to the relaying hosts only, one for each twelve hosts, and these pass on what has changed, each 12 ms. Heartbeats still go to all hosts directly, with the whole load, each 0.5 s (0.25 s where workspaces are limited, since a host that is silent for half a second loses its portion), so a lost change is made good by the next one and the failure detector stays as it is. A host that does not hear its relay chooses another one; one whose relay is lost is told directly.

Runners that have said that they leave were repeated in each datagram and refreshed by each receipt, so that the list never got shorter. They are told at once and with heartbeats, while they are registered.

LoadReportReader was a part of PeerStateExchange. Reports are read without streams, and tokens and claims of hosts that have none are not copied.

Fleets of up to 17 hosts exchange datagrams as before.

--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/KvMemoryTracker.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/KvMemoryTracker.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
+import com.google.common.primitives.Ints;
 import org.wigeonglade.core.id.HostId;
 
 /**
@@ -84,6 +85,10 @@
 		if ((last == null && tokens.isEmpty()) || (last != null && !last.isBefore(incarnation, sequence))) {
 			return;
 		}
+		if (last != null && last.tokens().isEmpty() && tokens.isEmpty()) {
+			this.reports.put(host, new Report(incarnation, sequence, last.tokens(), nowMillis));
+			return;
+		}
 		discard(host);
 		Map<RunnerId, Long> counts = new HashMap<>();
 		tokens.forEach((runner, count) -> counts.put(runner, (long) Math.max(0, count)));
@@ -91,6 +96,30 @@
 		this.reports.put(host, new Report(incarnation, sequence, counts, nowMillis));
 	}
 
+	/**
+	 * Applies changes to the last report of another host, unless they are older or of
+	 * another incarnation.
+	 * @param host the other host, not null
+	 * @param incarnation the incarnation of the host
+	 * @param sequence the number of the newest change
+	 * @param changes the tokens of the runners that have changed, not null
+	 * @param nowMillis the monotonic time of receipt in milliseconds
+	 */
+	public void applyChanges(HostId host, long incarnation, long sequence, Map<RunnerId, Integer> changes,
+			long nowMillis) {
+		Report last = this.reports.get(host);
+		if (last != null && last.incarnation() != incarnation) {
+			return;
+		}
+		Map<RunnerId, Integer> tokens = new HashMap<>();
+		if (last != null) {
+			last.tokens().forEach((runner, count) -> tokens.put(runner, Ints.saturatedCast(count)));
+		}
+		tokens.putAll(changes);
+		tokens.values().removeIf((count) -> count <= 0);
+		applyReport(host, incarnation, sequence, tokens, nowMillis);
+	}
+
 	/**
 	 * Releases the requests that runners have dropped by now, and discards the reports
 	 * that are older than {@link #REPORT_LIFETIME_MILLIS}.
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/LoadTracker.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/LoadTracker.java
@@ -69,6 +69,30 @@
 		return true;
 	}
 
+	/**
+	 * Applies changes of the load of another host to its last report. Changes that are
+	 * not newer than the last report, or of another incarnation, are dropped.
+	 * @param host the other host, not null
+	 * @param changes the loads of the runners that have changed, not null
+	 * @return true if the changes were applied
+	 */
+	public boolean applyChanges(HostId host, Report changes) {
+		Report last = this.reports.get(host);
+		if (last == null || last.incarnation != changes.incarnation || !changes.isNewerThan(last)) {
+			return false;
+		}
+		Map<RunnerId, Load> loads = new HashMap<>(last.loads);
+		changes.loads.forEach((runner, load) -> {
+			if (load.equals(Load.NONE)) {
+				loads.remove(runner);
+			}
+			else {
+				loads.put(runner, load);
+			}
+		});
+		return applyReport(host, new Report(changes.incarnation, changes.sequence, changes.receivedMillis, loads));
+	}
+
 	/**
 	 * Discards the reports that are older than {@link #REPORT_LIFETIME_MILLIS}.
 	 * @param nowMillis the monotonic time in milliseconds
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -240,8 +240,9 @@
 		WorkspaceRateLimiter rateLimiter = new WorkspaceRateLimiter(this.self.getIncarnation(), random,
 				ticker.millis());
 		this.exchange.setUsageExchange(new UsageExchange(rateLimiter));
-		this.usage = new WorkspaceUsageLimiter(rateLimiter, this.exchange::scheduleReport, this.registry, ticker);
-		this.stateUpdater.onConfigurationApplied(this.usage::setLimits);
+		this.usage = new WorkspaceUsageLimiter(rateLimiter, this.exchange::scheduleLoadReport, this.registry, ticker);
+		this.stateUpdater
+			.onConfigurationApplied((table) -> this.peers.setWorkspacesLimited(this.usage.setLimits(table)));
 		KvMemoryPolicy memory = new KvMemoryPolicy(new KvMemoryTracker(), this::findKvCapacity, this::reportLag,
 				() -> this.peers.getHostStatuses(ticker.millis()));
 		this.fleet.setMemoryPolicy(memory);
@@ -264,7 +265,8 @@
 		this.exchange.setRegistrationsSteady(() -> this.fleet.getDirectory().isSteady(ticker.millis()));
 		this.exchange.setSpeeds(this.fleet.getSpeeds(), this.fleet.getDirectory()::find);
 		this.fleet.onCutOff(this.exchange::scheduleReport);
-		this.fleet.onLoadChanged(this.exchange::scheduleReport);
+		this.fleet.onLoadChanged(this.exchange::scheduleLoadReport);
+		this.fleet.onRunnerLeaving(this.exchange::scheduleReport);
 		this.items = ItemScheduler.of(settings.host(), this.self.getIncarnation(), this.jobTable, this.peers,
 				this.fleet, policy, this.loop, ticker, this.writer, this.configurationFollower);
 		this.exchange.setStateSuppliers(() -> this.shutdown != null, this.items::isCaughtUp,
@@ -603,7 +605,7 @@
 
 		@Override
 		public void runnerLeavingReported(RunnerId runner, long startedMillis, HostId source) {
-			GatewayHost.this.fleet.markLeaving(runner, startedMillis, source.value());
+			GatewayHost.this.fleet.markReportedLeaving(runner, startedMillis, source);
 		}
 
 		@Override
--- a/gateway/src/main/java/org/wigeonglade/gateway/host/WorkspaceUsageLimiter.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/WorkspaceUsageLimiter.java
@@ -48,6 +48,7 @@
 		this.ticker = ticker;
 		// Without the workspace as a label: a configuration may hold thousands of them.
 		this.decisions = Counter.builder()
+			.withoutExemplars()
 			.name("wigeonglade_usage_decisions_total")
 			.help("Decisions on requests of workspaces with a usage limit")
 			.labelNames("decision")
@@ -82,10 +83,12 @@
 		}
 	}
 
-	void setLimits(RoutingTable table) {
+	// Returns whether any workspace is limited.
+	boolean setLimits(RoutingTable table) {
 		Map<WorkspaceId, UsageLimit> limits = new HashMap<>();
 		table.getWorkspaces().getWorkspaces().forEach((workspace) -> limits.put(workspace.id(), workspace.limit()));
 		this.limiter.setLimits(limits, this.ticker.millis());
+		return !limits.isEmpty();
 	}
 
 	// Updates the hosts among which the limits are divided, and logs ended limitations.
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/OutputClaims.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/OutputClaims.java
@@ -54,6 +54,9 @@
 	 * @param nowMillis the monotonic time in milliseconds
 	 */
 	void replace(HostId host, List<Claim> reported, long nowMillis) {
+		if (reported.isEmpty() && !this.claimsByHost.containsKey(host)) {
+			return;
+		}
 		Map<Long, Progress> previous = new HashMap<>();
 		for (Claim claim : this.claimsByHost.getOrDefault(host, List.of())) {
 			Map<HostId, Progress> hosts = this.claims.get(claim.itemHash());
--- a/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/log/GatewayEvent.java
@@ -210,6 +210,9 @@
 			"outage of the store concerned this host; runners whose removal was deferred are removed", "steady_host",
 			"runners"),
 
+	/** This host chose the host that tells it of changes at others. */
+	REPORT_RELAY_CHOSEN(3523, Level.INFO, "host that tells of changes at others was chosen", "relay"),
+
 	/** A job was accepted. */
 	JOB_ACCEPTED(4501, Level.INFO, "job accepted", "job", "items", "offset", "append_ms"),
 
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
@@ -17,7 +17,6 @@
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 import com.google.common.collect.Lists;
 import com.google.common.primitives.Ints;
@@ -33,6 +32,7 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import org.wigeonglade.core.event.EventLogger;
+import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
 import org.wigeonglade.core.time.Ticker;
 import org.wigeonglade.gateway.fleet.KvMemoryTracker;
@@ -67,9 +67,6 @@
 
 	private static final EventLogger LOG = EventLogger.of(PeerStateExchange.class);
 
-	/** Maximum interval between datagrams to a live host, in milliseconds. */
-	private static final long HEARTBEAT_INTERVAL_MILLIS = 250;
-
 	/** Interval between datagrams to a host that is not alive, in milliseconds. */
 	private static final long LOST_HOST_INTERVAL_MILLIS = 1_000;
 
@@ -80,6 +77,12 @@
 	 */
 	private static final long COALESCING_MICROS_PER_HOST = 350;
 
+	/**
+	 * Time in milliseconds for which changes of all hosts are collected before they are
+	 * passed on. It bounds what a relaying host sends, whatever the size of the fleet.
+	 */
+	private static final long RELAY_INTERVAL_MILLIS = 12;
+
 	/** Number of crash reports in one datagram, so that few of them are fragmented. */
 	private static final int CRASHES_PER_DATAGRAM = 8;
 
@@ -105,6 +108,16 @@
 
 	private long sequence;
 
+	private final LoadReportReader reader;
+
+	private final ReportRelay relay;
+
+	private boolean relaying;
+
+	private boolean loadReportScheduled;
+
+	private boolean relayScheduled;
+
 	private boolean ownDomainScheduled;
 
 	private boolean otherDomainsScheduled;
@@ -129,8 +142,6 @@
 
 	private RunnerSpeeds speeds = new RunnerSpeeds((runner) -> 0);
 
-	private Function<RunnerId, Optional<RunnerEntry>> registrations = (runner) -> Optional.empty();
-
 	/**
 	 * Creates an exchange that is not bound to a socket yet.
 	 * @param self this host, not null
@@ -151,6 +162,8 @@
 		this.requestLimits = requestLimits;
 		this.table = table;
 		this.listener = listener;
+		this.reader = new LoadReportReader(loadTracker, requestLimits, table);
+		this.relay = new ReportRelay(HostId.of(self.getHost()), FailureDomain.of(self.getDomain()), table);
 	}
 
 	/**
@@ -184,6 +197,7 @@
 	 */
 	public void setUsageExchange(UsageExchange exchange) {
 		this.usage = Optional.of(exchange);
+		this.reader.setUsageExchange(exchange);
 	}
 
 	/**
@@ -193,7 +207,7 @@
 	 */
 	public void setSpeeds(RunnerSpeeds runnerSpeeds, Function<RunnerId, Optional<RunnerEntry>> registered) {
 		this.speeds = runnerSpeeds;
-		this.registrations = registered;
+		this.reader.setSpeeds(runnerSpeeds, registered);
 	}
 
 	/**
@@ -202,6 +216,7 @@
 	 */
 	public void setMemoryTracker(KvMemoryTracker tracker) {
 		this.memory = tracker;
+		this.reader.setMemoryTracker(tracker);
 	}
 
 	/**
@@ -268,12 +283,58 @@
 		}
 	}
 
+	/**
+	 * Schedules a report of changes of load. In a large fleet it is sent to the relaying
+	 * hosts, otherwise to all. Does nothing before the socket is bound.
+	 */
+	public void scheduleLoadReport() {
+		if (!this.table.isLargeFleet()) {
+			scheduleReport();
+			return;
+		}
+		if (this.channel == null || this.loadReportScheduled) {
+			return;
+		}
+		this.loadReportScheduled = true;
+		this.loop.schedule(() -> {
+			this.loadReportScheduled = false;
+			sendLoadReport(newLoadReport(), this.relay::isToldDirectly);
+		}, getCoalescingMicros(this.relay::isToldDirectly), TimeUnit.MICROSECONDS);
+		if (this.relaying) {
+			scheduleRelay();
+		}
+	}
+
+	// A relaying host tells its listeners of its own changes along with those of others.
+	private void scheduleRelay() {
+		if (!this.relayScheduled) {
+			this.relayScheduled = true;
+			this.loop.schedule(() -> {
+				this.relayScheduled = false;
+				sendLoadReport(newLoadReport().addAllRelayedReports(this.relay.takeChanges()), this.relay::isListener);
+			}, RELAY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void sendLoadReport(Datagram.Builder report, Predicate<PeerTable.Peer> recipients) {
+		byte[] bytes = report.build().toByteArray();
+		for (PeerTable.Peer peer : this.table.getPeers()) {
+			if (peer.isAlive() && recipients.test(peer)) {
+				this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.getAddress()));
+			}
+		}
+		this.channel.flush();
+	}
+
 	/**
 	 * Returns the estimated delay of the load reports of other hosts.
 	 * @return the longest time for which changes are coalesced, never null
 	 */
 	public Duration getReportLag() {
-		return Duration.of(getCoalescingMicros((peer) -> true), ChronoUnit.MICROS);
+		return this.table.isLargeFleet()
+				? Duration.ofMillis(RELAY_INTERVAL_MILLIS)
+					.plus(getCoalescingMicros(this.relay::isToldDirectly), ChronoUnit.MICROS)
+				: Duration.of(getCoalescingMicros((peer) -> true), ChronoUnit.MICROS);
 	}
 
 	private long getCoalescingMicros(Predicate<PeerTable.Peer> recipients) {
@@ -290,6 +351,14 @@
 	 */
 	public void sendHeartbeats() {
 		long now = this.ticker.millis();
+		this.relaying = this.relay.hasListeners();
+		if (!this.relaying) {
+			this.relay.clear();
+		}
+		if (this.relay.choose(this.leaving.getAsBoolean(), now)) {
+			LOG.log(GatewayEvent.REPORT_RELAY_CHOSEN, this.relay.getChosen().orElse(null));
+			scheduleReport();
+		}
 		if (this.channel != null && this.table.getPeers().stream().anyMatch((peer) -> isDue(peer, false, now))) {
 			sendToDue(newDatagram().build(), (peer) -> true, false);
 		}
@@ -353,14 +422,7 @@
 	}
 
 	private Datagram.Builder newDatagram() {
-		Datagram.Builder builder = Datagram.newBuilder()
-			.setSender(this.self)
-			.setSequence(++this.sequence)
-			.setLeaving(this.leaving.getAsBoolean())
-			.setJobsCurrent(this.jobStateCurrent.getAsBoolean())
-			.setWaitingItems(this.waitingItems.getAsInt())
-			.setRelays(this.relays.getAsBoolean())
-			.setRegistrationsSteady(this.registrationsSteady.getAsBoolean());
+		Datagram.Builder builder = newLoadReport();
 		this.leavingRunners.get()
 			.forEach((departure) -> builder.addLeavingRunners(LeavingRunner.newBuilder()
 				.setRunner(departure.runner().value())
@@ -370,6 +432,19 @@
 				.setJobId(count.job().value())
 				.setItemId(count.item().value())
 				.setFailures(count.failures())));
+		return builder;
+	}
+
+	private Datagram.Builder newLoadReport() {
+		Datagram.Builder builder = Datagram.newBuilder()
+			.setSender(this.self)
+			.setSequence(++this.sequence)
+			.setLeaving(this.leaving.getAsBoolean())
+			.setJobsCurrent(this.jobStateCurrent.getAsBoolean())
+			.setWaitingItems(this.waitingItems.getAsInt())
+			.setRelays(this.relays.getAsBoolean())
+			.setRegistrationsSteady(this.registrationsSteady.getAsBoolean());
+		this.relay.getChosen().ifPresent((host) -> builder.setReportRelay(host.value()));
 		this.outputClaims.get()
 			.forEach((claim) -> builder
 				.addOutputClaims(OutputClaim.newBuilder().setItemHash(claim.itemHash()).setEvents(claim.events())));
@@ -414,7 +489,8 @@
 
 	private boolean isDue(PeerTable.Peer peer, boolean immediate, long now) {
 		long since = now - this.lastSent.getOrDefault(peer.getHost(), -LOST_HOST_INTERVAL_MILLIS);
-		return since >= (peer.isAlive() ? (immediate ? 0 : HEARTBEAT_INTERVAL_MILLIS) : LOST_HOST_INTERVAL_MILLIS);
+		return since >= (peer.isAlive() ? (immediate ? 0 : this.table.getHeartbeatIntervalMillis())
+				: LOST_HOST_INTERVAL_MILLIS);
 	}
 
 	private void send(PeerTable.Peer peer, byte[] bytes) {
@@ -449,36 +525,22 @@
 		this.table.find(host).ifPresent((peer) -> {
 			peer.setWaitingItems(datagram.getWaitingItems());
 			peer.setRelays(datagram.getRelays());
+			peer.setReportRelay(readReportRelay(datagram));
 		});
 		if (datagram.getRegistrationsSteady()) {
 			this.listener.registrationsSteady(host);
 		}
-		this.usage.ifPresent((exchange) -> exchange.recordHeard(datagram, now));
-		Map<RunnerId, LoadTracker.Load> loads = new HashMap<>();
-		datagram.getLoadsList()
-			.forEach((l) -> loads.put(RunnerId.of(l.getRunner()), new LoadTracker.Load(l.getOnline(), l.getBatch())));
 		datagram.getLimitsList().forEach((limit) -> this.listener.limitReported(limit, host));
-		if (this.loadTracker.applyReport(host,
-				new LoadTracker.Report(sender.getIncarnation(), datagram.getSequence(), now, loads))) {
-			chargeRemoteRequests(host + "." + sender.getIncarnation(), datagram, now);
-			this.usage.ifPresent((exchange) -> exchange.apply(datagram, now));
-			datagram.getLoadsList()
-				.stream()
-				.filter((load) -> load.getSpeed() != 0)
-				.forEach((load) -> this.registrations.apply(RunnerId.of(load.getRunner()))
-					.ifPresent((runner) -> this.speeds.applyReport(host, runner, load.getSpeed(), now)));
-			this.memory.applyReport(host, sender.getIncarnation(), datagram.getSequence(),
-					datagram.getLoadsList()
-						.stream()
-						.filter((load) -> load.getTokens() > 0)
-						.collect(Collectors.toMap((l) -> RunnerId.of(l.getRunner()), RunnerLoad::getTokens, Math::max)),
-					now);
-			this.listener.outputClaimed(host,
-					datagram.getOutputClaimsList()
-						.stream()
-						.map((claim) -> new OutputClaims.Claim(claim.getItemHash(), claim.getEvents()))
-						.toList());
+		if (this.reader.apply(host, datagram, now)) {
+			if (this.relaying && this.relay.recordReport(datagram)) {
+				scheduleRelay();
+			}
+			List<OutputClaims.Claim> claims = new ArrayList<>();
+			datagram.getOutputClaimsList()
+				.forEach((claim) -> claims.add(new OutputClaims.Claim(claim.getItemHash(), claim.getEvents())));
+			this.listener.outputClaimed(host, claims);
 		}
+		datagram.getRelayedReportsList().forEach((report) -> this.reader.applyRelayed(report, now));
 		List<Preemption> preemptions = datagram.getPreemptionsList();
 		preemptions.forEach((p) -> this.listener.preemptionRequested(RunnerId.of(p.getRunner()), p.getSlots()));
 		datagram.getCrashesList().forEach(this.listener::crashReported);
@@ -491,12 +553,11 @@
 		sendUsageReports(now);
 	}
 
-	private void chargeRemoteRequests(String incarnation, Datagram datagram, long nowMillis) {
-		datagram.getLoadsList()
-			.stream()
-			.filter((load) -> load.getSent() > 0)
-			.forEach((load) -> this.requestLimits.recordRemoteSent(incarnation, RunnerId.of(load.getRunner()),
-					load.getSent(), nowMillis));
+	private Optional<HostId> readReportRelay(Datagram datagram) {
+		Optional<HostId> chosen = datagram.getReportRelay().isEmpty() ? Optional.empty()
+				: Optional.of(HostId.of(datagram.getReportRelay()));
+		this.relaying |= chosen.filter((host) -> host.value().equals(this.self.getHost())).isPresent();
+		return chosen;
 	}
 
 	/**
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
@@ -21,23 +21,37 @@
  */
 public final class PeerTable {
 
+	/** Number of other hosts up to which all hosts tell each other of each change. */
+	static final int SMALL_FLEET_HOSTS = 16;
+
+	/** Maximum interval between datagrams to a live host, in milliseconds. */
+	static final long HEARTBEAT_INTERVAL_MILLIS = 250;
+
+	/**
+	 * The same interval in a large fleet, where each host has many to tell, unless
+	 * workspaces are limited: a host that is silent for half a second loses its portion
+	 * of their limits.
+	 */
+	static final long LARGE_FLEET_HEARTBEAT_INTERVAL_MILLIS = 500;
+
 	/**
 	 * Time in milliseconds without a datagram from any host of a failure domain after
 	 * which the domain is suspected to be partitioned: two and a half heartbeat
-	 * intervals, missed by several hosts.
+	 * intervals, missed by several hosts. Longer in a large fleet by what its heartbeats
+	 * are later.
 	 */
 	public static final long DOMAIN_SILENCE_TIMEOUT_MILLIS = 650;
 
 	/**
 	 * Time in milliseconds without a datagram after which a host is considered lost: six
-	 * heartbeat intervals.
+	 * heartbeat intervals, three in a large fleet.
 	 */
 	public static final long LIVENESS_TIMEOUT_MILLIS = 1_500;
 
 	/**
 	 * Time in milliseconds without a datagram after which the reports of a host count as
 	 * missing. Heartbeats are checked each 250 ms and skipped shortly after another
-	 * datagram, so a sound host is silent for up to 500 ms.
+	 * datagram, so a sound host is silent for up to 500 ms, or 750 ms in a large fleet.
 	 */
 	private static final long REPORT_TIMEOUT_MILLIS = 700;
 
@@ -45,6 +59,8 @@
 
 	private DomainReachability reachability = new DomainReachability();
 
+	private boolean workspacesLimited;
+
 	private long version;
 
 	/**
@@ -56,6 +72,47 @@
 		this.reachability = record;
 	}
 
+	/**
+	 * Returns whether changes reach the hosts by way of others, since telling all of them
+	 * would cost each host in proportion to the fleet. Counts registered hosts, which are
+	 * the same for all hosts.
+	 * @return true if there are more than {@link #SMALL_FLEET_HOSTS} other hosts
+	 */
+	public boolean isLargeFleet() {
+		return this.peers.size() > SMALL_FLEET_HOSTS;
+	}
+
+	/**
+	 * Sets whether hosts share limits of workspaces.
+	 * @param limited true if the configuration limits any workspace
+	 */
+	public void setWorkspacesLimited(boolean limited) {
+		this.workspacesLimited = limited;
+	}
+
+	/**
+	 * Returns the maximum interval between datagrams to a live host.
+	 * @return the interval in milliseconds
+	 */
+	long getHeartbeatIntervalMillis() {
+		return (isLargeFleet() && !this.workspacesLimited) ? LARGE_FLEET_HEARTBEAT_INTERVAL_MILLIS
+				: HEARTBEAT_INTERVAL_MILLIS;
+	}
+
+	private long extendByHeartbeat(long timeoutMillis) {
+		return timeoutMillis + getHeartbeatIntervalMillis() - HEARTBEAT_INTERVAL_MILLIS;
+	}
+
+	/**
+	 * Returns whether a host is alive and its reports are not missing.
+	 * @param peer the host, not null
+	 * @param nowMillis the monotonic time in milliseconds
+	 * @return true if it was heard lately
+	 */
+	boolean isHeard(Peer peer, long nowMillis) {
+		return peer.isAlive() && peer.getSilenceMillis(nowMillis) <= extendByHeartbeat(REPORT_TIMEOUT_MILLIS);
+	}
+
 	/**
 	 * Adds a host, or replaces an earlier incarnation of it. A host is not alive until
 	 * its first datagram.
@@ -196,11 +253,12 @@
 	}
 
 	private OptionalLong findSilenceStart(FailureDomain domain, long nowMillis) {
+		long silenceTimeoutMillis = extendByHeartbeat(DOMAIN_SILENCE_TIMEOUT_MILLIS);
 		int unresponsive = 0;
 		long lastReceivedMillis = Long.MIN_VALUE;
 		boolean otherDomainReachable = false;
 		for (Peer peer : this.peers.values()) {
-			boolean responsive = peer.alive && peer.getSilenceMillis(nowMillis) <= DOMAIN_SILENCE_TIMEOUT_MILLIS;
+			boolean responsive = peer.alive && peer.getSilenceMillis(nowMillis) <= silenceTimeoutMillis;
 			if (!peer.domain.equals(domain)) {
 				otherDomainReachable |= responsive;
 			}
@@ -212,8 +270,8 @@
 				lastReceivedMillis = Math.max(lastReceivedMillis, peer.lastReceivedMillis);
 			}
 		}
-		return (unresponsive > 1 && otherDomainReachable)
-				? OptionalLong.of(lastReceivedMillis + DOMAIN_SILENCE_TIMEOUT_MILLIS) : OptionalLong.empty();
+		return (unresponsive > 1 && otherDomainReachable) ? OptionalLong.of(lastReceivedMillis + silenceTimeoutMillis)
+				: OptionalLong.empty();
 	}
 
 	/**
@@ -228,8 +286,7 @@
 		return this.peers.values()
 			.stream()
 			.filter((peer) -> peer.getSilenceMillis(nowMillis) <= KvMemoryTracker.REPORT_LIFETIME_MILLIS)
-			.map((peer) -> new KvMemoryPolicy.HostStatus(peer.getHost(),
-					peer.isAlive() && peer.getSilenceMillis(nowMillis) <= REPORT_TIMEOUT_MILLIS))
+			.map((peer) -> new KvMemoryPolicy.HostStatus(peer.getHost(), isHeard(peer, nowMillis)))
 			.toList();
 	}
 
@@ -275,6 +332,8 @@
 
 		private boolean relays;
 
+		private Optional<HostId> reportRelay = Optional.empty();
+
 		private long lastReceivedMillis;
 
 		private Peer(HostId host, InetSocketAddress address, FailureDomain domain, long incarnation) {
@@ -362,6 +421,18 @@
 			this.relays = value;
 		}
 
+		/**
+		 * Returns the host that tells this one of changes at others.
+		 * @return the host, empty if they tell it themselves
+		 */
+		Optional<HostId> getReportRelay() {
+			return this.reportRelay;
+		}
+
+		void setReportRelay(Optional<HostId> relay) {
+			this.reportRelay = relay;
+		}
+
 		void setWaitingItems(int count) {
 			this.waitingItems = count;
 		}
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/UsageExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/UsageExchange.java
@@ -47,34 +47,35 @@
 	}
 
 	/**
-	 * Records that a datagram of another host was received.
-	 * @param datagram the datagram, not null
+	 * Records that another host was heard, by its own datagram or by way of another one.
+	 * @param host the host, not null
+	 * @param incarnation its incarnation
+	 * @param leaving whether it is shutting down
 	 * @param nowMillis the monotonic time in milliseconds
 	 */
-	void recordHeard(Datagram datagram, long nowMillis) {
-		this.limiter.heard(HostId.of(datagram.getSender().getHost()), datagram.getSender().getIncarnation(),
-				datagram.getLeaving(), nowMillis);
+	void recordHeard(HostId host, long incarnation, boolean leaving, long nowMillis) {
+		this.limiter.heard(host, incarnation, leaving, nowMillis);
 	}
 
 	/**
-	 * Applies the entries of a datagram that is newer than all others of its sender.
-	 * @param datagram the datagram, not null
+	 * Applies the entries of a report that is newer than all others of its host.
+	 * @param host the host, not null
+	 * @param incarnation its incarnation
+	 * @param usage the usage of workspaces, not null
+	 * @param levels the levels of some of them, not null
 	 * @param nowMillis the monotonic time in milliseconds
 	 */
-	void apply(Datagram datagram, long nowMillis) {
-		if (datagram.getWorkspaceUsageCount() == 0) {
+	void apply(HostId host, long incarnation, List<WorkspaceUsage> usage, List<WorkspaceLevel> levels, long nowMillis) {
+		if (usage.isEmpty()) {
 			return;
 		}
 		Map<Long, OptionalDouble> portions = new HashMap<>();
-		datagram.getWorkspaceLevelsList()
-			.forEach(
-					(level) -> portions.put(level.getWorkspace(), OptionalDouble.of(level.getMillitokens() / 1_000.0)));
+		levels.forEach(
+				(level) -> portions.put(level.getWorkspace(), OptionalDouble.of(level.getMillitokens() / 1_000.0)));
 		List<UsageEntry> entries = new ArrayList<>();
-		datagram.getWorkspaceUsageList()
-			.forEach((usage) -> entries.add(new UsageEntry(usage.getWorkspace(), usage.getAdmitted(),
-					portions.getOrDefault(usage.getWorkspace(), OptionalDouble.empty()))));
-		this.limiter.apply(HostId.of(datagram.getSender().getHost()), datagram.getSender().getIncarnation(), entries,
-				nowMillis);
+		usage.forEach((used) -> entries.add(new UsageEntry(used.getWorkspace(), used.getAdmitted(),
+				portions.getOrDefault(used.getWorkspace(), OptionalDouble.empty()))));
+		this.limiter.apply(host, incarnation, entries, nowMillis);
 	}
 
 	/**
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/Fleet.java
@@ -111,6 +111,9 @@
 	private Runnable cutOffListener = () -> {
 	};
 
+	private Runnable leavingListener = () -> {
+	};
+
 	private Registrations registrations = (timeout, onCurrent, onTimeout) -> onTimeout.run();
 
 	private RoutingTable table;
@@ -368,14 +371,35 @@
 	}
 
 	/**
-	 * Records that a runner process is leaving, so that it receives no further requests.
+	 * Records that a runner process has said that it is leaving, so that it receives no
+	 * further requests.
 	 * @param runner the runner, not null
 	 * @param startedMillis the start time of the process, in milliseconds since the
 	 * epoch; a process that starts later under the same id is not affected
-	 * @param source the runner or the host that reported it, for the log; not null
 	 * @return true if it was not recorded before
 	 */
-	public boolean markLeaving(RunnerId runner, long startedMillis, String source) {
+	public boolean markLeaving(RunnerId runner, long startedMillis) {
+		boolean added = addLeaving(runner, startedMillis, "the runner");
+		if (added) {
+			this.leavingListener.run();
+		}
+		return added;
+	}
+
+	/**
+	 * Records that another host has reported a runner process as leaving. Runners that
+	 * are not registered receive no requests anyway, and are not reported on.
+	 * @param runner the runner, not null
+	 * @param startedMillis the start time of the process, in milliseconds since the epoch
+	 * @param host the other host, not null
+	 */
+	public void markReportedLeaving(RunnerId runner, long startedMillis, HostId host) {
+		if (this.directory.find(runner).isPresent()) {
+			addLeaving(runner, startedMillis, host.value());
+		}
+	}
+
+	private boolean addLeaving(RunnerId runner, long startedMillis, String source) {
 		boolean added = this.leaving.add(runner, startedMillis, this.ticker.millis());
 		if (added) {
 			LOG.log(GatewayEvent.RUNNER_LEAVING, runner, startedMillis, source);
@@ -383,6 +407,14 @@
 		return added;
 	}
 
+	/**
+	 * Sets the listener that is called when a runner has said that it is leaving.
+	 * @param listener called on the event loop, not null
+	 */
+	public void onRunnerLeaving(Runnable listener) {
+		this.leavingListener = listener;
+	}
+
 	/**
 	 * Records the limit of requests that a response of a runner names.
 	 * @param runner the runner, not null
@@ -424,11 +456,14 @@
 	}
 
 	/**
-	 * Returns the runner processes that have announced that they are leaving.
+	 * Returns the registered runner processes that have announced that they are leaving.
 	 * @return the processes, never null
 	 */
 	public Collection<LeavingRunners.Departure> getLeaving() {
-		return this.leaving.getDepartures();
+		return this.leaving.getDepartures()
+			.stream()
+			.filter((departure) -> this.directory.find(departure.runner()).isPresent())
+			.toList();
 	}
 
 	/**
--- a/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/runner/RunnerCall.java
@@ -186,7 +186,7 @@
 				this.fleet.getPool().getPaths().recordResponse();
 			}
 			if (this.responseHead.leaving() && !this.responseHead.wrongRunner()) {
-				this.fleet.markLeaving(this.runner.id(), this.runner.startedMillis(), "the runner");
+				this.fleet.markLeaving(this.runner.id(), this.runner.startedMillis());
 			}
 			if (!this.responseHead.wrongRunner()) {
 				this.fleet.recordRequestLimit(this.runner, this.responseHead.requestLimit());
--- a/gateway/src/test/java/org/wigeonglade/gateway/peer/UsageExchangeTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/peer/UsageExchangeTests.java
@@ -31,7 +31,7 @@
 		Datagram before = datagram("b").build();
 		Datagram.Builder after = before.toBuilder();
 		exchange.addChanges(after, 0);
-		exchange.recordHeard(before, 0);
+		exchange.recordHeard(HostId.of("b"), 1, false, 0);
 		exchange.sendReports(0, (host, report) -> Assert.fail("a report is sent"));
 		Assert.assertEquals(after.build().toByteArray(), before.toByteArray());
 	}
@@ -44,7 +44,7 @@
 		}
 		first.tryAdmit(WORKSPACE, 20_000);
 		UsageExchange exchange = new UsageExchange(first);
-		exchange.recordHeard(datagram("b").build(), 20_000);
+		exchange.recordHeard(HostId.of("b"), 1, false, 20_000);
 		List<Datagram> sent = new ArrayList<>();
 		exchange.sendReports(20_000, (host, report) -> sent.add(datagram("a").mergeFrom(report).build()));
 		exchange.sendReports(20_100, (host, report) -> Assert.fail("repeated too early"));
@@ -53,8 +53,9 @@
 		WorkspaceRateLimiter second = limiter();
 		second.setMembers(Map.of(HostId.of("a"), 1L), 0);
 		UsageExchange other = new UsageExchange(second);
-		other.recordHeard(sent.getFirst(), 0);
-		other.apply(sent.getFirst(), 0);
+		other.recordHeard(HostId.of("a"), 1, false, 0);
+		Datagram report = sent.getFirst();
+		other.apply(HostId.of("a"), 1, report.getWorkspaceUsageList(), report.getWorkspaceLevelsList(), 0);
 		double level = 2 * second.getReport(0).getFirst().portion().orElseThrow();
 		Assert.assertTrue(level >= 8 && level <= 9, "level " + level);
 	}
