--- a/core/src/main/java/org/wigeonglade/core/id/ServiceName.java
+++ b/core/src/main/java/org/wigeonglade/core/id/ServiceName.java
@@ -32,6 +32,18 @@
 		return this.value.compareTo(other.value);
 	}
 
+	// The methods that are generated for records are linked at run time, which is slow in
+	// a process that has just started.
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof ServiceName that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/gateway/src/main/java/org/wigeonglade/gateway/fleet/LoadTracker.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/fleet/LoadTracker.java
@@ -194,6 +194,18 @@
 			return this.online + this.batch;
 		}
 
+		// The methods that are generated for records are linked at run time, which is
+		// slow in a process that has just started.
+		@Override
+		public boolean equals(Object other) {
+			return other instanceof Load that && this.online == that.online && this.batch == that.batch;
+		}
+
+		@Override
+		public int hashCode() {
+			return 31 * this.online + this.batch;
+		}
+
 	}
 
 	/**
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemId.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemId.java
@@ -26,6 +26,18 @@
 		return new ItemId(value);
 	}
 
+	// The methods that are generated for records are linked at run time, which is slow in
+	// a process that has just started.
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof ItemId that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemKey.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemKey.java
@@ -26,4 +26,16 @@
 			.asLong();
 	}
 
+	// The methods that are generated for records are linked at run time, which is slow in
+	// a process that has just started.
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof ItemKey that && this.job.equals(that.job) && this.item.equals(that.item);
+	}
+
+	@Override
+	public int hashCode() {
+		return 31 * this.job.hashCode() + this.item.hashCode();
+	}
+
 }
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/JobId.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/JobId.java
@@ -26,6 +26,18 @@
 		return new JobId(value);
 	}
 
+	// The methods that are generated for records are linked at run time, which is slow in
+	// a process that has just started.
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof JobId that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
