Write each chunk of a response as one buffer

Each event of a stream was written to its caller as three buffers, which the encoder of the network library makes of a chunk: 13% of the processor time of a host under load was spent in these writes (profile of 16 real processes at 7 streams a second). The chunk is framed in one buffer now. Heads, ends and responses without a body are encoded as before.

--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerConnection.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -47,6 +48,8 @@
 
 	private Channel channel;
 
+	private ChannelHandlerContext encoder;
+
 	private CallerExchange current;
 
 	private HttpRequest head;
@@ -69,6 +72,10 @@
 		this.server = server;
 	}
 
+	void setEncoder(ChannelHandlerContext context) {
+		this.encoder = context;
+	}
+
 	Channel getChannel() {
 		return this.channel;
 	}
@@ -122,6 +129,11 @@
 		this.channel.close();
 	}
 
+	// Writes bytes that need no encoder.
+	void writeEncoded(ByteBuf bytes) {
+		this.encoder.writeAndFlush(bytes);
+	}
+
 	// Called after each write of a part of a response.
 	void written() {
 		if (updateProgress() > 0 && this.server.getBudget().isExceeded()) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerExchange.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -30,6 +31,11 @@
 
 	private static final long UNKNOWN_LENGTH = -1;
 
+	private static final int CRLF = '\r' << 8 | '\n';
+
+	/** The length of a chunk in hexadecimal digits, and two line ends. */
+	private static final int MAX_CHUNK_FRAMING_BYTES = 12;
+
 	private final CallerConnection connection;
 
 	private final HttpRequest request;
@@ -50,6 +56,8 @@
 
 	private boolean endsWithConnection;
 
+	private boolean chunked;
+
 	private long remainingLength = UNKNOWN_LENGTH;
 
 	private ByteBuf lastPart = Unpooled.EMPTY_BUFFER;
@@ -203,6 +211,7 @@
 			// HTTP/1.0 has no chunks.
 			this.endsWithConnection = this.request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
 			HttpUtil.setTransferEncodingChunked(response, !this.endsWithConnection);
+			this.chunked = !this.endsWithConnection && mayHaveBody(response.status().code());
 			setReset(true);
 		}
 		if (this.endsWithConnection || this.connection.isClosingAfter(this.request)) {
@@ -234,10 +243,24 @@
 				return;
 			}
 		}
-		channel().writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(content)));
+		if (this.chunked) {
+			this.connection.writeEncoded(encodeChunk(content));
+		}
+		else {
+			channel().writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(content)));
+		}
 		this.connection.written();
 	}
 
+	// One buffer takes a fraction of the time of the three that the encoder writes.
+	private ByteBuf encodeChunk(byte[] content) {
+		ByteBuf chunk = channel().alloc().buffer(content.length + MAX_CHUNK_FRAMING_BYTES);
+		ByteBufUtil.writeAscii(chunk, Integer.toHexString(content.length));
+		chunk.writeShort(CRLF);
+		chunk.writeBytes(content);
+		return chunk.writeShort(CRLF);
+	}
+
 	/**
 	 * Completes a response whose head was written. Aborts it if its body is shorter than
 	 * the length in its head.
--- a/gateway/src/main/java/org/wigeonglade/gateway/http/CallerResponseEncoder.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/http/CallerResponseEncoder.java
@@ -1,5 +1,6 @@
 package org.wigeonglade.gateway.http;
 
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
@@ -14,6 +15,12 @@
 		this.connection = connection;
 	}
 
+	@Override
+	public void handlerAdded(ChannelHandlerContext context) throws Exception {
+		super.handlerAdded(context);
+		this.connection.setEncoder(context);
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpResponse response) {
 		return this.connection.isResponseBodiless() || super.isContentAlwaysEmpty(response);
