Step less often without work, and count the datagrams between hosts

Each host looked for items to run 40 times a second, also without open jobs; at rest that was a ninth of its work. It does so each 100 ms without open jobs and each 50 ms in a large fleet, whose rounds of slot allocation take 71 ms and more. The stream of jobs is read at most each 0.3 s instead of 0.15 s: with 40 appends a second in a large fleet the interval decides how often each host reads. Results have to be readable within a second.

A relaying host passes on the newest usage of each workspace of all datagrams since its last one; it replaced the list of one by that of the next (ReportRelayTests.usageOfBothDatagramsBetweenTwoDigestsIsPassedOn).

--- a/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/host/GatewayHost.java
@@ -45,6 +45,7 @@
 import org.wigeonglade.gateway.log.GatewayEvent;
 import org.wigeonglade.gateway.online.OnlineContext;
 import org.wigeonglade.gateway.online.OnlineMetrics;
+import org.wigeonglade.gateway.peer.ExchangeMetrics;
 import org.wigeonglade.gateway.peer.PeerStateExchange;
 import org.wigeonglade.gateway.peer.PeerTable;
 import org.wigeonglade.gateway.peer.RelaySelection;
@@ -92,15 +93,14 @@
 	private static final PollTiming RUNNER_POLL_TIMING = new PollTiming(Duration.ofMillis(50), Duration.ofMillis(900));
 
 	/**
-	 * Results must be readable on every host within a second. The age of an idle stream
-	 * reaches two waits, which must stay below {@link #MAX_JOB_STATE_AGE_MILLIS}.
+	 * Results must be readable on every host within a second. In a large fleet, records
+	 * are appended all the time, so that the interval decides how often each host reads.
+	 * The age of an idle stream reaches two waits, which must stay below
+	 * {@link #MAX_JOB_STATE_AGE_MILLIS}.
 	 */
-	private static final PollTiming GATEWAY_STREAM_POLL_TIMING = new PollTiming(Duration.ofMillis(150),
+	private static final PollTiming GATEWAY_STREAM_POLL_TIMING = new PollTiming(Duration.ofMillis(300),
 			Duration.ofMillis(900));
 
-	/** Interval between runs of the item scheduler, in milliseconds. */
-	private static final long ITEM_SCHEDULING_INTERVAL_MILLIS = 25;
-
 	/** Interval between checks for expired state, in milliseconds. */
 	private static final long MAINTENANCE_INTERVAL_MILLIS = 250;
 
@@ -237,6 +237,7 @@
 				this::register);
 		this.exchange = new PeerStateExchange(this.self, this.loop, ticker, this.fleet.getLoadTracker(),
 				this.fleet.getRequestLimits(), this.peers, new PeerListener());
+		this.exchange.setMetrics(new ExchangeMetrics(this.registry));
 		WorkspaceRateLimiter rateLimiter = new WorkspaceRateLimiter(this.self.getIncarnation(), random,
 				ticker.millis());
 		this.exchange.setUsageExchange(new UsageExchange(rateLimiter));
@@ -323,9 +324,7 @@
 					MAINTENANCE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 			this.loop.scheduleWithFixedDelay(catchAndLog(this::cleanUp), CLEANUP_INTERVAL_MILLIS,
 					CLEANUP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-			this.loop.scheduleWithFixedDelay(
-					catchAndLog(() -> this.items.step(isStartupGraceOver(), isJobStateCurrent(), isLagging())),
-					ITEM_SCHEDULING_INTERVAL_MILLIS, ITEM_SCHEDULING_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+			scheduleItemStep();
 		}).syncUninterruptibly();
 		LOG.log(GatewayEvent.STARTED, this.settings.host(), this.settings.domain(), this.self.getIncarnation(),
 				this.ticker.millis() - startMillis);
@@ -477,6 +476,13 @@
 		this.writer.add(() -> registration, () -> this.registered = true);
 	}
 
+	private void scheduleItemStep() {
+		this.loop.schedule(() -> {
+			catchAndLog(() -> this.items.step(isStartupGraceOver(), isJobStateCurrent(), isLagging())).run();
+			scheduleItemStep();
+		}, this.items.getStepIntervalMillis(), TimeUnit.MILLISECONDS);
+	}
+
 	private void maintain() {
 		this.fleet.maintain();
 		this.crashReports.expire();
--- a/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/job/ItemScheduler.java
@@ -47,6 +47,15 @@
 
 	private static final EventLogger LOG = EventLogger.of(ItemScheduler.class);
 
+	/** Interval between steps in milliseconds. */
+	private static final long STEP_INTERVAL_MILLIS = 25;
+
+	/** Interval between steps in a large fleet in milliseconds. */
+	private static final long LARGE_FLEET_STEP_INTERVAL_MILLIS = 50;
+
+	/** Interval between steps in milliseconds while there are no open jobs. */
+	private static final long IDLE_STEP_INTERVAL_MILLIS = 100;
+
 	/** Delay in milliseconds before an item is run again after an error response. */
 	private static final long RETRY_DELAY_MILLIS = 300;
 
@@ -150,6 +159,8 @@
 
 	private int waitingCount;
 
+	private boolean idle;
+
 	private ItemScheduler(HostId self, long incarnation, JobTable jobTable, PeerTable peers, Fleet fleet,
 			PlacementPolicy policy, EventLoop loop, Ticker ticker, RecordWriter writer, StreamFollower configuration) {
 		this.self = self;
@@ -197,6 +208,7 @@
 	 * current state
 	 */
 	public void step(boolean settled, boolean caughtUp, boolean lagging) {
+		this.idle = false;
 		boolean changed = this.caughtUp != caughtUp;
 		this.caughtUp = caughtUp;
 		this.ownership.setSelfCaughtUp(caughtUp);
@@ -232,6 +244,20 @@
 		}
 		this.waitingCount = remaining;
 		this.avoidedSlots.endStep(remaining, now);
+		this.idle = this.runs.isEmpty() && this.pendingOutcomes.isEmpty()
+				&& this.jobTable.getJobs().stream().allMatch(Job::isDone);
+	}
+
+	/**
+	 * Returns the time until the next step is due. It is longer without open jobs, and in
+	 * a large fleet, where idle slots are allocated in longer rounds.
+	 * @return the time in milliseconds
+	 */
+	public long getStepIntervalMillis() {
+		if (this.idle) {
+			return IDLE_STEP_INTERVAL_MILLIS;
+		}
+		return this.peers.isLargeFleet() ? LARGE_FLEET_STEP_INTERVAL_MILLIS : STEP_INTERVAL_MILLIS;
 	}
 
 	/**
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerStateExchange.java
@@ -31,6 +31,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.wigeonglade.core.event.EventLogger;
 import org.wigeonglade.core.id.FailureDomain;
 import org.wigeonglade.core.id.HostId;
@@ -108,6 +109,8 @@
 
 	private long sequence;
 
+	private ExchangeMetrics metrics = new ExchangeMetrics(new PrometheusRegistry());
+
 	private final LoadReportReader reader;
 
 	private final ReportRelay relay;
@@ -235,6 +238,14 @@
 		this.registrationsSteady = isSteady;
 	}
 
+	/**
+	 * Sets the metrics of the datagrams.
+	 * @param exchangeMetrics the metrics, not null
+	 */
+	public void setMetrics(ExchangeMetrics exchangeMetrics) {
+		this.metrics = exchangeMetrics;
+	}
+
 	/**
 	 * Binds the socket.
 	 * @param address the local address, not null
@@ -321,6 +332,7 @@
 		for (PeerTable.Peer peer : this.table.getPeers()) {
 			if (peer.isAlive() && recipients.test(peer)) {
 				this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.getAddress()));
+				this.metrics.countSent(bytes.length);
 			}
 		}
 		this.channel.flush();
@@ -496,11 +508,14 @@
 	private void send(PeerTable.Peer peer, byte[] bytes) {
 		this.lastSent.put(peer.getHost(), this.ticker.millis());
 		this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.getAddress()));
+		this.metrics.countSent(bytes.length);
 	}
 
 	private void receive(byte[] bytes) {
 		try {
-			receive(Datagram.parseFrom(bytes));
+			Datagram datagram = Datagram.parseFrom(bytes);
+			this.metrics.countReceived(bytes.length, datagram.getRelayedReportsCount());
+			receive(datagram);
 		}
 		catch (InvalidProtocolBufferException ex) {
 			LOG.log(GatewayEvent.DATAGRAM_INVALID, ex, bytes.length);
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/ReportRelay.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/ReportRelay.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.stream.Stream;
 
 import org.wigeonglade.core.id.FailureDomain;
@@ -152,16 +153,18 @@
 			this.changes.put(host, pending);
 		}
 		pending.setSequence(datagram.getSequence()).setWaitingItems(report.waitingItems);
-		merge(pending, changed);
-		pending.clearWorkspaceUsage().addAllWorkspaceUsage(report.usage);
+		List<RunnerLoad> loads = merge(pending.getLoadsList(), changed, RunnerLoad::getRunner);
+		List<WorkspaceUsage> usage = merge(pending.getWorkspaceUsageList(), report.usage, WorkspaceUsage::getWorkspace);
+		pending.clearLoads().addAllLoads(loads).clearWorkspaceUsage().addAllWorkspaceUsage(usage);
 		return true;
 	}
 
-	private static void merge(RelayedReport.Builder pending, List<RunnerLoad> changed) {
-		Map<String, RunnerLoad> loads = new LinkedHashMap<>();
-		pending.getLoadsList().forEach((load) -> loads.put(load.getRunner(), load));
-		changed.forEach((load) -> loads.put(load.getRunner(), load));
-		pending.clearLoads().addAllLoads(loads.values());
+	// The newer entry of each key is kept.
+	private static <T> List<T> merge(List<T> earlier, List<T> newer, Function<T, Object> key) {
+		Map<Object, T> merged = new LinkedHashMap<>();
+		earlier.forEach((entry) -> merged.put(key.apply(entry), entry));
+		newer.forEach((entry) -> merged.put(key.apply(entry), entry));
+		return List.copyOf(merged.values());
 	}
 
 	/**
--- a/gateway/src/test/java/org/wigeonglade/gateway/peer/ReportRelayTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/peer/ReportRelayTests.java
@@ -19,6 +19,7 @@
 import org.wigeonglade.schema.generated.gateway.HostEntry;
 import org.wigeonglade.schema.generated.gateway.RelayedReport;
 import org.wigeonglade.schema.generated.gateway.RunnerLoad;
+import org.wigeonglade.schema.generated.gateway.WorkspaceUsage;
 
 /**
  * Guards against datagrams of each host that grow with the fleet, and against hosts that
@@ -126,6 +127,22 @@
 		Assert.assertTrue(relay.takeChanges().isEmpty());
 	}
 
+	// A host does not repeat its usage in each datagram.
+	@Test
+	public void usageOfBothDatagramsBetweenTwoDigestsIsPassedOn() {
+		ReportRelay relay = new ReportRelay(host(0), DOMAIN, table(24, 0));
+		relay.recordReport(report(1, Map.of()).toBuilder().addWorkspaceUsage(usage(1, 5)).build());
+		relay.recordReport(
+				report(2, Map.of()).toBuilder().addWorkspaceUsage(usage(1, 6)).addWorkspaceUsage(usage(2, 3)).build());
+		relay.recordReport(report(3, Map.of()).toBuilder().addWorkspaceUsage(usage(3, 9)).build());
+		Assert.assertEquals(relay.takeChanges().get(0).getWorkspaceUsageList(),
+				List.of(usage(1, 6), usage(2, 3), usage(3, 9)));
+	}
+
+	private static WorkspaceUsage usage(long workspace, int admitted) {
+		return WorkspaceUsage.newBuilder().setWorkspace(workspace).setAdmitted(admitted).build();
+	}
+
 	// A direct report that was sent later holds all of the load.
 	@Test
 	public void delayedChangeDoesNotReplaceALaterReport() {
