Keep a host alive whose changes are passed on

In a large fleet heartbeats are sent each 0.5 s, and a host counts as lost after 1.5 s without a datagram, so two lost ones in a row are enough for a sound host to be taken for lost; its items would then run twice. A change that a relaying host passes on now counts for the failure detector of hosts. Failure domains are judged by direct datagrams only, as before. Found while reading the change; PeerTableTests.hostWhoseChangesArePassedOnIsNotLost guards it.

--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/LoadReportReader.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/LoadReportReader.java
@@ -86,8 +86,8 @@
 	}
 
 	/**
-	 * Applies the changes at another host that a relaying host passed on. They do not
-	 * show that the host is alive.
+	 * Applies the changes at another host that a relaying host passed on. A host that
+	 * counts as lost becomes alive by its own datagrams only.
 	 * @param report the changes, not null
 	 * @param nowMillis the monotonic time in milliseconds
 	 */
@@ -110,6 +110,7 @@
 		loads.forEach((load) -> tokens.put(RunnerId.of(load.getRunner()), load.getTokens()));
 		this.memory.applyChanges(host, incarnation, report.getSequence(), tokens, nowMillis);
 		peer.get().setWaitingItems(report.getWaitingItems());
+		this.table.recordRelayed(peer.get(), nowMillis);
 	}
 
 	private static Map<RunnerId, LoadTracker.Load> readLoads(List<RunnerLoad> reported) {
--- a/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/wigeonglade/gateway/peer/PeerTable.java
@@ -170,16 +170,27 @@
 		return becameAlive;
 	}
 
+	/**
+	 * Records that a relaying host has passed on a change of a host, which is not lost
+	 * then. A failure domain is judged by direct datagrams only.
+	 * @param peer the host, not null
+	 * @param nowMillis the monotonic time in milliseconds
+	 */
+	void recordRelayed(Peer peer, long nowMillis) {
+		peer.lastRelayedMillis = nowMillis;
+	}
+
 	/**
 	 * Marks the hosts as lost from which no datagram was received for
-	 * {@link #LIVENESS_TIMEOUT_MILLIS}.
+	 * {@link #LIVENESS_TIMEOUT_MILLIS}, and of which none was passed on.
 	 * @param nowMillis the monotonic time in milliseconds
 	 * @return the hosts that were marked by this call
 	 */
 	public List<Peer> expire(long nowMillis) {
 		List<Peer> lost = new ArrayList<>();
 		for (Peer peer : this.peers.values()) {
-			if (peer.alive && nowMillis - peer.lastReceivedMillis > LIVENESS_TIMEOUT_MILLIS) {
+			long lastHeardMillis = Math.max(peer.lastReceivedMillis, peer.lastRelayedMillis);
+			if (peer.alive && nowMillis - lastHeardMillis > LIVENESS_TIMEOUT_MILLIS) {
 				peer.alive = false;
 				this.version++;
 				lost.add(peer);
@@ -336,6 +347,8 @@
 
 		private long lastReceivedMillis;
 
+		private long lastRelayedMillis = Long.MIN_VALUE / 2;
+
 		private Peer(HostId host, InetSocketAddress address, FailureDomain domain, long incarnation) {
 			this.host = host;
 			this.address = address;
--- a/gateway/src/test/java/org/wigeonglade/gateway/peer/PeerTableTests.java
+++ b/gateway/src/test/java/org/wigeonglade/gateway/peer/PeerTableTests.java
@@ -26,6 +26,18 @@
 		register(10);
 	}
 
+	// Two heartbeats in a row may be lost.
+	@Test
+	public void hostWhoseChangesArePassedOnIsNotLost() {
+		HostId host = HostId.of("relayed");
+		PeerTable relayed = new PeerTable();
+		relayed.register(host, new InetSocketAddress("127.0.0.1", 1), FailureDomain.of("a"), 1, 0);
+		relayed.recordDatagram(host, 1, false, true, 0);
+		relayed.recordRelayed(relayed.find(host).orElseThrow(), 1_000);
+		Assert.assertTrue(relayed.expire(1_000 + PeerTable.LIVENESS_TIMEOUT_MILLIS).isEmpty());
+		Assert.assertEquals(relayed.expire(1_001 + PeerTable.LIVENESS_TIMEOUT_MILLIS).size(), 1);
+	}
+
 	@Test
 	public void registeredHostIsNotAliveBeforeItsFirstDatagram() {
 		Assert.assertFalse(peer().isAlive());
